--- /dev/null
+++ b/bench/src/main/java/dev/lavenderline/bench/Main.java
@@ -0,0 +1,8 @@
+package dev.lavenderline.bench;
+
+/** Entry point. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] args) {}
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Folds of the work and calls streams. */
+package dev.lavenderline.core.ledger;
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Liveness of nodes and rendezvous order. */
+package dev.lavenderline.core.membership;
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/package-info.java
@@ -0,0 +1,2 @@
+/** Decision core of lavenderline: state machines without I/O or threads. */
+package dev.lavenderline.core;
--- /dev/null
+++ b/ctl/src/main/java/dev/lavenderline/ctl/Main.java
@@ -0,0 +1,8 @@
+package dev.lavenderline.ctl;
+
+/** Entry point. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] args) {}
+}
--- /dev/null
+++ b/http/src/main/java/dev/lavenderline/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers and upstreams. */
+package dev.lavenderline.http;
--- /dev/null
+++ b/peer/src/main/java/dev/lavenderline/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package dev.lavenderline.peer;
