--- /dev/null
+++ b/standins/src/main/java/dev/lavenderline/standins/log/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's append-only log. */
+package dev.lavenderline.standins.log;
--- /dev/null
+++ b/standins/src/main/java/dev/lavenderline/standins/weights/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's weight store. */
+package dev.lavenderline.standins.weights;
