--- a/standins/src/main/java/dev/lavenderline/standins/log/LogStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/log/LogStandin.java
@@ -28,7 +28,7 @@
  * answer); {@code delay_ms} with {@code for_ms} (answers are late, effects are not); {@code hold_appends} with
  * {@code hold_ms} (the next N appends get no answer and take effect after that time); {@code expire_before} (map of
  * stream to the first offset to keep). {@code GET /stats} returns appends, bytes, records kept, first and next offset of
- * each stream.
+ * each stream, the number of refused appends and the faults that are still to come.
  *
  * <p>All requests are handled on one event loop; {@link #start} and {@link #stop} may be called from any thread.
  *
@@ -263,7 +263,11 @@
                             .put("first", stream.first())
                             .put("next", stream.next()));
         }
-        context.json(new JsonObject().put("streams", answer).put("refused", refused));
+        context.json(new JsonObject()
+                .put("streams", answer)
+                .put("refused", refused)
+                .put("drop_answers", dropAnswers)
+                .put("hold_appends", holdAppends));
     }
 
     private static long number(RoutingContext context, String name, long otherwise) {
