--- /dev/null
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/ManagedProcess.java
@@ -0,0 +1,157 @@
+package dev.lavenderline.bench.fleet;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * A child process that prints a line beginning with {@code ready} when it serves.
+ *
+ * <p>Thread-safe. The process is ended with the object; signals go only to this process.
+ */
+public final class ManagedProcess implements AutoCloseable {
+    private static final Duration START_LIMIT = Duration.ofSeconds(30);
+
+    private final String name;
+    private final Process process;
+    private final CompletableFuture<String> ready = new CompletableFuture<>();
+    private final File log;
+
+    private ManagedProcess(String name, Process process, File log) {
+        this.name = name;
+        this.process = process;
+        this.log = log;
+    }
+
+    /**
+     * Starts a main class of this process's own class path and returns at once.
+     *
+     * @param log file that gets standard error
+     */
+    static ManagedProcess start(String name, List<String> jvmOptions, String mainClass, List<String> args, File log) {
+        List<String> command = new ArrayList<>();
+        command.add(ProcessHandle.current().info().command().orElse("java"));
+        command.addAll(jvmOptions);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+        command.addAll(args);
+        try {
+            Process process = new ProcessBuilder(command)
+                    .redirectError(ProcessBuilder.Redirect.appendTo(log))
+                    .start();
+            ManagedProcess managed = new ManagedProcess(name, process, log);
+            Thread reader = new Thread(managed::readOutput, name + "-output");
+            reader.setDaemon(true);
+            reader.start();
+            return managed;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot start " + name, e);
+        }
+    }
+
+    /** Waits until the process serves and returns its ready line without the word {@code ready}. */
+    public String awaitReady() {
+        try {
+            return ready.get(START_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for " + name, e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException(name + " did not become ready, see " + log, e);
+        }
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Ends the process without any chance to clean up (SIGKILL). */
+    public void kill() {
+        process.destroyForcibly();
+        awaitExit(Duration.ofSeconds(10));
+    }
+
+    /** Asks the process for a graceful shutdown (SIGTERM) and returns at once. */
+    public void terminate() {
+        process.destroy();
+    }
+
+    /** Freezes the process (SIGSTOP). */
+    public void pause() {
+        signal("STOP");
+    }
+
+    /** Lets a frozen process go on (SIGCONT). */
+    public void resume() {
+        signal("CONT");
+    }
+
+    /** Waits for the end of the process and returns its exit code. */
+    public int awaitExit(Duration limit) {
+        try {
+            if (!process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+                throw new IllegalStateException(name + " did not end within " + limit);
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for the end of " + name, e);
+        }
+    }
+
+    /** Returns the resident memory in bytes, from the kernel's process table. */
+    public long residentBytes() {
+        return ProcessTable.residentBytes(process.pid());
+    }
+
+    /** Returns the processor time used so far. */
+    public Duration cpuTime() {
+        return ProcessTable.cpuTime(process.pid());
+    }
+
+    @Override
+    public void close() {
+        if (process.isAlive()) {
+            signal("CONT");
+            kill();
+        }
+    }
+
+    private void signal(String signal) {
+        try {
+            Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start();
+            kill.waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot send SIG" + signal + " to " + name, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void readOutput() {
+        try (BufferedReader lines =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                if (line.startsWith("ready ")) {
+                    ready.complete(line.substring("ready ".length()));
+                }
+            }
+            ready.completeExceptionally(new IllegalStateException(name + " ended before it was ready"));
+        } catch (IOException e) {
+            ready.completeExceptionally(e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/supervisor/Component.java
@@ -0,0 +1,21 @@
+package dev.lavenderline.node.supervisor;
+
+import io.smallrye.mutiny.Uni;
+import java.util.Map;
+
+/**
+ * One part of a process in the supervisor tree.
+ *
+ * <p>All methods are called on the node's event loop. A component that was stopped is never started again; a restart
+ * creates a new one.
+ */
+public interface Component {
+    /** Starts the component; completes when later components may rely on it. */
+    Uni<Void> start();
+
+    /** Stops the component and releases what it holds; idempotent, also after a failed start. */
+    Uni<Void> stop();
+
+    /** Returns a snapshot for the state dump, serializable as JSON. */
+    Map<String, Object> state();
+}
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/supervisor/package-info.java
@@ -0,0 +1,2 @@
+/** The supervisor tree of a node. */
+package dev.lavenderline.node.supervisor;
