--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/config/ConfigLedger.java
@@ -0,0 +1,215 @@
+package dev.lavenderline.core.config;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import dev.lavenderline.core.ledger.SequencedLedger;
+import dev.lavenderline.proto.log.ChangeOutcome;
+import dev.lavenderline.proto.log.ConfigChange;
+import dev.lavenderline.proto.log.ConfigFile;
+import dev.lavenderline.proto.log.ConfigState;
+import dev.lavenderline.proto.log.Entry;
+import io.vavr.control.Either;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * The configuration folder at its current revision, folded from the stream {@code config}.
+ *
+ * <p>A change is accepted if its base is the current revision and the parser accepts the resulting folder; otherwise it
+ * is void. Its offset becomes the revision, so the revision never decreases. The parser must be deterministic, because
+ * every reader repeats its decision. A change that makes the parser throw is void too.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ */
+public final class ConfigLedger extends SequencedLedger {
+    /** Number of newest changes whose outcome is known. */
+    public static final int REMEMBERED_CHANGES = 1_000;
+
+    /** What became of a change. */
+    public enum Outcome {
+        /** The change is part of the configuration. */
+        ACCEPTED,
+        /** The change had an outdated base or was refused by the parser. */
+        VOID,
+        /** The change was not seen or is too old. */
+        UNKNOWN
+    }
+
+    private final Function<SortedMap<String, byte[]>, Either<String, FleetConfig>> parser;
+    private final Consumer<FleetConfig> listener;
+    private TreeMap<String, ByteString> files = new TreeMap<>();
+    private LinkedHashMap<String, ChangeOutcome> recent = new LinkedHashMap<>();
+    private FleetConfig config = FleetConfig.EMPTY;
+    private boolean isChanged;
+
+    /**
+     * Creates a ledger with the empty configuration at revision 0.
+     *
+     * @param parser merges and checks the files of the folder, by name; returns the configuration or a message
+     * @param listener receives each new configuration after its record has been folded; must not call {@link #apply} or
+     *     {@link #restore}
+     */
+    public ConfigLedger(
+            Function<SortedMap<String, byte[]>, Either<String, FleetConfig>> parser, Consumer<FleetConfig> listener) {
+        this.parser = parser;
+        this.listener = listener;
+    }
+
+    /** Returns the offset of the last accepted change, 0 before the first one. */
+    public long revision() {
+        return config.revision();
+    }
+
+    /** Returns the configuration at {@link #revision()}. */
+    public FleetConfig config() {
+        return config;
+    }
+
+    /** Returns a copy of the files of the folder by name. */
+    public SortedMap<String, byte[]> files() {
+        return copy(files);
+    }
+
+    /** Returns what became of one of the newest {@value #REMEMBERED_CHANGES} changes. */
+    public Outcome outcome(String changeId) {
+        ChangeOutcome outcome = recent.get(changeId);
+        if (outcome == null) {
+            return Outcome.UNKNOWN;
+        }
+        return outcome.getAccepted() ? Outcome.ACCEPTED : Outcome.VOID;
+    }
+
+    @Override
+    public byte[] snapshot() {
+        ConfigState.Builder builder =
+                ConfigState.newBuilder().addAllWriters(writerStates()).setRevision(revision());
+        files.forEach((name, content) ->
+                builder.addFiles(ConfigFile.newBuilder().setName(name).setContent(content)));
+        return serialize(builder.addAllRecent(recent.values()).build());
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * @throws IllegalArgumentException also if the revision of the snapshot is below the current one, or if the parser
+     *     refuses its files
+     */
+    @Override
+    public void restore(long asOf, byte[] bytes) {
+        requireNewer(asOf);
+        ConfigState parsed;
+        try {
+            parsed = ConfigState.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException("snapshot as of " + asOf + " cannot be parsed", e);
+        }
+        if (parsed.getRevision() < revision() || parsed.getRevision() > asOf) {
+            throw new IllegalArgumentException("snapshot as of " + asOf + " has revision " + parsed.getRevision()
+                    + ", the current one is " + revision());
+        }
+        TreeMap<String, ByteString> restoredFiles = new TreeMap<>();
+        parsed.getFilesList().forEach(file -> restoredFiles.put(file.getName(), file.getContent()));
+        FleetConfig restored = FleetConfig.EMPTY;
+        if (parsed.getRevision() != 0) {
+            restored = parse(restoredFiles, parsed.getRevision())
+                    .getOrElseThrow(message -> new IllegalArgumentException(
+                            "snapshot as of " + asOf + " has a configuration that is refused: " + message));
+        }
+        LinkedHashMap<String, ChangeOutcome> restoredRecent = new LinkedHashMap<>();
+        parsed.getRecentList().forEach(outcome -> restoredRecent.put(outcome.getId(), outcome));
+        boolean isNewer = restored.revision() > revision();
+        files = restoredFiles;
+        recent = restoredRecent;
+        config = restored;
+        moveTo(asOf, parsed.getWritersList());
+        if (isNewer) {
+            listener.accept(config);
+        }
+    }
+
+    @Override
+    protected void forget(long nowMs) {
+        // Nothing expires by time; outcomes are limited by number.
+    }
+
+    @Override
+    protected void fold(long offset, int index, long nowMs, Entry entry) {
+        if (!entry.hasConfigChange()) {
+            return;
+        }
+        ConfigChange change = entry.getConfigChange();
+        // A change that was accepted before and is sent again by another writer stays accepted. A change without an id
+        // cannot be told from such a copy and is ignored.
+        if (change.getId().isEmpty() || outcome(change.getId()) == Outcome.ACCEPTED) {
+            return;
+        }
+        boolean isAccepted = tryAccept(offset, change);
+        recent.remove(change.getId());
+        recent.put(
+                change.getId(),
+                ChangeOutcome.newBuilder()
+                        .setId(change.getId())
+                        .setOffset(offset)
+                        .setAccepted(isAccepted)
+                        .build());
+        if (recent.size() > REMEMBERED_CHANGES) {
+            recent.remove(recent.keySet().iterator().next());
+        }
+    }
+
+    @Override
+    protected void folded() {
+        if (!isChanged) {
+            return;
+        }
+        isChanged = false;
+        listener.accept(config);
+    }
+
+    private boolean tryAccept(long offset, ConfigChange change) {
+        // A second change in one batch cannot know the revision that the first one created.
+        if (change.getBase() != revision() || change.getBase() >= offset) {
+            return false;
+        }
+        TreeMap<String, ByteString> changed = new TreeMap<>(files);
+        for (ConfigFile file : change.getFilesList()) {
+            if (file.getName().isEmpty()) {
+                return false;
+            }
+            if (file.getRemoved()) {
+                changed.remove(file.getName());
+            } else {
+                changed.put(file.getName(), file.getContent());
+            }
+        }
+        Either<String, FleetConfig> parsed = parse(changed, offset);
+        if (parsed.isLeft()) {
+            return false;
+        }
+        files = changed;
+        config = parsed.get();
+        isChanged = true;
+        return true;
+    }
+
+    private Either<String, FleetConfig> parse(SortedMap<String, ByteString> folder, long revision) {
+        try {
+            return parser.apply(copy(folder)).map(parsed -> parsed.atRevision(revision));
+        } catch (RuntimeException e) {
+            // One bad record must not stop every node that reads it.
+            return Either.left("the parser failed: " + e);
+        }
+    }
+
+    private static SortedMap<String, byte[]> copy(SortedMap<String, ByteString> files) {
+        TreeMap<String, byte[]> copy = new TreeMap<>();
+        for (Map.Entry<String, ByteString> file : files.entrySet()) {
+            copy.put(file.getKey(), file.getValue().toByteArray());
+        }
+        return copy;
+    }
+}
