--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/routing/DeadlineFeasibility.java
@@ -0,0 +1,27 @@
+package dev.lavenderline.core.routing;
+
+/**
+ * Decides whether a request can still meet its deadline. The estimate of its duration is optimistic, so that only
+ * requests that would very likely be late are refused.
+ */
+final class DeadlineFeasibility {
+    /** Part of the expected time that a request needs at least. */
+    private static final double OPTIMISM = 0.7;
+
+    private DeadlineFeasibility() {}
+
+    /**
+     * @param remainingNanos time until the deadline
+     * @param waitNanos expected time in the queue
+     * @param firstTokenNanos expected time to the first token after sending
+     * @param intervalNanos expected interval between tokens, 0 if unknown
+     * @param tokens expected number of tokens
+     */
+    static boolean feasible(long remainingNanos, long waitNanos, long firstTokenNanos, long intervalNanos, int tokens) {
+        if (remainingNanos <= 0) {
+            return false;
+        }
+        double needed = waitNanos + firstTokenNanos + (double) intervalNanos * Math.max(0, tokens - 1);
+        return needed * OPTIMISM <= remainingNanos;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/routing/OutlierDetector.java
@@ -0,0 +1,125 @@
+package dev.lavenderline.core.routing;
+
+/**
+ * Weight of one upstream, derived from the ratio of its latency to the median of its group and from failures.
+ *
+ * <p>Up to a ratio of 2 the weight is 1; up to 4 it is {@code 2 / ratio}; above 4, or after failures, it is 0 and the
+ * upstream only gets probes. A weight falls at once and returns gradually: the return takes four times as long as the
+ * slowdown lasted, at least 250 ms and at most 5 s. A weight of 0 caused by failures returns only after a successful
+ * probe.
+ */
+final class OutlierDetector {
+    static final double REDUCED_RATIO = 2;
+    static final double EJECTED_RATIO = 4;
+    private static final int FAILURES_TO_EJECT = 3;
+    private static final long FIRST_PROBE_NANOS = 500_000_000L;
+    private static final long LONGEST_PROBE_NANOS = 4_000_000_000L;
+    private static final long SHORTEST_RETURN_NANOS = 250_000_000L;
+    private static final long LONGEST_RETURN_NANOS = 5_000_000_000L;
+    private static final double RETURN_FACTOR = 4;
+
+    private double weight = 1;
+    private boolean failed;
+    private int failuresInRow;
+    private long slowSinceNanos;
+    private long returnNanos = SHORTEST_RETURN_NANOS;
+    private long assessedNanos = Long.MIN_VALUE;
+    private long probeAtNanos;
+    private long probeWaitNanos = FIRST_PROBE_NANOS;
+
+    double weight() {
+        return weight;
+    }
+
+    boolean ejected() {
+        return weight == 0;
+    }
+
+    /**
+     * Updates the weight.
+     *
+     * @param ratio latency relative to the median of the group, 1 if unknown
+     */
+    void assess(double ratio, long nowNanos) {
+        double target = failed ? 0 : target(ratio);
+        if (target < weight) {
+            if (weight >= 1) {
+                slowSinceNanos = nowNanos;
+            }
+            fall(target, nowNanos);
+        } else if (target > weight) {
+            long elapsed = assessedNanos == Long.MIN_VALUE ? 0 : nowNanos - assessedNanos;
+            weight = Math.min(target, weight + elapsed / (double) returnNanos);
+        } else if (weight < 1) {
+            lengthenReturn(nowNanos);
+        }
+        assessedNanos = nowNanos;
+    }
+
+    private void fall(double target, long nowNanos) {
+        if (target == 0 && weight > 0) {
+            probeWaitNanos = FIRST_PROBE_NANOS;
+            probeAtNanos = nowNanos + probeWaitNanos;
+        }
+        weight = target;
+        lengthenReturn(nowNanos);
+    }
+
+    private void lengthenReturn(long nowNanos) {
+        long lasted = (long) ((nowNanos - slowSinceNanos) * RETURN_FACTOR);
+        returnNanos = Math.min(LONGEST_RETURN_NANOS, Math.max(SHORTEST_RETURN_NANOS, lasted));
+    }
+
+    private static double target(double ratio) {
+        if (ratio > EJECTED_RATIO) {
+            return 0;
+        }
+        return ratio > REDUCED_RATIO ? REDUCED_RATIO / ratio : 1;
+    }
+
+    /** Records a failure; a refused or silent connection ejects at once, other failures after three in a row. */
+    void failure(Dispatcher.Failure failure, long nowNanos) {
+        failuresInRow++;
+        boolean atOnce = failure == Dispatcher.Failure.CONNECT || failure == Dispatcher.Failure.SILENT;
+        if (!atOnce && failuresInRow < FAILURES_TO_EJECT) {
+            return;
+        }
+        if (weight >= 1) {
+            slowSinceNanos = nowNanos;
+        }
+        boolean again = failed;
+        failed = true;
+        fall(0, nowNanos);
+        if (again) {
+            probeFailed(nowNanos);
+        }
+        assessedNanos = nowNanos;
+    }
+
+    /** Records a complete answer. */
+    void success() {
+        failuresInRow = 0;
+    }
+
+    boolean probeDue(long nowNanos) {
+        return ejected() && nowNanos - probeAtNanos >= 0;
+    }
+
+    /** Plans the next probe after one was sent or failed. */
+    void probed(long nowNanos) {
+        probeAtNanos = nowNanos + probeWaitNanos;
+    }
+
+    void probeFailed(long nowNanos) {
+        probeWaitNanos = Math.min(LONGEST_PROBE_NANOS, 2 * probeWaitNanos);
+        probeAtNanos = nowNanos + probeWaitNanos;
+    }
+
+    /** Records a probe that was answered as fast as by other upstreams; the weight starts to return. */
+    void probeSucceeded(long nowNanos) {
+        failed = false;
+        failuresInRow = 0;
+        probeWaitNanos = FIRST_PROBE_NANOS;
+        assessedNanos = nowNanos;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/routing/PeerCounts.java
@@ -0,0 +1,76 @@
+package dev.lavenderline.core.routing;
+
+import dev.lavenderline.proto.peer.UpstreamLoad;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Sums of what the peers reported about one upstream. */
+final class PeerCounts {
+    private final Map<String, UpstreamLoad> loads = new HashMap<>();
+    private int online;
+    private int batch;
+    private int active;
+    private long outstandingTokens;
+    private Mean firstToken = Mean.EMPTY;
+    private Mean interval = Mean.EMPTY;
+
+    void put(String node, UpstreamLoad load) {
+        count(loads.put(node, load), -1);
+        count(load, 1);
+    }
+
+    void remove(String node) {
+        count(loads.remove(node), -1);
+    }
+
+    private void count(UpstreamLoad load, int sign) {
+        if (load == null) {
+            return;
+        }
+        online += sign * load.getOnlineInFlight();
+        batch += sign * load.getBatchInFlight();
+        active += load.getOnlineInFlight() + load.getOnlineWaiting() > 0 ? sign : 0;
+        outstandingTokens += sign * load.getOutstandingTokens();
+        firstToken = firstToken.plus(load.getFirstTokenUs(), sign);
+        interval = interval.plus(load.getTokenIntervalUs(), sign);
+    }
+
+    int online() {
+        return online;
+    }
+
+    int batch() {
+        return batch;
+    }
+
+    /** Returns the number of peers with online requests in flight or waiting. */
+    int active() {
+        return active;
+    }
+
+    long outstandingTokens() {
+        return outstandingTokens;
+    }
+
+    /** Returns the peers' mean time to the first token in nanoseconds, 0 if none reported one. */
+    double firstTokenNanos() {
+        return firstToken.nanos();
+    }
+
+    /** Returns the peers' mean token interval in nanoseconds, 0 if none reported one. */
+    double intervalNanos() {
+        return interval.nanos();
+    }
+
+    private record Mean(long sumMicros, int values) {
+        private static final Mean EMPTY = new Mean(0, 0);
+
+        Mean plus(int micros, int sign) {
+            return micros == 0 ? this : new Mean(sumMicros + (long) sign * micros, values + sign);
+        }
+
+        double nanos() {
+            return values == 0 ? 0 : sumMicros * 1000.0 / values;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/routing/PrefixAffinity.java
@@ -0,0 +1,39 @@
+package dev.lavenderline.core.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Remembers which upstream last served a prompt prefix; drops the least recently used prefixes above its bound. */
+final class PrefixAffinity {
+    private final Map<Long, String> upstreams;
+
+    PrefixAffinity(int bound) {
+        upstreams = new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
+                return size() > bound;
+            }
+        };
+    }
+
+    /** Returns the upstream for a prefix; the hash 0 stands for no prefix. */
+    Optional<String> upstream(long prefixHash) {
+        return prefixHash == 0 ? Optional.empty() : Optional.ofNullable(upstreams.get(prefixHash));
+    }
+
+    void served(long prefixHash, String upstream) {
+        if (prefixHash != 0) {
+            upstreams.put(prefixHash, upstream);
+        }
+    }
+
+    /** Forgets a prefix whose cache is lost. */
+    void forget(long prefixHash) {
+        upstreams.remove(prefixHash);
+    }
+
+    int size() {
+        return upstreams.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/routing/UpstreamState.java
@@ -0,0 +1,214 @@
+package dev.lavenderline.core.routing;
+
+import dev.lavenderline.core.config.Upstream;
+import dev.lavenderline.proto.peer.UpstreamLoad;
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** Bookkeeping of one upstream: attempts in flight of this node, counts of the peers, load reports and latency. */
+final class UpstreamState {
+    private static final double NANOS_PER_MICRO = 1000;
+    /** Peers' averages replace the node's own ones when these are older. */
+    private static final long OWN_AGE_NANOS = 1_000_000_000L;
+
+    final UpstreamStatistics statistics = new UpstreamStatistics();
+    final OutlierDetector outlier = new OutlierDetector();
+    final PeerCounts peers = new PeerCounts();
+    private final Set<OnlineAttempt> withoutToken = new LinkedHashSet<>();
+    private Upstream config;
+    private boolean leaving;
+    private int online;
+    private int longOnline;
+    private int streaming;
+    private int batch;
+    private int waitingReported;
+    private long outstandingTokens;
+    private long lastTokenNanos;
+    private int reportedOccupancy;
+    private long reportNanos = Long.MIN_VALUE;
+    private long changeVersion;
+
+    UpstreamState(Upstream config) {
+        this.config = config;
+    }
+
+    Upstream config() {
+        return config;
+    }
+
+    String name() {
+        return config.name();
+    }
+
+    /** Replaces the configuration; an upstream at a new address is a new process with unknown latency. */
+    void configure(Upstream newConfig) {
+        if (!newConfig.address().equals(config.address())) {
+            statistics.reset();
+        }
+        config = newConfig;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    void leaving(boolean value) {
+        leaving = value;
+    }
+
+    void sent(OnlineAttempt attempt) {
+        online++;
+        longOnline += attempt.isLong() ? 1 : 0;
+        outstandingTokens += attempt.outstandingTokens();
+        withoutToken.add(attempt);
+    }
+
+    void firstToken(OnlineAttempt attempt, long nowNanos) {
+        withoutToken.remove(attempt);
+        streaming++;
+        lastTokenNanos = nowNanos;
+        statistics.observed(nowNanos);
+    }
+
+    void tokens(int tokens, long nowNanos) {
+        outstandingTokens -= tokens;
+        lastTokenNanos = nowNanos;
+        statistics.observed(nowNanos);
+    }
+
+    void becameLong() {
+        longOnline++;
+    }
+
+    void ended(OnlineAttempt attempt) {
+        online--;
+        longOnline -= attempt.isLong() ? 1 : 0;
+        outstandingTokens -= attempt.outstandingTokens();
+        if (!withoutToken.remove(attempt)) {
+            streaming--;
+        }
+    }
+
+    int online() {
+        return online;
+    }
+
+    int longOnline() {
+        return longOnline;
+    }
+
+    int withoutToken() {
+        return withoutToken.size();
+    }
+
+    int batch() {
+        return batch;
+    }
+
+    void batch(int items) {
+        batch = items;
+    }
+
+    /** Returns online requests of all nodes on this upstream. */
+    int onlineOfAll() {
+        return online + peers.online();
+    }
+
+    /** Returns the sequences in use as far as known; a newer load report can only raise the number. */
+    int occupancy() {
+        int counted = onlineOfAll() + batch + peers.batch();
+        return reportNanos > statistics.lastObservationNanos() ? Math.max(counted, reportedOccupancy) : counted;
+    }
+
+    void report(int running, int waiting, long asOfNanos) {
+        if (asOfNanos > reportNanos) {
+            reportNanos = asOfNanos;
+            reportedOccupancy = running + waiting;
+        }
+    }
+
+    /** Returns the age of the oldest attempt without a token whose prompt is not long, 0 if there is none. */
+    long oldestWithoutTokenNanos(long nowNanos) {
+        for (Iterator<OnlineAttempt> attempts = withoutToken.iterator(); attempts.hasNext(); ) {
+            OnlineAttempt attempt = attempts.next();
+            if (!attempt.hasLongPrompt()) {
+                return nowNanos - attempt.sentNanos();
+            }
+        }
+        return 0;
+    }
+
+    /** Returns the time to the first token with none ahead, own or else of the peers, 0 if unknown. */
+    double firstTokenBase(long nowNanos) {
+        double own = statistics.firstTokenBase(nowNanos);
+        return own > 0 ? own : peers.firstTokenNanos();
+    }
+
+    double firstToken(long nowNanos) {
+        double own = statistics.firstToken(nowNanos);
+        return own > 0 ? own : peers.firstTokenNanos();
+    }
+
+    /**
+     * Returns the token interval, 0 if unknown. While streams are open, the time since the last token counts as an
+     * interval that is at least that long.
+     */
+    double interval(long nowNanos) {
+        double known = statistics.interval(nowNanos);
+        if (nowNanos - statistics.lastObservationNanos() > OWN_AGE_NANOS && streaming == 0) {
+            double reported = peers.intervalNanos();
+            known = reported > 0 ? reported : known;
+        }
+        return streaming > 0 ? Math.max(known, nowNanos - lastTokenNanos) : known;
+    }
+
+    boolean idle() {
+        return online == 0 && batch == 0;
+    }
+
+    /** Sets the share of waiting requests that peers are told; returns whether it changed. */
+    boolean waiting(int requests) {
+        boolean changed = requests != waitingReported;
+        waitingReported = requests;
+        return changed;
+    }
+
+    void changed(long version) {
+        changeVersion = version;
+    }
+
+    long changeVersion() {
+        return changeVersion;
+    }
+
+    UpstreamLoad load(long nowNanos) {
+        return UpstreamLoad.newBuilder()
+                .setUpstream(name())
+                .setOnlineInFlight(online)
+                .setOnlineWaiting(waitingReported)
+                .setBatchInFlight(batch)
+                .setFirstTokenUs((int) (statistics.reportedFirstToken(nowNanos) / NANOS_PER_MICRO))
+                .setTokenIntervalUs((int) (statistics.reportedInterval(nowNanos) / NANOS_PER_MICRO))
+                .setOutstandingTokens(Math.max(0, outstandingTokens))
+                .build();
+    }
+
+    UpstreamView view(long nowNanos) {
+        return new UpstreamView(
+                name(),
+                config.group(),
+                outlier.weight(),
+                leaving,
+                online,
+                longOnline,
+                withoutToken.size(),
+                peers.online(),
+                batch + peers.batch(),
+                Math.max(0, outstandingTokens),
+                Duration.ofNanos((long) firstToken(nowNanos)),
+                Duration.ofNanos(statistics.firstTokenQuantile(0.95, nowNanos)),
+                Duration.ofNanos((long) interval(nowNanos)));
+    }
+}
