--- /dev/null
+++ b/standins/src/main/java/dev/lavenderline/standins/engine/EngineOrders.java
@@ -0,0 +1,95 @@
+package dev.lavenderline.standins.engine;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.RoutingContext;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Orders to load and unload models and adapters and to change the role. Confined to the engine's event loop. */
+final class EngineOrders {
+    private final EngineOptions options;
+    private final Set<Artifact> loaded = new LinkedHashSet<>();
+    private final List<Artifact> loading = new ArrayList<>();
+    private String role = "mixed";
+    private long fencing;
+    private Vertx vertx;
+
+    private record Artifact(String model, String version, String adapter) {
+        JsonObject toJson() {
+            return new JsonObject().put("model", model).put("version", version).put("adapter", adapter);
+        }
+    }
+
+    EngineOrders(EngineOptions options) {
+        this.options = options;
+        for (String name : options.loaded()) {
+            String[] parts = name.split(":", 3);
+            loaded.add(new Artifact(parts[0], parts.length > 1 ? parts[1] : "", parts.length > 2 ? parts[2] : ""));
+        }
+    }
+
+    void start(Vertx owner) {
+        vertx = owner;
+    }
+
+    void order(RoutingContext ctx) {
+        JsonObject body;
+        String kind;
+        Artifact artifact;
+        String newRole;
+        long number;
+        try {
+            body = ctx.body().asJsonObject();
+            kind = body.getString("kind", "");
+            artifact = new Artifact(
+                    body.getString("model", ""), body.getString("version", ""), body.getString("adapter", ""));
+            newRole = body.getString("role", "");
+            number = body.getLong("fencing", 0L);
+        } catch (RuntimeException e) {
+            EngineServer.error(ctx, 400, "invalid_request", "the order is malformed");
+            return;
+        }
+        if (options.checksFencing() && number < fencing) {
+            EngineServer.error(ctx, 409, "stale_fencing", "fencing number " + number + " is below " + fencing);
+            return;
+        }
+        fencing = Math.max(fencing, number);
+        switch (kind) {
+            case "load" -> load(artifact);
+            case "unload" -> loaded.remove(artifact);
+            case "role" -> role = newRole;
+            default -> {
+                EngineServer.error(ctx, 400, "invalid_request", "unknown kind " + kind);
+                return;
+            }
+        }
+        ctx.json(new JsonObject().put("fencing", fencing));
+    }
+
+    private void load(Artifact artifact) {
+        if (loaded.contains(artifact) || loading.contains(artifact)) {
+            return;
+        }
+        loading.add(artifact);
+        vertx.setTimer(Math.max(1, options.loadTimeMs()), timer -> {
+            loading.remove(artifact);
+            loaded.add(artifact);
+        });
+    }
+
+    void loaded(RoutingContext ctx) {
+        JsonArray done = new JsonArray();
+        loaded.forEach(artifact -> done.add(artifact.toJson()));
+        JsonArray pending = new JsonArray();
+        loading.forEach(artifact -> pending.add(artifact.toJson()));
+        ctx.json(new JsonObject()
+                .put("loaded", done)
+                .put("loading", pending)
+                .put("role", role)
+                .put("fencing", fencing));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/dev/lavenderline/standins/engine/TokenText.java
@@ -0,0 +1,109 @@
+package dev.lavenderline.standins.engine;
+
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.Longs;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Deterministic answer text. Token {@code i} depends only on the prompt and on {@code i}, so that an answer continued
+ * on another engine has the same text. No word is a suffix of another one, so that generated tokens can be removed
+ * from the end of a text without ambiguity.
+ */
+final class TokenText {
+    private static final String[] WORDS = {
+        "anchor",
+        "bolt",
+        "cable",
+        "drive",
+        "encoder",
+        "fuse",
+        "gate",
+        "hinge",
+        "input",
+        "jumper",
+        "keypad",
+        "latch",
+        "motor",
+        "notch",
+        "output",
+        "photocell",
+        "quarry",
+        "relay",
+        "sensor",
+        "track",
+        "upper",
+        "valve",
+        "winding",
+        "xenon",
+        "yoke",
+        "zinc",
+        "arabic",
+        "bridge",
+        "coast",
+        "dune",
+        "estuary",
+        "falcon",
+        "garden",
+        "harbour",
+        "island",
+        "jasmine",
+        "kite",
+        "lagoon",
+        "market",
+        "north",
+        "oasis",
+        "palm",
+        "reef",
+        "sunset"
+    };
+
+    /** Size of a token in characters for prompts; the usual estimate for English text. */
+    static final int CHARS_PER_TOKEN = 4;
+
+    private TokenText() {}
+
+    static long hash(String prompt) {
+        return Hashing.murmur3_128().hashString(prompt, StandardCharsets.UTF_8).asLong();
+    }
+
+    /** Returns token {@code index} of the answer; every token ends with a space. */
+    static String token(long promptHash, int index) {
+        byte[] seed = Longs.toByteArray(promptHash * 31 + index);
+        int word = Math.floorMod(Hashing.murmur3_128().hashBytes(seed).asInt(), WORDS.length);
+        return WORDS[word] + " ";
+    }
+
+    static int promptTokens(String prompt) {
+        return Math.max(1, (prompt.length() + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN);
+    }
+
+    /** Removes the generated tokens from the end of a text. */
+    static Split split(String text) {
+        int end = text.length();
+        int tokens = 0;
+        while (true) {
+            int length = generatedLength(text, end);
+            if (length == 0) {
+                return new Split(text.substring(0, end), tokens);
+            }
+            end -= length;
+            tokens++;
+        }
+    }
+
+    private static int generatedLength(String text, int end) {
+        if (end == 0 || text.charAt(end - 1) != ' ') {
+            return 0;
+        }
+        for (String word : WORDS) {
+            int start = end - 1 - word.length();
+            if (start >= 0 && text.startsWith(word, start)) {
+                return word.length() + 1;
+            }
+        }
+        return 0;
+    }
+
+    /** A text without its generated tokens, and their number. */
+    record Split(String text, int tokens) {}
+}
--- /dev/null
+++ b/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
@@ -0,0 +1,130 @@
+package dev.lavenderline.standins.service;
+
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+
+/**
+ * Stand-in for a plain service: answers any path with the method, path and body that it got, and records each run.
+ * All state is confined to the verticle's event loop.
+ *
+ * <pre>{@code
+ * ServiceServer service = new ServiceServer(ServiceOptions.parse("--delay", "5"));
+ * vertx.deployVerticle(service).await();
+ * }</pre>
+ */
+public final class ServiceServer extends VerticleBase {
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
+    private final ServiceOptions options;
+    private final JsonArray runs = new JsonArray();
+    private HttpServer server;
+    private long hangUntil;
+    private int dropAnswers;
+    private int rejects;
+
+    /** Creates a service; it accepts connections when it is deployed. */
+    public ServiceServer(ServiceOptions options) {
+        this.options = options;
+    }
+
+    /** Runs the service stand-in as a process; prints {@code ready PORT} when it accepts connections. */
+    public static void run(String[] args) {
+        ServiceServer service = new ServiceServer(ServiceOptions.parse(args));
+        Vertx.vertx().deployVerticle(service).await();
+        System.out.println("ready " + service.port());
+        System.out.flush();
+    }
+
+    /** Returns the port that the service listens on. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    @Override
+    public Future<?> start() {
+        Router router = Router.router(vertx);
+        BodyHandler bodies = BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES);
+        router.post("/faults").handler(bodies).handler(this::faults);
+        router.get("/history").handler(ctx -> ctx.json(new JsonObject().put("runs", runs)));
+        router.route().handler(bodies).handler(this::call);
+        HttpServerOptions http = new HttpServerOptions().setHost(options.host()).setPort(options.port());
+        server = vertx.createHttpServer(http).requestHandler(router);
+        return server.listen();
+    }
+
+    private void faults(RoutingContext ctx) {
+        JsonObject body = ctx.body().asJsonObject();
+        dropAnswers = body.getInteger("drop_answers", dropAnswers);
+        rejects = body.getInteger("reject", rejects);
+        if (body.containsKey("hang_ms")) {
+            hangUntil = System.nanoTime() + body.getLong("hang_ms") * NANOS_PER_MS;
+        }
+        ctx.json(new JsonObject());
+    }
+
+    private void call(RoutingContext ctx) {
+        if (rejects > 0) {
+            rejects--;
+            JsonObject error = new JsonObject().put("code", "overloaded").put("message", "the call was not run");
+            ctx.response()
+                    .setStatusCode(503)
+                    .end(new JsonObject().put("error", error).toBuffer());
+            return;
+        }
+        JsonObject run = new JsonObject()
+                .put("run", "run-" + (runs.size() + 1))
+                .put("method", ctx.request().method().name())
+                .put("path", ctx.request().path())
+                .put("idempotency_key", header(ctx, "Idempotency-Key"))
+                .put("request_id", header(ctx, "X-Request-Id"))
+                .put("started_ms", System.currentTimeMillis());
+        runs.add(run);
+        long wait = options.delayMs();
+        if (hangUntil != 0) {
+            wait = Math.max(wait, (hangUntil - System.nanoTime()) / NANOS_PER_MS);
+        }
+        boolean drop = dropAnswers > 0;
+        if (drop) {
+            dropAnswers--;
+        }
+        if (wait <= 0) {
+            answer(ctx, run, drop);
+        } else {
+            vertx.setTimer(wait, timer -> answer(ctx, run, drop));
+        }
+    }
+
+    private void answer(RoutingContext ctx, JsonObject run, boolean drop) {
+        if (drop) {
+            ctx.request().connection().close();
+            return;
+        }
+        if (ctx.response().closed()) {
+            return;
+        }
+        JsonObject answer = new JsonObject()
+                .put("run", run.getString("run"))
+                .put("method", run.getString("method"))
+                .put("path", run.getString("path"))
+                .put("query", String.valueOf(ctx.request().query()))
+                .put("body", ctx.body().asString());
+        if (options.paddingBytes() > 0) {
+            answer.put("padding", "x".repeat(options.paddingBytes()));
+        }
+        ctx.json(answer);
+    }
+
+    private static String header(RoutingContext ctx, String name) {
+        String value = ctx.request().getHeader(name);
+        return value == null ? "" : value;
+    }
+}
