--- /dev/null
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/LocalFleet.java
@@ -0,0 +1,204 @@
+package dev.lavenderline.bench.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Stand-ins and nodes as processes on the loopback address. Everything that was started is ended by {@link #close}.
+ *
+ * <p>Not thread-safe.
+ *
+ * <pre>{@code
+ * try (LocalFleet fleet = LocalFleet.create(directory)) {
+ *     fleet.startPlatform(List.of());
+ *     LocalNode node = fleet.startNode("n1", "north-moor", "north-moor-a", List.of());
+ * }
+ * }</pre>
+ */
+public final class LocalFleet implements AutoCloseable {
+    private static final List<String> SMALL_JVM =
+            List.of("-XX:+UseSerialGC", "-Xmx96m", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+    private static final List<String> NODE_JVM = List.of("-XX:+UseSerialGC", "-Xmx192m");
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Path directory;
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+    private final List<ManagedProcess> processes = new ArrayList<>();
+    private final Map<String, LocalNode> nodes = new LinkedHashMap<>();
+    private int logPort;
+    private int hostsPort;
+    private int weightsPort;
+
+    private LocalFleet(Path directory) {
+        this.directory = directory;
+    }
+
+    /** Creates a fleet whose processes log into a directory. */
+    public static LocalFleet create(Path directory) {
+        try {
+            Files.createDirectories(directory);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot create " + directory, e);
+        }
+        return new LocalFleet(directory);
+    }
+
+    /** Starts the log, the host list and the weight store. */
+    public void startPlatform(List<String> logOptions) {
+        ManagedProcess log = standin("log", "log", 0, logOptions);
+        ManagedProcess hosts = standin("hosts", "hosts", 0, List.of());
+        ManagedProcess weights = standin("weights", "weights", 0, List.of());
+        logPort = port(log);
+        hostsPort = port(hosts);
+        weightsPort = port(weights);
+    }
+
+    /** Starts an engine or a service stand-in. */
+    public ManagedProcess startUpstream(String kind, String name, int port, List<String> options) {
+        return standin(name, kind, port, options);
+    }
+
+    /** Returns the port in a stand-in's ready line. */
+    public static int port(ManagedProcess standin) {
+        return Integer.parseInt(standin.awaitReady().trim());
+    }
+
+    /** Starts a node, waits until it listens and adds it to the host list. */
+    public LocalNode startNode(String name, String region, String failureDomain, List<String> options) {
+        LocalNode node = launchNode(name, region, failureDomain, options);
+        node.awaitListening();
+        register("node", node.peersAddress(), "live");
+        return node;
+    }
+
+    private LocalNode launchNode(String name, String region, String failureDomain, List<String> options) {
+        List<String> args = new ArrayList<>(List.of(
+                "--node=" + name,
+                "--region=" + region,
+                "--failure-domain=" + failureDomain,
+                "--callers-address=127.0.0.1:0",
+                "--operators-address=127.0.0.1:0",
+                "--peers-address=127.0.0.1:0",
+                "--log-url=" + logUrl(),
+                "--hosts-url=" + hostsUrl(),
+                "--weights-url=" + weightsUrl()));
+        args.addAll(options);
+        ManagedProcess process = start(name, NODE_JVM, "dev.lavenderline.node.Main", args);
+        LocalNode node = new LocalNode(name, process, http);
+        nodes.put(name, node);
+        return node;
+    }
+
+    /** Returns the nodes by name, also those that ended. */
+    public Map<String, LocalNode> nodes() {
+        return nodes;
+    }
+
+    public String logUrl() {
+        return "http://127.0.0.1:" + logPort;
+    }
+
+    public String hostsUrl() {
+        return "http://127.0.0.1:" + hostsPort;
+    }
+
+    public String weightsUrl() {
+        return "http://127.0.0.1:" + weightsPort;
+    }
+
+    /** Adds or changes an entry of the host list. */
+    public void register(String role, String address, String state) {
+        ObjectNode entry = JSON.createObjectNode();
+        entry.put("role", role).put("address", address).put("state", state);
+        post(hostsUrl() + "/hosts", entry);
+    }
+
+    /** Provokes a fault of the log stand-in. */
+    public void logFault(ObjectNode fault) {
+        post(logUrl() + "/faults", fault);
+    }
+
+    /** Provokes a fault of a stand-in on a port. */
+    public void fault(int port, ObjectNode fault) {
+        post("http://127.0.0.1:" + port + "/faults", fault);
+    }
+
+    /** Reads a JSON document. */
+    public JsonNode get(String url) {
+        try {
+            HttpResponse<String> response = http.send(
+                    HttpRequest.newBuilder(URI.create(url))
+                            .timeout(Duration.ofSeconds(5))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            return JSON.readTree(response.body());
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot read " + url, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while reading " + url, e);
+        }
+    }
+
+    private void post(String url, JsonNode body) {
+        try {
+            HttpResponse<String> response = http.send(
+                    HttpRequest.newBuilder(URI.create(url))
+                            .timeout(Duration.ofSeconds(5))
+                            .header("Content-Type", "application/json")
+                            .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() >= 300) {
+                throw new IllegalStateException(
+                        "POST " + url + " gave " + response.statusCode() + ": " + response.body());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot post to " + url, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while posting to " + url, e);
+        }
+    }
+
+    /** Starts another main class of the class path with the options of a small process. */
+    public ManagedProcess start(String name, String mainClass, List<String> args) {
+        return start(name, SMALL_JVM, mainClass, args);
+    }
+
+    private ManagedProcess standin(String name, String kind, int port, List<String> options) {
+        List<String> args = new ArrayList<>(List.of(kind, "--port", Integer.toString(port)));
+        args.addAll(options);
+        return start(name, SMALL_JVM, "dev.lavenderline.standins.Main", args);
+    }
+
+    private ManagedProcess start(String name, List<String> jvm, String mainClass, List<String> args) {
+        File log = directory.resolve(name + ".log").toFile();
+        ManagedProcess process = ManagedProcess.start(name, jvm, mainClass, args, log);
+        processes.add(process);
+        return process;
+    }
+
+    @Override
+    public void close() {
+        for (int i = processes.size() - 1; i >= 0; i--) {
+            processes.get(i).close();
+        }
+    }
+}
--- a/node/src/main/java/dev/lavenderline/node/jobs/BatchFile.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/InputFile.java
@@ -23,7 +23,7 @@
  * @param items number of lines that are not blank
  * @param chunks consecutive parts, each a whole number of lines
  */
-public record BatchFile(String id, long bytes, int items, List<Chunk> chunks) {
+public record InputFile(String id, long bytes, int items, List<Chunk> chunks) {
     /** Largest number of items in one file. */
     public static final int MAX_ITEMS = 160_000;
     /** Size at which a chunk ends, in bytes; one line may make it larger. */
@@ -35,7 +35,7 @@
             new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private static final Set<String> ENDPOINTS = Set.of("/v1/chat/completions", "/v1/completions");
 
-    public BatchFile {
+    public InputFile {
         chunks = List.copyOf(chunks);
     }
 
@@ -47,7 +47,7 @@
     public record Line(String customId, String url, JsonNode body) {}
 
     /** Checks the content and cuts it into chunks; errors name the line. Takes time linear in the size. */
-    public static Either<ApiError, BatchFile> parse(String workspace, byte[] content) {
+    public static Either<ApiError, InputFile> parse(String workspace, byte[] content) {
         String hash = Hashing.sha256()
                 .newHasher()
                 .putString(workspace, StandardCharsets.UTF_8)
@@ -57,7 +57,7 @@
                 .toString();
         return new Parser(content).parse().map(chunks -> {
             int items = chunks.stream().mapToInt(Chunk::items).sum();
-            return new BatchFile("file-" + hash.substring(0, 32), content.length, items, chunks);
+            return new InputFile("file-" + hash.substring(0, 32), content.length, items, chunks);
         });
     }
 
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/jobs/ItemExecutor.java
@@ -0,0 +1,176 @@
+package dev.lavenderline.node.jobs;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import dev.lavenderline.core.admission.ItemOutcome;
+import dev.lavenderline.core.config.Upstream;
+import dev.lavenderline.http.ApiError;
+import dev.lavenderline.http.ModelRequest;
+import dev.lavenderline.http.StreamListener;
+import dev.lavenderline.http.StreamRequest;
+import dev.lavenderline.http.TrafficClass;
+import dev.lavenderline.http.UpstreamClient;
+import dev.lavenderline.http.UpstreamFailure;
+import dev.lavenderline.proto.log.ItemResult;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+/**
+ * Runs one batch item on one engine and gathers its whole answer.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ */
+final class ItemExecutor {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int DEFAULT_MAX_TOKENS = 512;
+
+    private final UpstreamClient client;
+    private final Duration firstToken;
+    private final Duration stall;
+
+    /**
+     * Creates an executor.
+     *
+     * @param firstToken longest time until the first token
+     * @param stall longest time between tokens
+     */
+    ItemExecutor(UpstreamClient client, Duration firstToken, Duration stall) {
+        this.client = client;
+        this.firstToken = firstToken;
+        this.stall = stall;
+    }
+
+    /** Receives the end of a run; exactly one of {@code done} and {@code failed} is called unless it was cancelled. */
+    interface Listener {
+        void firstToken();
+
+        void done(ItemResult result);
+
+        void failed(ItemOutcome outcome, ItemResult asResult);
+    }
+
+    /** Returns the result of an item that cannot be sent, or the parsed request. */
+    static Either<ItemResult, ModelRequest> parse(int index, InputFile.Line line, String endpoint) {
+        if (!line.url().equals(endpoint)) {
+            return Either.left(error(
+                    index,
+                    line.customId(),
+                    0,
+                    "invalid_endpoint",
+                    "the item names " + line.url() + ", the batch " + endpoint));
+        }
+        byte[] body = line.body().toString().getBytes(StandardCharsets.UTF_8);
+        return ModelRequest.parse(body, line.url(), DEFAULT_MAX_TOKENS).mapLeft(fault -> rejected(index, line, fault));
+    }
+
+    private static ItemResult rejected(int index, InputFile.Line line, ApiError fault) {
+        return error(index, line.customId(), fault.status(), fault.code(), fault.message());
+    }
+
+    /** Returns a result that records an error. */
+    static ItemResult error(int index, String customId, int status, String code, String message) {
+        return ItemResult.newBuilder()
+                .setIndex(index)
+                .setCustomId(customId)
+                .setStatus(status)
+                .setErrorCode(code)
+                .setErrorMessage(message)
+                .build();
+    }
+
+    /** Sends an item. */
+    UpstreamClient.Exchange run(
+            Upstream upstream,
+            String requestId,
+            int index,
+            String customId,
+            ModelRequest request,
+            boolean newConnection,
+            Listener listener) {
+        StreamRequest stream = new StreamRequest(
+                requestId, request.path(), request.body(), TrafficClass.BATCH, firstToken, stall, newConnection);
+        return client.stream(upstream, stream, new Gatherer(index, customId, requestId, request, listener));
+    }
+
+    private static final class Gatherer implements StreamListener {
+        private final int index;
+        private final String customId;
+        private final String requestId;
+        private final ModelRequest request;
+        private final Listener listener;
+        private final StringBuilder text = new StringBuilder();
+        private int tokens;
+
+        private Gatherer(int index, String customId, String requestId, ModelRequest request, Listener listener) {
+            this.index = index;
+            this.customId = customId;
+            this.requestId = requestId;
+            this.request = request;
+            this.listener = listener;
+        }
+
+        @Override
+        public void token(Token token) {
+            text.append(token.text());
+            tokens++;
+            if (tokens == 1) {
+                listener.firstToken();
+            }
+        }
+
+        @Override
+        public void end(End end) {
+            listener.done(ItemResult.newBuilder()
+                    .setIndex(index)
+                    .setCustomId(customId)
+                    .setStatus(200)
+                    .setRequestId(requestId)
+                    .setBody(ByteString.copyFromUtf8(body(end).toString()))
+                    .build());
+        }
+
+        private ObjectNode body(End end) {
+            ObjectNode body = JSON.createObjectNode();
+            body.put("id", requestId);
+            body.put("object", request.chat() ? "chat.completion" : "text_completion");
+            body.put("model", request.deployment());
+            ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
+            if (request.chat()) {
+                choice.putObject("message").put("role", "assistant").put("content", text.toString());
+            } else {
+                choice.put("text", text.toString());
+            }
+            choice.put("finish_reason", end.finishReason());
+            body.putObject("usage")
+                    .put("prompt_tokens", end.promptTokens())
+                    .put("completion_tokens", tokens)
+                    .put("total_tokens", end.promptTokens() + tokens);
+            return body;
+        }
+
+        @Override
+        public void failed(UpstreamFailure failure) {
+            ItemResult asResult = error(index, customId, failure.status(), code(failure), failure.message()).toBuilder()
+                    .setRequestId(requestId)
+                    .setBody(ByteString.copyFrom(failure.body().getBytes()))
+                    .build();
+            listener.failed(outcome(failure), asResult);
+        }
+
+        private static String code(UpstreamFailure failure) {
+            return failure.kind() == UpstreamFailure.Kind.REFUSED ? "refused" : "attempts_exhausted";
+        }
+
+        private static ItemOutcome outcome(UpstreamFailure failure) {
+            return switch (failure.kind()) {
+                case CONNECT -> ItemOutcome.NOT_SENT;
+                case SILENT -> ItemOutcome.TIMED_OUT;
+                case REJECTED -> ItemOutcome.REJECTED;
+                case REFUSED -> ItemOutcome.REFUSED;
+                case BROKEN, UNKNOWN_STREAM, CROSSED -> ItemOutcome.KILLED;
+            };
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/log/LoggedStream.java
@@ -0,0 +1,100 @@
+package dev.lavenderline.node.log;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import dev.lavenderline.core.ledger.Ledger;
+import dev.lavenderline.platform.LogError;
+import dev.lavenderline.platform.LogFollower;
+import dev.lavenderline.platform.LogWriter;
+import dev.lavenderline.proto.log.Entry;
+import io.smallrye.mutiny.Uni;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/**
+ * One stream of the log as a node uses it: a ledger, the follower that folds records into it, and a writer.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ *
+ * @param <L> type of the ledger
+ */
+public final class LoggedStream<L extends Ledger> {
+    private final L ledger;
+    private final LogWriter writer;
+    private final LogFollower follower;
+    private final Timers timers;
+    private final Ticker ticker;
+    private final PriorityQueue<Waiter> waiters = new PriorityQueue<>((a, b) -> Long.compare(a.offset, b.offset));
+
+    public LoggedStream(L ledger, LogWriter writer, LogFollower follower, Timers timers, Ticker ticker) {
+        this.ledger = ledger;
+        this.writer = writer;
+        this.follower = follower;
+        this.timers = timers;
+        this.ticker = ticker;
+    }
+
+    public L ledger() {
+        return ledger;
+    }
+
+    public LogWriter writer() {
+        return writer;
+    }
+
+    public LogFollower follower() {
+        return follower;
+    }
+
+    /** Returns whether all records that stood in the stream less than {@code limit} ago are folded. */
+    public boolean isFresh(Duration limit) {
+        return age().compareTo(limit) <= 0;
+    }
+
+    /** Returns the time since the tail of the stream was known. */
+    public Duration age() {
+        return follower.lastTailRead().isPresent()
+                ? Duration.ofNanos(ticker.nanos() - follower.lastTailRead().getAsLong())
+                : Duration.ofDays(1);
+    }
+
+    /**
+     * Appends entries and waits until this node has folded them.
+     *
+     * @return the offset, or {@link LogError.TimedOut} if the limit passed; the entries may then still be appended
+     */
+    public Uni<Either<LogError, Long>> append(List<Entry> entries, Duration limit) {
+        Uni<Either<LogError, Long>> folded = writer.write(entries).chain(result -> {
+            if (result.isLeft()) {
+                return Uni.createFrom().item(result);
+            }
+            return reached(result.get()).replaceWith(result);
+        });
+        String message = "no acknowledgement on stream " + writer.stream() + " within " + limit.toMillis() + " ms";
+        return Timeouts.within(folded, timers, limit, () -> Either.left(new LogError.TimedOut(message)));
+    }
+
+    /** Appends one entry; see {@link #append(List, Duration)}. */
+    public Uni<Either<LogError, Long>> append(Entry entry, Duration limit) {
+        return append(List.of(entry), limit);
+    }
+
+    /** Completes when this node has folded the record at an offset. */
+    public Uni<Void> reached(long offset) {
+        if (ledger.position() >= offset) {
+            return Uni.createFrom().voidItem();
+        }
+        return Uni.createFrom().emitter(emitter -> waiters.add(new Waiter(offset, () -> emitter.complete(null))));
+    }
+
+    /** Called after each slice that the follower folded. */
+    public void folded() {
+        while (!waiters.isEmpty() && waiters.peek().offset <= ledger.position()) {
+            waiters.poll().task.run();
+        }
+    }
+
+    private record Waiter(long offset, Runnable task) {}
+}
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/log/package-info.java
@@ -0,0 +1,2 @@
+/** Streams of the log as a node uses them. */
+package dev.lavenderline.node.log;
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/operators/OperatorsServer.java
@@ -0,0 +1,90 @@
+package dev.lavenderline.node.operators;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * HTTP endpoint for operators: {@code GET /state}, {@code /metrics}, {@code /live}, {@code /ready} and
+ * {@code POST /drain}.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ */
+public final class OperatorsServer {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Vertx vertx;
+    private final MetricRegistry metrics;
+    private final Supplier<Map<String, Object>> state;
+    private final BooleanSupplier isReady;
+    private final Runnable drain;
+    private HttpServer server;
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param state content of the state dump, serializable as JSON
+     * @param drain begins a graceful shutdown; idempotent
+     */
+    public OperatorsServer(
+            Vertx vertx,
+            MetricRegistry metrics,
+            Supplier<Map<String, Object>> state,
+            BooleanSupplier isReady,
+            Runnable drain) {
+        this.vertx = vertx;
+        this.metrics = metrics;
+        this.state = state;
+        this.isReady = isReady;
+        this.drain = drain;
+    }
+
+    /** Starts to accept connections; fails if the address is in use. */
+    public Future<Void> start(String host, int port) {
+        Router router = Router.router(vertx);
+        router.get("/state").handler(this::dump);
+        router.get("/metrics")
+                .handler(ctx -> ctx.response()
+                        .putHeader("Content-Type", "text/plain; version=0.0.4")
+                        .end(PrometheusText.render(metrics)));
+        router.get("/live").handler(ctx -> ctx.response().end("live\n"));
+        router.get("/ready")
+                .handler(ctx -> ctx.response()
+                        .setStatusCode(isReady.getAsBoolean() ? 200 : 503)
+                        .end(isReady.getAsBoolean() ? "ready\n" : "not ready\n"));
+        router.post("/drain").handler(ctx -> {
+            ctx.response().setStatusCode(202).end("draining\n");
+            drain.run();
+        });
+        server = vertx.createHttpServer().requestHandler(router);
+        return server.listen(port, host).mapEmpty();
+    }
+
+    /** Returns the port that the server listens on. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /** Stops the server; idempotent. */
+    public Future<Void> stop() {
+        return server == null ? Future.succeededFuture() : server.close();
+    }
+
+    private void dump(RoutingContext ctx) {
+        try {
+            ctx.response()
+                    .putHeader("Content-Type", "application/json")
+                    .end(JSON.writerWithDefaultPrettyPrinter().writeValueAsString(state.get()) + "\n");
+        } catch (JsonProcessingException e) {
+            ctx.fail(e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/operators/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP endpoint for operators: state dump, metrics, health. */
+package dev.lavenderline.node.operators;
