--- /dev/null
+++ b/core/src/test/java/dev/lavenderline/core/ledger/DuplicateBatchTest.java
@@ -0,0 +1,66 @@
+package dev.lavenderline.core.ledger;
+
+import static dev.lavenderline.core.ledger.WorkEntries.claim;
+import static dev.lavenderline.core.ledger.WorkEntries.release;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.lavenderline.proto.log.RecordBatch;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DuplicateBatchTest {
+    private final List<WorkEvent> events = new ArrayList<>();
+    private final WorkLedger ledger = new WorkLedger(WorkEntries.RETENTION, events::add);
+    private final LogFixture log = new LogFixture().read(ledger);
+
+    @BeforeEach
+    void openJob() {
+        WorkEntries.open(log, "j", 2);
+        events.clear();
+    }
+
+    /** Guards against a claim that comes back after its release, when a lost answer made the writer append it twice. */
+    @Test
+    void lateCopyOfABatchIsDropped() {
+        RecordBatch first = log.batch("a", List.of(claim("j", "a", 0)));
+        long offset = log.append(first);
+        log.append("a", release("j", offset));
+        log.append(first);
+        assertEquals(0, ledger.job("j").orElseThrow().claim());
+        assertEquals(2, events.size());
+        assertEquals(log.records().size(), ledger.position());
+    }
+
+    /** Guards against sequences of one writer that shadow those of another. */
+    @Test
+    void writersAreIndependent() {
+        log.append("a");
+        log.append("a");
+        long claim = log.append("b", claim("j", "b", 0));
+        assertEquals(claim, ledger.job("j").orElseThrow().claim());
+    }
+
+    /** Guards against a table of writers that grows with every restart of a node. */
+    @Test
+    void silentWriterIsForgottenAfterTheMemoryInLogTime() {
+        RecordBatch batch = log.batch("a", List.of(claim("j", "a", 0)));
+        long first = log.append(batch);
+        log.append("b", release("j", first));
+        log.advance(WriterSequences.MEMORY.minus(Duration.ofMillis(1))).append(batch);
+        assertEquals(0, ledger.job("j").orElseThrow().claim(), "a copy within the memory is dropped");
+        log.advance(WriterSequences.MEMORY);
+        long folded = log.append(batch);
+        assertEquals(folded, ledger.job("j").orElseThrow().claim());
+    }
+
+    /** Guards against a follower that delivers a record again after a reconnection. */
+    @Test
+    void recordAtOrBelowThePositionIsIgnored() {
+        long claim = log.append("a", claim("j", "a", 0));
+        ledger.apply(claim, log.now(), log.batch("b", List.of(release("j", claim))));
+        assertEquals("a", ledger.job("j").orElseThrow().holder());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/dev/lavenderline/core/ledger/WorkSnapshotTest.java
@@ -0,0 +1,67 @@
+package dev.lavenderline.core.ledger;
+
+import static dev.lavenderline.core.ledger.WorkEntries.claim;
+import static dev.lavenderline.core.ledger.WorkEntries.complete;
+import static dev.lavenderline.core.ledger.WorkEntries.failure;
+import static dev.lavenderline.core.ledger.WorkEntries.result;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class WorkSnapshotTest {
+    private final WorkLedger ledger = WorkEntries.ledger();
+    private final LogFixture log = new LogFixture().read(ledger);
+
+    @BeforeEach
+    void fill() {
+        WorkEntries.open(log, "j", 3);
+        long claim = log.append("a", claim("j", "a", 0));
+        log.append("a", complete("j", claim, result(2, "x"), failure(0, "invalid_request")));
+    }
+
+    /** Guards against a snapshot that loses results, the claim, the failures or the duplicates' detection. */
+    @Test
+    void restoredLedgerContinuesLikeTheOriginal() {
+        List<WorkEvent> events = new ArrayList<>();
+        WorkLedger restored = new WorkLedger(WorkEntries.RETENTION, events::add);
+        restored.restore(ledger.position(), ledger.snapshot());
+        log.read(restored);
+        log.append(log.records().get(1).batch());
+        log.append("a", complete("j", ledger.job("j").orElseThrow().claim(), result(1, ""), result(2, "")));
+        assertArrayEquals(ledger.snapshot(), restored.snapshot());
+        assertEquals(Job.State.COMPLETED, restored.job("j").orElseThrow().state());
+        assertEquals(1, restored.job("j").orElseThrow().failed());
+        assertEquals(new WorkEvent.Restored(3), events.get(0));
+    }
+
+    /** Guards against a paused node whose old snapshot reverts the state of a reader. */
+    @Test
+    void snapshotThatIsNotNewerIsRefused() {
+        byte[] old = ledger.snapshot();
+        assertThrows(IllegalArgumentException.class, () -> ledger.restore(ledger.position(), old));
+        assertThrows(IllegalArgumentException.class, () -> ledger.restore(ledger.position() - 1, old));
+    }
+
+    /** Guards against a damaged snapshot that leaves a reader with half of a state. */
+    @Test
+    void damagedSnapshotChangesNothing() {
+        byte[] before = ledger.snapshot();
+        for (int length = 1; length < before.length; length++) {
+            byte[] truncated = Arrays.copyOf(before, length);
+            try {
+                new WorkLedger(WorkEntries.RETENTION, event -> {}).restore(99, truncated);
+            } catch (IllegalArgumentException e) {
+                assertThrows(IllegalArgumentException.class, () -> ledger.restore(99, truncated));
+                assertArrayEquals(before, ledger.snapshot());
+            }
+        }
+        assertThrows(IllegalArgumentException.class, () -> ledger.restore(99, new byte[] {1, 2, 3}));
+        assertEquals(3, ledger.position());
+    }
+}
