--- /dev/null
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -0,0 +1,295 @@
+package dev.lavenderline.http;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.config.Deployment;
+import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.routing.Dispatcher;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * HTTP server for callers: model requests, files, batch jobs and routes to plain services.
+ *
+ * <p>Not thread-safe; confined to the event loop on which {@link #start} is called.
+ *
+ * <pre>{@code
+ * CallerServer server = CallerServer.builder(vertx)
+ *         .address("127.0.0.1", 8080)
+ *         .config(() -> config)
+ *         .dispatcher(dispatcher)
+ *         .upstreams(client)
+ *         .batch(batchApi)
+ *         .keyedCalls(keyedCalls)
+ *         .build();
+ * server.start().onSuccess(started -> ...);
+ * }</pre>
+ */
+public final class CallerServer {
+    private final Builder settings;
+    private final ServerContext context;
+    private final BearerTokens tokens;
+    private HttpServer server;
+    private boolean closing;
+    private int openRequests;
+
+    private CallerServer(Builder settings) {
+        this.settings = settings;
+        this.context = new ServerContext(
+                settings.vertx,
+                settings.config,
+                settings.dispatcher,
+                settings.client,
+                settings.limits,
+                settings.ticker,
+                new HttpMetrics(settings.registry));
+        this.tokens = new BearerTokens(settings.config);
+    }
+
+    /** Starts building a server. */
+    public static Builder builder(Vertx vertx) {
+        return new Builder(vertx);
+    }
+
+    /** Starts to accept connections; fails if the address is in use. */
+    public Future<Void> start() {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(settings.host)
+                .setPort(settings.port)
+                .setMaxHeaderSize(settings.limits.maxHeaderBytes())
+                .setHandle100ContinueAutomatically(true)
+                .setTcpNoDelay(true);
+        server = settings.vertx
+                .createHttpServer(options)
+                .invalidRequestHandler(this::invalidRequest)
+                .requestHandler(router());
+        return server.listen()
+                .onSuccess(started -> HttpEvent.LISTENING.info(settings.host, started.actualPort()))
+                .mapEmpty();
+    }
+
+    /** Returns the port that the server listens on. */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /** Returns the number of requests that have no final answer yet. */
+    public int openRequests() {
+        return openRequests;
+    }
+
+    /** Asks callers to close their connections with the next answer; requests are still accepted. */
+    public void announceDrain() {
+        closing = true;
+    }
+
+    /**
+     * Stops accepting connections and completes when no request is open. Requests that are still open after the
+     * timeout are cut off.
+     */
+    public Future<Void> drain(Duration timeout) {
+        announceDrain();
+        HttpEvent.DRAINING.info(openRequests);
+        return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .onComplete(done -> HttpEvent.DRAINED.info(openRequests));
+    }
+
+    private Router router() {
+        Router router = Router.router(settings.vertx);
+        BodyHandler bodies = BodyHandler.create(false).setBodyLimit(settings.limits.maxBodyBytes());
+        OnlineHandler online = new OnlineHandler(context);
+        router.route().handler(this::accept);
+        router.post(ModelRequest.CHAT_PATH).handler(bodies).handler(online::handle);
+        router.post(ModelRequest.TEXT_PATH).handler(bodies).handler(online::handle);
+        router.get("/v1/models").handler(this::models);
+        router.route().failureHandler(this::failed);
+        return router;
+    }
+
+    private void accept(RoutingContext ctx) {
+        openRequests++;
+        ctx.addEndHandler(ended -> openRequests--);
+        context.metrics().requests.mark();
+        String id = settings.requestIds.get();
+        ctx.response().putHeader("X-Request-Id", id);
+        if (closing) {
+            ctx.response().putHeader("Connection", "close");
+        }
+        Optional<String> workspace = tokens.workspace(ctx.request().getHeader("Authorization"));
+        if (workspace.isEmpty()) {
+            error(ctx, new ApiError(401, "unauthorized", "the bearer token is missing or not known", Optional.empty()));
+            return;
+        }
+        new Caller(id, workspace.get(), settings.ticker.nanos()).attach(ctx);
+        ctx.next();
+    }
+
+    private void models(RoutingContext ctx) {
+        ObjectNode body = Json.MAPPER.createObjectNode().put("object", "list");
+        ArrayNode data = body.putArray("data");
+        List<Deployment> deployments =
+                new ArrayList<>(settings.config.get().deployments().values());
+        deployments.sort(java.util.Comparator.comparing(Deployment::name));
+        for (Deployment deployment : deployments) {
+            data.addObject()
+                    .put("id", deployment.name())
+                    .put("object", "model")
+                    .put("owned_by", "lavenderline")
+                    .put("online", deployment.onlineEnabled())
+                    .put("batch", deployment.batchEnabled());
+        }
+        ctx.response().putHeader("Content-Type", "application/json").end(body.toString());
+    }
+
+    private void failed(RoutingContext ctx) {
+        int status = ctx.statusCode();
+        ApiError error = switch (status) {
+            case 400 -> ApiError.invalid("bad_request", "the request is malformed");
+            case 404 -> ApiError.notFound("no such path");
+            case 405 ->
+                new ApiError(405, "method_not_allowed", "the path does not accept this method", Optional.empty());
+            case 413 -> new ApiError(413, "too_large", "the body is too large", Optional.empty());
+            default -> new ApiError(500, "internal", "the node failed to handle the request", Optional.empty());
+        };
+        if (error.status() == 500) {
+            HttpEvent.HANDLER_FAILED.error(
+                    ctx.failure(), ctx.response().headers().get("X-Request-Id"));
+        }
+        if (status == 413) {
+            // The rest of the body is not read.
+            ctx.response().putHeader("Connection", "close");
+        }
+        error(ctx, error);
+    }
+
+    private void error(RoutingContext ctx, ApiError error) {
+        context.metrics().error(error);
+        ErrorBodies.send(ctx.response(), error);
+    }
+
+    private void invalidRequest(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        String reason = String.valueOf(cause);
+        ApiError error;
+        if (reason.contains("TooLongHttpHeader")) {
+            error = new ApiError(431, "headers_too_large", "the headers are too large", Optional.empty());
+        } else if (reason.contains("TooLongHttpLine")) {
+            error = new ApiError(414, "uri_too_long", "the request line is too long", Optional.empty());
+        } else {
+            error = ApiError.invalid("bad_request", "the request is not valid HTTP");
+        }
+        context.metrics().error(error);
+        request.response().putHeader("Connection", "close");
+        ErrorBodies.send(request.response(), error);
+        request.connection().close();
+    }
+
+    /** Builds a server; all settings without a default are required. */
+    public static final class Builder {
+        private final Vertx vertx;
+        private final String run = UUID.randomUUID().toString().substring(0, 8);
+        private String host = "127.0.0.1";
+        private int port;
+        private Supplier<FleetConfig> config;
+        private Dispatcher dispatcher;
+        private UpstreamClient client;
+        private BatchApi batch;
+        private KeyedCalls keyedCalls;
+        private HttpLimits limits = HttpLimits.defaults();
+        private Ticker ticker = Ticker.system();
+        private MetricRegistry registry = new MetricRegistry();
+        private long requestCount;
+        private Supplier<String> requestIds = () -> "req-" + run + "-" + (++requestCount);
+
+        private Builder(Vertx vertx) {
+            this.vertx = Objects.requireNonNull(vertx, "vertx");
+        }
+
+        /** Sets the address to listen on; port 0 for one chosen by the system. */
+        public Builder address(String newHost, int newPort) {
+            host = newHost;
+            port = newPort;
+            return this;
+        }
+
+        /** Sets the source of the current configuration. */
+        public Builder config(Supplier<FleetConfig> newConfig) {
+            config = newConfig;
+            return this;
+        }
+
+        /** Sets the dispatcher of online requests. */
+        public Builder dispatcher(Dispatcher newDispatcher) {
+            dispatcher = newDispatcher;
+            return this;
+        }
+
+        /** Sets the client for upstreams. */
+        public Builder upstreams(UpstreamClient newClient) {
+            client = newClient;
+            return this;
+        }
+
+        /** Sets the source of files and jobs. */
+        public Builder batch(BatchApi newBatch) {
+            batch = newBatch;
+            return this;
+        }
+
+        /** Sets the permissions for keyed calls. */
+        public Builder keyedCalls(KeyedCalls newKeyedCalls) {
+            keyedCalls = newKeyedCalls;
+            return this;
+        }
+
+        /** Sets the limits; default {@link HttpLimits#defaults}. */
+        public Builder limits(HttpLimits newLimits) {
+            limits = newLimits;
+            return this;
+        }
+
+        /** Sets the clocks; default the system's. */
+        public Builder ticker(Ticker newTicker) {
+            ticker = newTicker;
+            return this;
+        }
+
+        /** Sets the registry for metrics. */
+        public Builder metrics(MetricRegistry newRegistry) {
+            registry = newRegistry;
+            return this;
+        }
+
+        /** Sets the source of request ids; they must be unique within the fleet. */
+        public Builder requestIds(Supplier<String> newRequestIds) {
+            requestIds = newRequestIds;
+            return this;
+        }
+
+        /** Returns the server, not yet started. */
+        public CallerServer build() {
+            Objects.requireNonNull(config, "config");
+            Objects.requireNonNull(dispatcher, "dispatcher");
+            Objects.requireNonNull(client, "upstreams");
+            Objects.requireNonNull(batch, "batch");
+            Objects.requireNonNull(keyedCalls, "keyedCalls");
+            return new CallerServer(this);
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/dev/lavenderline/http/Json.java
@@ -0,0 +1,16 @@
+package dev.lavenderline.http;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/** The JSON mapper of this module. */
+final class Json {
+    static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    private Json() {}
+}
--- /dev/null
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamClient.java
@@ -0,0 +1,266 @@
+package dev.lavenderline.http;
+
+import dev.lavenderline.core.config.Upstream;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * HTTP client for engines and plain services. Online and batch traffic have separate connections. Connections that
+ * were idle for longer than the limit are not used again, because something between the two ends may have lost their
+ * state.
+ *
+ * <p>Not thread-safe; confined to the node's event loop. Callbacks may run before the call that starts an exchange
+ * returns only if it failed at once.
+ *
+ * <pre>{@code
+ * UpstreamClient client = new UpstreamClient(vertx, UpstreamClient.Options.defaults());
+ * UpstreamClient.Exchange exchange = client.stream(upstream, request, listener);
+ * exchange.cancel();
+ * }</pre>
+ */
+public final class UpstreamClient {
+    private static final Duration CANCEL_LIMIT = Duration.ofSeconds(2);
+    private static final int CLEANER_PERIOD_MS = 500;
+
+    private final Vertx vertx;
+    private final Options options;
+    private final Map<TrafficClass, HttpClientAgent> pooled = new EnumMap<>(TrafficClass.class);
+    private final Map<TrafficClass, HttpClientAgent> unpooled = new EnumMap<>(TrafficClass.class);
+
+    /**
+     * Settings of the client.
+     *
+     * @param connect longest time for establishing a connection
+     * @param idle time after which an idle connection is not used again, at least 1 s
+     * @param maxConnections connections to one upstream for each class of traffic
+     */
+    public record Options(Duration connect, Duration idle, int maxConnections) {
+        public Options {
+            if (idle.toSeconds() < 1) {
+                throw new IllegalArgumentException("idle is " + idle + ", must be at least 1 s");
+            }
+        }
+
+        /** Returns 1 s to connect, 10 s idle and 1,024 connections. */
+        public static Options defaults() {
+            return new Options(Duration.ofSeconds(1), Duration.ofSeconds(10), 1024);
+        }
+    }
+
+    /** An exchange in progress. */
+    public interface Exchange {
+        /** Ends the exchange without a further callback and closes its connection. Idempotent. */
+        void close();
+
+        /** Like {@link #close}, and tells the engine to stop working on the request if it may have seen it. */
+        void cancel();
+
+        /** Returns whether any byte of the request may have been written. */
+        boolean maybeSent();
+
+        /** Stops reading the answer; silence is not counted meanwhile. */
+        void pause();
+
+        /** Continues to read the answer. */
+        void resume();
+    }
+
+    /** Creates a client; call on the event loop that uses it. */
+    public UpstreamClient(Vertx vertx, Options options) {
+        this.vertx = vertx;
+        this.options = options;
+        for (TrafficClass trafficClass : TrafficClass.values()) {
+            pooled.put(trafficClass, create(true));
+            unpooled.put(trafficClass, create(false));
+        }
+    }
+
+    private HttpClientAgent create(boolean keepAlive) {
+        HttpClientOptions http = new HttpClientOptions()
+                .setConnectTimeout((int) options.connect().toMillis())
+                .setKeepAlive(keepAlive)
+                .setKeepAliveTimeout((int) options.idle().toSeconds())
+                .setTcpNoDelay(true);
+        PoolOptions pool =
+                new PoolOptions().setHttp1MaxSize(options.maxConnections()).setCleanerPeriod(CLEANER_PERIOD_MS);
+        return vertx.createHttpClient(http, pool);
+    }
+
+    /** Sends a model request to an engine. */
+    public Exchange stream(Upstream upstream, StreamRequest request, StreamListener listener) {
+        RequestOptions http = target(upstream, HttpMethod.POST, request.path())
+                .putHeader("Content-Type", "application/json")
+                .putHeader("Accept", "text/event-stream")
+                .putHeader("X-Request-Id", request.requestId())
+                .putHeader("X-Request-Class", request.trafficClass().headerValue());
+        return engineExchange(upstream, request, http, request.body(), 0, false, listener);
+    }
+
+    /**
+     * Asks the engine on a new connection for the rest of a stream.
+     *
+     * @param request the request as it was sent; its stall limit applies to the first token too
+     * @param from index of the first token that is wanted
+     */
+    public Exchange resume(Upstream upstream, StreamRequest request, int from, StreamListener listener) {
+        StreamRequest again = new StreamRequest(
+                request.requestId(),
+                request.path(),
+                request.body(),
+                request.trafficClass(),
+                request.stall(),
+                request.stall(),
+                true);
+        String uri = "/v1/streams/" + request.requestId() + "?from=" + from;
+        RequestOptions http = target(upstream, HttpMethod.GET, uri)
+                .putHeader("Accept", "text/event-stream")
+                .putHeader("X-Request-Class", request.trafficClass().headerValue());
+        return engineExchange(upstream, again, http, Buffer.buffer(), from, true, listener);
+    }
+
+    private Exchange engineExchange(
+            Upstream upstream,
+            StreamRequest request,
+            RequestOptions http,
+            Buffer body,
+            int from,
+            boolean resumed,
+            StreamListener listener) {
+        EngineExchange exchange = new EngineExchange(
+                vertx,
+                agent(request.trafficClass(), request.newConnection()),
+                http,
+                body,
+                request.firstToken(),
+                request.stall(),
+                request.requestId(),
+                from,
+                resumed,
+                listener);
+        exchange.start();
+        return new Handle(exchange, () -> cancel(upstream, request.requestId(), request.trafficClass()));
+    }
+
+    /** Tells an engine on a new connection to stop working on a request; failures are logged only. */
+    public void cancel(Upstream upstream, String requestId, TrafficClass trafficClass) {
+        CallRequest request = new CallRequest(
+                requestId,
+                HttpMethod.DELETE,
+                "/v1/streams/" + requestId,
+                MultiMap.caseInsensitiveMultiMap(),
+                Buffer.buffer(),
+                true,
+                CANCEL_LIMIT,
+                CANCEL_LIMIT);
+        call(upstream, trafficClass, request, new CallListener() {
+            @Override
+            public void head(int status, MultiMap headers) {}
+
+            @Override
+            public void data(Buffer piece) {}
+
+            @Override
+            public void end() {}
+
+            @Override
+            public void failed(UpstreamFailure failure) {
+                HttpEvent.CANCEL_FAILED.debug(requestId, upstream.name(), failure.message());
+            }
+        });
+    }
+
+    /** Calls a plain service. */
+    public Exchange call(Upstream upstream, CallRequest request, CallListener listener) {
+        return call(upstream, TrafficClass.ONLINE, request, listener);
+    }
+
+    private Exchange call(Upstream upstream, TrafficClass trafficClass, CallRequest request, CallListener listener) {
+        RequestOptions http = target(upstream, request.method(), request.uri());
+        request.headers().forEach((name, value) -> http.addHeader(name, value));
+        http.putHeader("X-Request-Id", request.requestId());
+        ServiceExchange exchange = new ServiceExchange(
+                vertx,
+                agent(trafficClass, request.newConnection()),
+                http,
+                request.body(),
+                request.head(),
+                request.stall(),
+                listener);
+        exchange.start();
+        return new Handle(exchange, () -> {});
+    }
+
+    private HttpClientAgent agent(TrafficClass trafficClass, boolean newConnection) {
+        return (newConnection ? unpooled : pooled).get(trafficClass);
+    }
+
+    private static RequestOptions target(Upstream upstream, HttpMethod method, String uri) {
+        return new RequestOptions()
+                .setHost(upstream.host())
+                .setPort(upstream.port())
+                .setMethod(method)
+                .setURI(uri);
+    }
+
+    /** Closes all connections. */
+    public Future<Void> close() {
+        Future<Void> all = Future.succeededFuture();
+        for (TrafficClass trafficClass : TrafficClass.values()) {
+            all = all.compose(done -> pooled.get(trafficClass).close())
+                    .compose(done -> unpooled.get(trafficClass).close());
+        }
+        return all;
+    }
+
+    private static final class Handle implements Exchange {
+        private final UpstreamExchange exchange;
+        private final Runnable cancelUpstream;
+
+        Handle(UpstreamExchange exchange, Runnable cancelUpstream) {
+            this.exchange = exchange;
+            this.cancelUpstream = cancelUpstream;
+        }
+
+        @Override
+        public void close() {
+            exchange.close();
+        }
+
+        @Override
+        public void cancel() {
+            if (exchange.done()) {
+                return;
+            }
+            boolean sent = exchange.maybeSent();
+            exchange.close();
+            if (sent) {
+                cancelUpstream.run();
+            }
+        }
+
+        @Override
+        public boolean maybeSent() {
+            return exchange.maybeSent();
+        }
+
+        @Override
+        public void pause() {
+            exchange.pause();
+        }
+
+        @Override
+        public void resume() {
+            exchange.resume();
+        }
+    }
+}
--- /dev/null
+++ b/http/src/test/java/dev/lavenderline/http/TestFleet.java
@@ -0,0 +1,231 @@
+package dev.lavenderline.http;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.hash.Hashing;
+import dev.lavenderline.core.config.Deployment;
+import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.config.Route;
+import dev.lavenderline.core.config.Upstream;
+import dev.lavenderline.core.config.Workspace;
+import dev.lavenderline.standins.engine.EngineOptions;
+import dev.lavenderline.standins.engine.EngineServer;
+import dev.lavenderline.standins.service.ServiceOptions;
+import dev.lavenderline.standins.service.ServiceServer;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A caller server in front of stand-ins, with a client for tests. */
+final class TestFleet implements AutoCloseable {
+    static final String TOKEN = "token-of-moor";
+    static final String OTHER_TOKEN = "token-of-coast";
+    static final String ENGINES = "repair-small";
+    static final String SERVICES = "dispatch";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    final Vertx vertx = Vertx.vertx();
+    final HttpClient http = HttpClient.newHttpClient();
+    final TestDispatcher dispatcher = new TestDispatcher();
+    final MetricRegistry metrics = new MetricRegistry();
+    final FakeKeyedCalls keyedCalls = new FakeKeyedCalls();
+    final FakeBatch batch = new FakeBatch();
+    private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final AtomicLong requestIds = new AtomicLong();
+    private HttpLimits limits = HttpLimits.defaults();
+    private Duration timeout = Duration.ofSeconds(30);
+    CallerServer server;
+
+    TestFleet engine(String name, String... options) {
+        EngineServer engine = new EngineServer(EngineOptions.parse(options));
+        vertx.deployVerticle(engine).await();
+        return upstream(name, Upstream.Kind.ENGINE, ENGINES, engine.port());
+    }
+
+    TestFleet service(String name, String... options) {
+        ServiceServer service = new ServiceServer(ServiceOptions.parse(options));
+        vertx.deployVerticle(service).await();
+        return upstream(name, Upstream.Kind.SERVICE, SERVICES, service.port());
+    }
+
+    TestFleet upstream(String name, Upstream.Kind kind, String group, int port) {
+        upstreams.put(
+                name, new Upstream(name, kind, group, "127.0.0.1:" + port, "north-moor", "north-moor-a", 16, true));
+        return this;
+    }
+
+    TestFleet limits(HttpLimits newLimits) {
+        limits = newLimits;
+        return this;
+    }
+
+    TestFleet timeout(Duration newTimeout) {
+        timeout = newTimeout;
+        return this;
+    }
+
+    TestFleet start() {
+        Deployment deployment = new Deployment(
+                ENGINES,
+                "repair",
+                "1",
+                List.of(),
+                Duration.ofMillis(500),
+                Duration.ofMillis(70),
+                timeout,
+                true,
+                true,
+                0.5);
+        List<String> methods = List.of("GET", "POST");
+        FleetConfig config = new FleetConfig(
+                1,
+                Map.of(),
+                Map.of(ENGINES, deployment),
+                upstreams,
+                Map.of("moor", workspace("moor", TOKEN), "coast", workspace("coast", OTHER_TOKEN)),
+                Map.of(
+                        "/lookup", new Route("/lookup", SERVICES, methods, true, timeout),
+                        "/lookup/lockout", new Route("/lookup/lockout", SERVICES, methods, false, timeout)));
+        dispatcher.configure(config);
+        vertx.deployVerticle(new VerticleBase() {
+                    @Override
+                    public Future<?> start() {
+                        server = CallerServer.builder(vertx)
+                                .address("127.0.0.1", 0)
+                                .config(() -> config)
+                                .dispatcher(dispatcher)
+                                .upstreams(new UpstreamClient(vertx, UpstreamClient.Options.defaults()))
+                                .batch(batch)
+                                .keyedCalls(keyedCalls)
+                                .limits(limits)
+                                .metrics(metrics)
+                                .requestIds(() -> "req-" + requestIds.incrementAndGet())
+                                .build();
+                        return server.start();
+                    }
+                })
+                .await();
+        return this;
+    }
+
+    private static Workspace workspace(String name, String token) {
+        String hash = Hashing.sha256().hashString(token, StandardCharsets.UTF_8).toString();
+        return new Workspace(name, List.of(hash), 1, 0, 0, 0);
+    }
+
+    /** Sets a fault of a stand-in. */
+    void fault(String upstream, String json) {
+        try {
+            http.send(
+                    HttpRequest.newBuilder(uri(upstreams.get(upstream).port(), "/faults"))
+                            .POST(HttpRequest.BodyPublishers.ofString(json))
+                            .build(),
+                    HttpResponse.BodyHandlers.discarding());
+        } catch (IOException e) {
+            // The fault that ends the stand-in gives no answer.
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns the history of a stand-in. */
+    JsonNode history(String upstream) {
+        HttpRequest request = HttpRequest.newBuilder(uri(upstreams.get(upstream).port(), "/history"))
+                .build();
+        return json(send(request).body());
+    }
+
+    HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(uri(server.port(), path)).header("Authorization", "Bearer " + TOKEN);
+    }
+
+    HttpRequest chat(String prompt, int maxTokens, boolean stream) {
+        String body = "{\"model\":\"" + ENGINES + "\",\"max_tokens\":" + maxTokens + ",\"stream\":" + stream
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"" + prompt + "\"}]}";
+        return request("/v1/chat/completions")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    HttpResponse<String> send(HttpRequest request) {
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest request) {
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    static JsonNode json(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    static String code(HttpResponse<String> response) {
+        return json(response.body()).path("error").path("code").asText();
+    }
+
+    /** Returns the text of a whole chat answer. */
+    static String text(HttpResponse<String> response) {
+        return json(response.body())
+                .path("choices")
+                .path(0)
+                .path("message")
+                .path("content")
+                .asText();
+    }
+
+    /** Returns the text of a streamed chat answer. */
+    static String streamedText(String events) {
+        StringBuilder text = new StringBuilder();
+        for (String line : events.split("\n")) {
+            if (line.startsWith("data: {")) {
+                text.append(json(line.substring(6))
+                        .path("choices")
+                        .path(0)
+                        .path("delta")
+                        .path("content")
+                        .asText(""));
+            }
+        }
+        return text.toString();
+    }
+
+    /** Returns the answer that an engine gives without faults. */
+    String expectedText(String prompt, int maxTokens) {
+        try (TestFleet reference = new TestFleet().engine("reference", "--step-base", "0.1")) {
+            return text(reference.start().send(reference.chat(prompt, maxTokens, false)));
+        }
+    }
+
+    private static URI uri(int port, String path) {
+        return URI.create("http://127.0.0.1:" + port + path);
+    }
+
+    @Override
+    public void close() {
+        vertx.close().await();
+    }
+}
