--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/config/Quantities.java
@@ -0,0 +1,86 @@
+package dev.lavenderline.core.config;
+
+import java.math.BigInteger;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Text form of durations ({@code 520ms}, {@code 5s}, {@code 2m}, {@code 24h}) and byte sizes ({@code 512B},
+ * {@code 14GB}, {@code 8MiB}). Both are a whole number followed by its unit, without a space.
+ *
+ * <pre>{@code
+ * Quantities.duration("520ms"); // Optional[PT0.52S]
+ * Quantities.bytes("14GB");     // Optional[14000000000]
+ * Quantities.bytes("14");       // Optional.empty: the unit is missing
+ * }</pre>
+ */
+public final class Quantities {
+    private static final Pattern FORM = Pattern.compile("([0-9]{1,18})([A-Za-z]+)");
+
+    private static final Map<String, Long> MILLIS = Map.of("ms", 1L, "s", 1_000L, "m", 60_000L, "h", 3_600_000L);
+
+    private static final Map<String, Long> BYTES = Map.of(
+            "B", 1L,
+            "KB", 1_000L,
+            "MB", 1_000_000L,
+            "GB", 1_000_000_000L,
+            "TB", 1_000_000_000_000L,
+            "KiB", 1L << 10,
+            "MiB", 1L << 20,
+            "GiB", 1L << 30,
+            "TiB", 1L << 40);
+
+    private Quantities() {}
+
+    /** Parses a duration; empty if the text is not one or it exceeds the range of {@code long} milliseconds. */
+    public static Optional<Duration> duration(String text) {
+        return scaled(text, MILLIS).map(Duration::ofMillis);
+    }
+
+    /** Parses a byte size; empty if the text is not one or it exceeds the range of {@code long}. */
+    public static Optional<Long> bytes(String text) {
+        return scaled(text, BYTES);
+    }
+
+    /** Returns the shortest text that {@link #duration} reads as the same value; fractions of a millisecond are cut. */
+    public static String format(Duration duration) {
+        long millis = duration.toMillis();
+        if (millis == 0) {
+            return "0s";
+        }
+        if (millis % 3_600_000 == 0) {
+            return millis / 3_600_000 + "h";
+        }
+        if (millis % 60_000 == 0) {
+            return millis / 60_000 + "m";
+        }
+        return millis % 1_000 == 0 ? millis / 1_000 + "s" : millis + "ms";
+    }
+
+    /** Returns a text that {@link #bytes} reads as the same value, in the largest unit that divides it. */
+    public static String formatBytes(long bytes) {
+        String best = bytes + "B";
+        for (Map.Entry<String, Long> unit : BYTES.entrySet()) {
+            if (bytes == 0 || bytes % unit.getValue() != 0) {
+                continue;
+            }
+            String text = bytes / unit.getValue() + unit.getKey();
+            if (text.length() < best.length() || (text.length() == best.length() && text.compareTo(best) < 0)) {
+                best = text;
+            }
+        }
+        return best;
+    }
+
+    private static Optional<Long> scaled(String text, Map<String, Long> units) {
+        Matcher matcher = FORM.matcher(text);
+        if (!matcher.matches() || !units.containsKey(matcher.group(2))) {
+            return Optional.empty();
+        }
+        BigInteger value = new BigInteger(matcher.group(1)).multiply(BigInteger.valueOf(units.get(matcher.group(2))));
+        return value.bitLength() < Long.SIZE ? Optional.of(value.longValue()) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/config/YamlReader.java
@@ -0,0 +1,169 @@
+package dev.lavenderline.core.config;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLParser;
+import dev.lavenderline.core.config.YamlNode.Mapping;
+import dev.lavenderline.core.config.YamlNode.Member;
+import dev.lavenderline.core.config.YamlNode.Position;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharsetDecoder;
+import java.nio.charset.CoderResult;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Reads one YAML file into nodes with positions. Not thread-safe; one instance reads one file. */
+final class YamlReader {
+    private static final YAMLFactory FACTORY = new YAMLFactory();
+
+    // Deeper than any valid file; bounds the recursion for hostile input.
+    private static final int MAX_DEPTH = 32;
+
+    private final String file;
+    private final List<ConfigFault> faults;
+
+    private YamlReader(String file, List<ConfigFault> faults) {
+        this.file = file;
+        this.faults = faults;
+    }
+
+    /** Reads the file's top-level map; empty if the file cannot be read, after adding the reason to the faults. */
+    static Optional<Mapping> read(String file, byte[] content, List<ConfigFault> faults) {
+        return new YamlReader(file, faults).read(content);
+    }
+
+    private Optional<Mapping> read(byte[] content) {
+        Position start = new Position(file, 1);
+        ByteBuffer bytes = ByteBuffer.wrap(content);
+        CharBuffer text = CharBuffer.allocate(content.length);
+        CharsetDecoder decoder = StandardCharsets.UTF_8.newDecoder();
+        CoderResult result = decoder.decode(bytes, text, true);
+        text.flip();
+        if (result.isError()) {
+            int line = 1 + (int) text.chars().filter(c -> c == '\n').count();
+            fault(line, "", "is not valid UTF-8");
+            return Optional.empty();
+        }
+        try (YAMLParser parser = FACTORY.createParser(text.toString())) {
+            JsonToken first = parser.nextToken();
+            if (first == null) {
+                return Optional.of(Mapping.empty(start));
+            }
+            YamlNode root = node(parser, start, "", 0);
+            if (parser.nextToken() != null) {
+                fault(line(parser), "", "has more than one YAML document");
+                return Optional.empty();
+            }
+            if (root instanceof YamlNode.Null) {
+                return Optional.of(Mapping.empty(start));
+            }
+            if (root instanceof Mapping mapping) {
+                return Optional.of(mapping);
+            }
+            fault(root.position().line(), "", "must be a map, found " + root.describe());
+            return Optional.empty();
+        } catch (TooDeepException e) {
+            fault(e.line, "", "is nested deeper than " + MAX_DEPTH + " levels");
+            return Optional.empty();
+        } catch (JsonProcessingException e) {
+            syntaxFault(e);
+            return Optional.empty();
+        } catch (IOException e) {
+            fault(1, "", "YAML syntax: " + e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private YamlNode node(YAMLParser parser, Position key, String path, int depth) throws IOException {
+        Position here = new Position(file, line(parser));
+        if (parser.isCurrentAlias()) {
+            fault(here.line(), path, "aliases are not supported, repeat the value");
+            return new YamlNode.Null(here);
+        }
+        if (depth > MAX_DEPTH) {
+            throw new TooDeepException(here.line());
+        }
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> mapping(parser, key, path, depth);
+            case START_ARRAY -> {
+                List<YamlNode> items = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    Position item = new Position(file, line(parser));
+                    items.add(node(parser, item, path + "[" + items.size() + "]", depth + 1));
+                }
+                yield new YamlNode.Sequence(key, items);
+            }
+            case VALUE_TRUE -> new YamlNode.Flag(here, true);
+            case VALUE_FALSE -> new YamlNode.Flag(here, false);
+            case VALUE_NULL -> new YamlNode.Null(here);
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> number(parser, here);
+            default -> new YamlNode.Text(here, parser.getText());
+        };
+    }
+
+    private Mapping mapping(YAMLParser parser, Position position, String path, int depth) throws IOException {
+        Map<String, Member> members = new LinkedHashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            Position key = new Position(file, line(parser));
+            String name = parser.currentName();
+            String memberPath = path.isEmpty() ? name : path + "." + name;
+            parser.nextToken();
+            Member member = new Member(key, node(parser, key, memberPath, depth + 1));
+            Member earlier = members.putIfAbsent(name, member);
+            if (earlier != null) {
+                fault(
+                        key.line(),
+                        memberPath,
+                        "is already set in line " + earlier.key().line());
+            }
+        }
+        return new Mapping(position, members, Map.of());
+    }
+
+    private static YamlNode number(YAMLParser parser, Position here) throws IOException {
+        try {
+            return new YamlNode.Number(
+                    here, new BigDecimal(parser.getNumberValue().toString()), parser.getText());
+        } catch (NumberFormatException | JsonProcessingException e) {
+            return new YamlNode.Text(here, parser.getText());
+        }
+    }
+
+    private static int line(YAMLParser parser) {
+        return Math.max(1, parser.currentTokenLocation().getLineNr());
+    }
+
+    private void syntaxFault(JsonProcessingException e) {
+        // Jackson reports where the enclosing construct starts; SnakeYAML knows where the problem is.
+        if (e.getCause() instanceof org.yaml.snakeyaml.error.MarkedYAMLException marked
+                && marked.getProblemMark() != null) {
+            fault(marked.getProblemMark().getLine() + 1, "", "YAML syntax: " + marked.getProblem());
+            return;
+        }
+        JsonLocation location = e.getLocation();
+        String reason = e.getOriginalMessage().lines().findFirst().orElse("unknown error");
+        fault(location == null ? 1 : Math.max(1, location.getLineNr()), "", "YAML syntax: " + reason);
+    }
+
+    private void fault(int line, String field, String message) {
+        faults.add(new ConfigFault(file, line, field, message));
+    }
+
+    @SuppressWarnings("serial")
+    private static final class TooDeepException extends IOException {
+        private final int line;
+
+        private TooDeepException(int line) {
+            this.line = line;
+        }
+    }
+}
