--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/admission/BatchScheduler.java
@@ -0,0 +1,520 @@
+package dev.lavenderline.core.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.config.Upstream;
+import dev.lavenderline.proto.peer.SlotGrant;
+import dev.lavenderline.proto.peer.SlotRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Starts and cancels the items of the batch jobs that this node owns, within the slots that controllers granted.
+ *
+ * <p>Invariants: an item is in flight on at most one engine; an item of an open job is queued, backing off, in flight or
+ * done; a node starts at most one item on an engine before the item's first token. When a lease expires, its items are
+ * cancelled and requeued like after a revocation.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ *
+ * <pre>{@code
+ * scheduler.open(job, doneItems);
+ * scheduler.requests().forEach(request -> send(controllerOf(request.getUpstream()), request));
+ * scheduler.tick().forEach(this::run);
+ * }</pre>
+ */
+public final class BatchScheduler {
+    private static final int MAX_ATTEMPTS = 5;
+    private static final long ITEM_BACKOFF_NANOS = 500_000_000L;
+    private static final long ITEM_BACKOFF_LONGEST_NANOS = 30_000_000_000L;
+    private static final long ENGINE_BACKOFF_NANOS = 500_000_000L;
+    private static final long ENGINE_BACKOFF_LONGEST_NANOS = 8_000_000_000L;
+    /** A job is at risk if its work needs more than this part of the remaining time. */
+    private static final double RISK = 0.9;
+    /** Time of observation below which a rate is not meaningful. */
+    private static final double LEAST_OBSERVED_SECONDS = 10;
+
+    private final Ticker ticker;
+    private final String region;
+    private final UniformRandomProvider random;
+    private final Backoff itemBackoff;
+    private final Backoff engineBackoff;
+    private final Map<String, OpenJob> jobs = new LinkedHashMap<>();
+    private final Map<String, EngineLease> engines = new HashMap<>();
+    private final Map<ItemRef, RunningItem> running = new HashMap<>();
+    private final Map<String, CompletionRate> rates = new HashMap<>();
+    private final Set<RunningItem> orphans = new HashSet<>();
+    private final SlotRequests slotRequests = new SlotRequests();
+    private final JobOrder order = new JobOrder(this::weight);
+    private FleetConfig config = FleetConfig.EMPTY;
+    private Set<String> leaving = Set.of();
+    private boolean mayStart = true;
+
+    /**
+     * @param region region of this node, whose engines are used first
+     * @param random source of jitter
+     */
+    public BatchScheduler(String region, Ticker ticker, UniformRandomProvider random) {
+        this.region = requireNonNull(region, "region");
+        this.ticker = requireNonNull(ticker, "ticker");
+        this.random = requireNonNull(random, "random");
+        this.itemBackoff = new Backoff(ITEM_BACKOFF_NANOS, ITEM_BACKOFF_LONGEST_NANOS, random);
+        this.engineBackoff = new Backoff(ENGINE_BACKOFF_NANOS, ENGINE_BACKOFF_LONGEST_NANOS, random);
+    }
+
+    /** Replaces the configuration; engines that disappeared get no new items. */
+    public void configure(FleetConfig newConfig) {
+        config = requireNonNull(newConfig, "newConfig");
+        long now = ticker.nanos();
+        for (Upstream upstream : config.upstreams().values()) {
+            if (upstream.kind() == Upstream.Kind.ENGINE) {
+                engines.computeIfAbsent(upstream.name(), name -> new EngineLease(upstream, now))
+                        .configure(upstream);
+            }
+        }
+        engines.values()
+                .removeIf(engine -> !configured(engine) && engine.running().isEmpty());
+    }
+
+    /** Names the addresses of upstreams that are leaving; they get no new items. */
+    public void leaving(Set<String> addresses) {
+        leaving = Set.copyOf(addresses);
+    }
+
+    /** Allows or forbids new starts; items in flight are not affected. */
+    public void mayStart(boolean allowed) {
+        mayStart = allowed;
+    }
+
+    /**
+     * Opens a job; a job that is open already is not changed.
+     *
+     * @param done indexes of the items that have a result
+     */
+    public void open(BatchJob job, BitSet done) {
+        long now = ticker.nanos();
+        if (!jobs.containsKey(job.id())) {
+            OpenJob opened = new OpenJob(job, new JobItems(job.items(), done), now);
+            jobs.put(job.id(), opened);
+            adoptRunning(opened);
+        }
+        rates.computeIfAbsent(job.deployment(), deployment -> new CompletionRate(now));
+    }
+
+    /** Takes over items that are still in flight from an earlier time that this node owned the job. */
+    private void adoptRunning(OpenJob job) {
+        for (RunningItem item : running.values()) {
+            if (item.ref.jobId().equals(job.id()) && job.items.adopt(item.ref.index())) {
+                item.job = job;
+                orphans.remove(item);
+            }
+        }
+    }
+
+    /** Closes a job; the next tick cancels its items in flight. */
+    public void close(String jobId) {
+        OpenJob job = jobs.remove(jobId);
+        if (job == null) {
+            return;
+        }
+        for (RunningItem item : running.values()) {
+            if (item.job == job) {
+                orphans.add(item);
+            }
+        }
+        order.retain(jobs.values());
+    }
+
+    /** Removes an item that got a result elsewhere, for example from an earlier owner's last record. */
+    public void completed(ItemRef ref) {
+        OpenJob job = jobs.get(ref.jobId());
+        if (job == null || !job.items.valid(ref.index())) {
+            return;
+        }
+        RunningItem item = running.get(ref);
+        if (item != null) {
+            orphans.add(item);
+        }
+        job.items.done(ref.index());
+    }
+
+    /** Makes a finished item pending again, because its result was dropped before it was recorded. */
+    public void reopen(ItemRef ref) {
+        OpenJob job = jobs.get(ref.jobId());
+        if (job != null && job.items.valid(ref.index()) && !running.containsKey(ref)) {
+            job.items.reopen(ref.index());
+        }
+    }
+
+    /** Records a grant, which takes effect with the next tick. */
+    public void grant(SlotGrant grant) {
+        EngineLease engine = engines.get(grant.getUpstream());
+        if (engine != null) {
+            engine.grant(grant, ticker.nanos());
+        }
+    }
+
+    /**
+     * Records the number of online requests on an engine as this node knows it, its own and the peers' ones. The next
+     * tick cancels items if the number grew by more than the headroom; call it at once.
+     */
+    public void onlineChanged(String upstream, int inFlight) {
+        EngineLease engine = engines.get(upstream);
+        if (engine != null) {
+            engine.online(inFlight, ticker.nanos());
+        }
+    }
+
+    /** Returns the slot requests that are due; each is to be sent to the controller of its engine. */
+    public List<SlotRequest> requests() {
+        long now = ticker.nanos();
+        Map<String, Demand> demands = demands(now);
+        List<SlotRequest> due = new ArrayList<>();
+        for (EngineLease engine : engines.values()) {
+            Demand demand = demands.getOrDefault(engine.config().group(), Demand.NONE);
+            int held = engine.held();
+            // Items on an engine that is leaving may finish.
+            int more = usable(engine) ? demand.each(engine) : 0;
+            int wanted = Math.max(held, Math.min(engine.config().maxConcurrent(), held + more));
+            if (wanted == 0 && held == 0 && !slotRequests.open(engine.name())) {
+                continue;
+            }
+            SlotRequest request = SlotRequest.newBuilder()
+                    .setUpstream(engine.name())
+                    .setWanted(wanted)
+                    .setHeld(held)
+                    .setDeadlineInMs(demand.deadlineInMs)
+                    .build();
+            if (slotRequests.due(request, now)) {
+                slotRequests.sent(request, now);
+                due.add(request);
+            }
+        }
+        return due;
+    }
+
+    private Map<String, Demand> demands(long now) {
+        Map<String, Demand> demands = new HashMap<>();
+        for (OpenJob job : jobs.values()) {
+            if (job.items.remaining() == 0 || expired(job)) {
+                continue;
+            }
+            demands.computeIfAbsent(job.job.deployment(), this::demand).add(job, millisLeft(job), atRisk(job, now));
+        }
+        return demands;
+    }
+
+    private Demand demand(String deployment) {
+        int local = 0;
+        int all = 0;
+        for (EngineLease engine : engines.values()) {
+            if (engine.config().group().equals(deployment) && usable(engine)) {
+                all++;
+                local += local(engine) ? 1 : 0;
+            }
+        }
+        return new Demand(region, local, all);
+    }
+
+    /** Cancels what exceeds the slots and starts items on free ones. */
+    public List<BatchAction> tick() {
+        long now = ticker.nanos();
+        List<BatchAction> actions = new ArrayList<>();
+        for (RunningItem orphan : orphans) {
+            cancel(orphan, actions);
+        }
+        orphans.clear();
+        for (EngineLease engine : engines.values()) {
+            yieldExcess(engine, actions, now);
+        }
+        if (!mayStart || jobs.isEmpty()) {
+            return actions;
+        }
+        List<EngineLease> free = new ArrayList<>();
+        for (EngineLease engine : engines.values()) {
+            if (mayStartOn(engine, now)) {
+                free.add(engine);
+            }
+        }
+        shuffle(free);
+        for (EngineLease engine : free) {
+            start(engine, actions, now);
+        }
+        return actions;
+    }
+
+    private void yieldExcess(EngineLease engine, List<BatchAction> actions, long now) {
+        if (engine.running().isEmpty()) {
+            return;
+        }
+        int usable = engine.usable(now);
+        for (int held = engine.held(); held > usable; held--) {
+            cancel(engine.youngest(), actions);
+        }
+    }
+
+    private static void cancel(RunningItem item, List<BatchAction> actions) {
+        if (!item.cancelling) {
+            item.cancelling = true;
+            actions.add(new BatchAction.Cancel(item.ref, item.engine.name()));
+        }
+    }
+
+    private boolean mayStartOn(EngineLease engine, long now) {
+        return usable(engine)
+                && engine.prefills() == 0
+                && engine.pausedNanos(now) == 0
+                && engine.held() < engine.usable(now);
+    }
+
+    private void start(EngineLease engine, List<BatchAction> actions, long now) {
+        boolean allowSuspect = !engine.hasSuspect();
+        boolean remote = !local(engine) && hasLocal(engine.config().group());
+        OpenJob job = order.next(
+                jobs.values(),
+                candidate -> candidate.job.deployment().equals(engine.config().group())
+                        && candidate.items.ready(allowSuspect, now)
+                        && !expired(candidate)
+                        && (!remote || atRisk(candidate, now)));
+        if (job == null) {
+            return;
+        }
+        int index = job.items.take(allowSuspect, now);
+        if (index < 0) {
+            return;
+        }
+        ItemRef ref = new ItemRef(job.id(), index);
+        int failed = job.items.attempts(index);
+        RunningItem item = new RunningItem(ref, job, engine, failed > 0);
+        running.put(ref, item);
+        engine.started(item);
+        order.started(job);
+        actions.add(new BatchAction.Start(ref, engine.name(), failed + 1));
+    }
+
+    private void shuffle(List<EngineLease> list) {
+        for (int i = list.size() - 1; i > 0; i--) {
+            Collections.swap(list, i, random.nextInt(i + 1));
+        }
+    }
+
+    /** Records an item's first token; another item may start on the engine. */
+    public void firstToken(ItemRef ref) {
+        RunningItem item = running.get(ref);
+        if (item != null) {
+            item.hasToken = true;
+            item.engine.answered();
+        }
+    }
+
+    /**
+     * Records a complete answer.
+     *
+     * @return whether the answer counts; false if the job is closed or the item has a result already
+     */
+    public boolean finished(ItemRef ref) {
+        RunningItem item = end(ref);
+        if (item == null) {
+            return false;
+        }
+        item.engine.answered();
+        if (jobs.get(ref.jobId()) != item.job || !item.job.items.done(ref.index())) {
+            return false;
+        }
+        rates.get(item.job.job.deployment()).completed(ticker.nanos());
+        return true;
+    }
+
+    /** Records an attempt that ended without a complete answer and returns what becomes of the item. */
+    public ItemResolution failed(ItemRef ref, ItemOutcome outcome) {
+        long now = ticker.nanos();
+        RunningItem item = end(ref);
+        if (item == null) {
+            return ItemResolution.IGNORED;
+        }
+        if (outcome != ItemOutcome.CANCELLED && outcome != ItemOutcome.REFUSED) {
+            item.engine.failed(engineBackoff, now);
+        }
+        JobItems items = item.job.items;
+        int index = ref.index();
+        if (jobs.get(ref.jobId()) != item.job || !items.isRunning(index)) {
+            return ItemResolution.IGNORED;
+        }
+        switch (outcome) {
+            case CANCELLED -> {
+                order.requeued(item.job);
+                items.requeue(index);
+            }
+            case REFUSED -> {
+                items.done(index);
+                return ItemResolution.REFUSED;
+            }
+            case KILLED, TIMED_OUT -> {
+                int attempts = items.countAttempt(index);
+                if (attempts >= MAX_ATTEMPTS) {
+                    items.done(index);
+                    return ItemResolution.ATTEMPTS_EXHAUSTED;
+                }
+                items.backOff(index, now + itemBackoff.waitNanos(attempts));
+            }
+            case REJECTED, NOT_SENT -> items.backOff(index, now + itemBackoff.waitNanos(1));
+        }
+        return ItemResolution.RETRY;
+    }
+
+    private RunningItem end(ItemRef ref) {
+        RunningItem item = running.remove(ref);
+        if (item != null) {
+            item.engine.ended(item);
+            orphans.remove(item);
+        }
+        return item;
+    }
+
+    /** Returns whether a job would miss its deadline at the present rate; false if it is not open. */
+    public boolean atRisk(String jobId) {
+        OpenJob job = jobs.get(jobId);
+        return job != null && atRisk(job, ticker.nanos());
+    }
+
+    private boolean atRisk(OpenJob job, long now) {
+        if (job.items.remaining() == 0) {
+            return false;
+        }
+        double secondsLeft = millisLeft(job) / 1000.0;
+        CompletionRate rate = rates.get(job.job.deployment());
+        double observed = Math.min(rate.observedSeconds(now), (now - job.openedNanos) / 1e9);
+        if (observed < LEAST_OBSERVED_SECONDS) {
+            return secondsLeft < LEAST_OBSERVED_SECONDS;
+        }
+        long ahead = 0;
+        for (OpenJob other : jobs.values()) {
+            boolean before = !other.job.deadline().isAfter(job.job.deadline());
+            ahead += before && other.job.deployment().equals(job.job.deployment()) ? other.items.remaining() : 0;
+        }
+        return ahead > RISK * secondsLeft * rate.perSecond(now);
+    }
+
+    private long millisLeft(OpenJob job) {
+        return Math.max(0, Duration.between(ticker.now(), job.job.deadline()).toMillis());
+    }
+
+    private boolean expired(OpenJob job) {
+        return !ticker.now().isBefore(job.job.deadline());
+    }
+
+    private boolean local(EngineLease engine) {
+        return engine.config().region().equals(region);
+    }
+
+    private boolean hasLocal(String deployment) {
+        for (EngineLease engine : engines.values()) {
+            if (engine.config().group().equals(deployment) && local(engine) && usable(engine)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean usable(EngineLease engine) {
+        Upstream upstream = engine.config();
+        return configured(engine) && !leaving.contains(upstream.address()) && !leaving.contains(upstream.host());
+    }
+
+    private boolean configured(EngineLease engine) {
+        return config.upstreams().containsKey(engine.name());
+    }
+
+    private int weight(String workspace) {
+        var known = config.workspaces().get(workspace);
+        return known == null ? 1 : Math.max(1, known.weight());
+    }
+
+    /** Returns the state for the state dump. */
+    public BatchView view() {
+        long now = ticker.nanos();
+        List<BatchView.JobView> jobViews = new ArrayList<>();
+        for (OpenJob job : jobs.values()) {
+            jobViews.add(new BatchView.JobView(
+                    job.id(),
+                    job.job.workspace(),
+                    job.job.deployment(),
+                    job.job.deadline(),
+                    job.items.queued(),
+                    job.items.backingOff(),
+                    job.items.running(),
+                    job.items.done(),
+                    atRisk(job, now)));
+        }
+        return new BatchView(jobViews, engineViews(engines.values(), now));
+    }
+
+    private List<BatchView.EngineView> engineViews(Collection<EngineLease> leases, long now) {
+        List<BatchView.EngineView> views = new ArrayList<>();
+        for (EngineLease engine : leases) {
+            if (engine.running().isEmpty() && !slotRequests.open(engine.name())) {
+                continue;
+            }
+            views.add(new BatchView.EngineView(
+                    engine.name(),
+                    engine.granted(now),
+                    engine.usable(now),
+                    engine.held(),
+                    engine.prefills(),
+                    Duration.ofNanos(engine.pausedNanos(now))));
+        }
+        views.sort(Comparator.comparing(BatchView.EngineView::upstream));
+        return views;
+    }
+
+    /** Open work of one deployment. */
+    private static final class Demand {
+        private static final Demand NONE = new Demand("", 0, 0);
+
+        private final String region;
+        private final int localEngines;
+        private final int allEngines;
+        private long pending;
+        private long pendingAtRisk;
+        private long deadlineInMs;
+
+        Demand(String region, int localEngines, int allEngines) {
+            this.region = region;
+            this.localEngines = localEngines;
+            this.allEngines = allEngines;
+        }
+
+        void add(OpenJob job, long millisLeft, boolean atRisk) {
+            int waiting = job.items.remaining() - job.items.running();
+            deadlineInMs = pending == 0 ? millisLeft : Math.min(deadlineInMs, millisLeft);
+            pending += waiting;
+            pendingAtRisk += atRisk ? waiting : 0;
+        }
+
+        /** Returns the additional slots that an engine is asked for. */
+        int each(EngineLease engine) {
+            boolean local = engine.config().region().equals(region);
+            if (localEngines == 0) {
+                return part(pending, allEngines);
+            }
+            return local ? part(pending, localEngines) : part(pendingAtRisk, allEngines);
+        }
+
+        private static int part(long items, int among) {
+            return among == 0 ? 0 : (int) Math.min(Integer.MAX_VALUE / 2, (items + among - 1) / among);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/admission/OpenJob.java
@@ -0,0 +1,18 @@
+package dev.lavenderline.core.admission;
+
+/** A job with its items. */
+final class OpenJob {
+    final BatchJob job;
+    final JobItems items;
+    final long openedNanos;
+
+    OpenJob(BatchJob job, JobItems items, long openedNanos) {
+        this.job = job;
+        this.items = items;
+        this.openedNanos = openedNanos;
+    }
+
+    String id() {
+        return job.id();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/admission/SlotController.java
@@ -0,0 +1,145 @@
+package dev.lavenderline.core.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.config.Upstream;
+import dev.lavenderline.proto.peer.SlotRequest;
+import dev.lavenderline.proto.peer.UpstreamLoad;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Grants batch slots of the engines that this node controls at the moment.
+ *
+ * <p>Invariant: the grants of one engine that result from a tick add up to at most
+ * {@code max_concurrent - online in flight - headroom}. Slots control load and never decide ownership, so two nodes that
+ * control the same engine for a short time do no more harm than too many items.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ *
+ * <pre>{@code
+ * controller.controlled(engines);
+ * controller.loads(peer, loads);
+ * controller.tick().forEach(grant -> send(grant.node(), grant.grant()));
+ * }</pre>
+ */
+public final class SlotController {
+    private static final long TRAFFIC_NANOS = 5_000_000_000L;
+
+    private final String node;
+    private final Ticker ticker;
+    private final Map<String, EngineSlots> engines = new LinkedHashMap<>();
+    private final Map<String, Long> onlineSeen = new HashMap<>();
+    private Set<String> controlled = Set.of();
+    private FleetConfig config = FleetConfig.EMPTY;
+
+    /** @param node name of this node, which grants carry */
+    public SlotController(String node, Ticker ticker) {
+        this.node = requireNonNull(node, "node");
+        this.ticker = requireNonNull(ticker, "ticker");
+    }
+
+    /** Replaces the configuration. */
+    public void configure(FleetConfig newConfig) {
+        config = requireNonNull(newConfig, "newConfig");
+        update();
+    }
+
+    /** Names the engines that this node controls from now on; an engine that is new starts with a limit of 1. */
+    public void controlled(Set<String> upstreams) {
+        controlled = Set.copyOf(upstreams);
+        update();
+    }
+
+    private void update() {
+        long now = ticker.nanos();
+        Set<String> wanted = new HashSet<>();
+        for (String name : controlled) {
+            Upstream upstream = config.upstreams().get(name);
+            if (upstream == null || upstream.kind() != Upstream.Kind.ENGINE) {
+                continue;
+            }
+            wanted.add(name);
+            var deployment = config.deployments().get(upstream.group());
+            engines.computeIfAbsent(name, key -> new EngineSlots(upstream, deployment, now))
+                    .configure(upstream, deployment);
+        }
+        engines.keySet().retainAll(wanted);
+    }
+
+    /** Replaces a node's figures for the named engines; this node's own figures are passed in the same way. */
+    public void loads(String from, List<UpstreamLoad> loads) {
+        long now = ticker.nanos();
+        for (UpstreamLoad load : loads) {
+            Upstream upstream = config.upstreams().get(load.getUpstream());
+            if (upstream == null) {
+                continue;
+            }
+            if (load.getOnlineInFlight() + load.getOnlineWaiting() > 0) {
+                onlineSeen.put(upstream.group(), now);
+            }
+            EngineSlots engine = engines.get(load.getUpstream());
+            if (engine != null) {
+                engine.load(from, load, now);
+            }
+        }
+    }
+
+    /** Records what a job owner asks for; a request is valid for 1 s. */
+    public void request(String from, SlotRequest request) {
+        EngineSlots engine = engines.get(request.getUpstream());
+        if (engine != null) {
+            engine.request(from, request, ticker.nanos());
+        }
+    }
+
+    /** Forgets a node; its slots are granted to others after its leases have expired. */
+    public void lost(String lostNode) {
+        engines.values().forEach(engine -> engine.lost(lostNode));
+    }
+
+    /** Adapts the limits and returns the grants to send; call every 5 ms and at once after new loads. */
+    public List<AddressedGrant> tick() {
+        long now = ticker.nanos();
+        List<AddressedGrant> grants = new ArrayList<>();
+        for (Map.Entry<String, EngineSlots> entry : engines.entrySet()) {
+            if (entry.getValue().hasDemands()) {
+                entry.getValue().tick(node, onlineTraffic(entry.getKey(), now), now, grants);
+            }
+        }
+        return grants;
+    }
+
+    private boolean onlineTraffic(String upstream, long now) {
+        Long seen = onlineSeen.get(config.upstreams().get(upstream).group());
+        return seen != null && now - seen <= TRAFFIC_NANOS;
+    }
+
+    /** Returns the state of each controlled engine for the state dump. */
+    public List<ControlledEngine> views() {
+        long now = ticker.nanos();
+        List<ControlledEngine> views = new ArrayList<>();
+        engines.forEach((name, engine) -> views.add(new ControlledEngine(
+                name, engine.online(), engine.bound(onlineTraffic(name, now)), engine.limitSlots(), engine.granted())));
+        views.sort(Comparator.comparing(ControlledEngine::upstream));
+        return views;
+    }
+
+    /**
+     * State of one controlled engine.
+     *
+     * @param onlineInFlight online requests of all nodes
+     * @param bound largest number of batch items at the moment
+     * @param limit number of batch items that the latency of online requests allows
+     * @param granted slots granted to job owners
+     */
+    public record ControlledEngine(String upstream, int onlineInFlight, int bound, int limit, int granted) {}
+}
