--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -0,0 +1,341 @@
+package dev.lavenderline.node.jobs;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.admission.BatchAction;
+import dev.lavenderline.core.admission.BatchJob;
+import dev.lavenderline.core.admission.BatchScheduler;
+import dev.lavenderline.core.admission.ItemOutcome;
+import dev.lavenderline.core.admission.ItemRef;
+import dev.lavenderline.core.admission.ItemResolution;
+import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.config.Upstream;
+import dev.lavenderline.core.ledger.BatchFile;
+import dev.lavenderline.core.ledger.Job;
+import dev.lavenderline.core.ledger.WorkEvent;
+import dev.lavenderline.core.ledger.WorkLedger;
+import dev.lavenderline.http.ModelRequest;
+import dev.lavenderline.http.UpstreamClient;
+import dev.lavenderline.node.log.LoggedStream;
+import dev.lavenderline.platform.LogError;
+import dev.lavenderline.proto.log.Entry;
+import dev.lavenderline.proto.log.FileChunk;
+import dev.lavenderline.proto.log.ItemResult;
+import dev.lavenderline.proto.log.JobClosed;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+/**
+ * Runs the items of the jobs that this node holds and records their results.
+ *
+ * <p>Invariants: an item is sent only while the tail of the stream {@code work} was known less than
+ * {@link #TAIL_LIMIT} ago and this node holds the current claim of its job; a result is final only when it is folded
+ * from the log. Not thread-safe; confined to the node's event loop.
+ */
+public final class JobRunner {
+    /** A cancel or a newer claim may stand in records that were not read for this long. */
+    static final Duration TAIL_LIMIT = Duration.ofSeconds(1);
+
+    private final LoggedStream<WorkLedger> work;
+    private final JobContent content;
+    private final BatchScheduler scheduler;
+    private final ItemExecutor executor;
+    private final ResultWriter results;
+    private final JobClaims claims;
+    private final Supplier<FleetConfig> config;
+    private final BiConsumer<String, Integer> inFlightListener;
+    private final Settings settings;
+    private final Ticker ticker;
+    private final Map<ItemRef, Running> running = new HashMap<>();
+    private final Map<String, Integer> inFlight = new HashMap<>();
+    private final Map<String, Long> closing = new HashMap<>();
+    private final Set<String> opened = new HashSet<>();
+    private long started;
+    private boolean draining;
+
+    /**
+     * Settings of the runner.
+     *
+     * @param incarnation id of this run of the node
+     * @param logTimeout longest wait for the acknowledgement of a record
+     */
+    public record Settings(String incarnation, Duration logTimeout) {}
+
+    JobRunner(
+            LoggedStream<WorkLedger> work,
+            JobContent content,
+            BatchScheduler scheduler,
+            ItemExecutor executor,
+            JobClaims claims,
+            Supplier<FleetConfig> config,
+            BiConsumer<String, Integer> inFlightListener,
+            Settings settings,
+            Ticker ticker) {
+        this.work = work;
+        this.content = content;
+        this.scheduler = scheduler;
+        this.executor = executor;
+        this.claims = claims;
+        this.config = config;
+        this.inFlightListener = inFlightListener;
+        this.settings = settings;
+        this.ticker = ticker;
+        this.results = new ResultWriter(work.writer(), this::dropped);
+    }
+
+    /** Opens the jobs that this node holds; call once after the log was read to its end. */
+    void start() {
+        reopenAll();
+    }
+
+    /** Takes an event of the ledger. */
+    void onEvent(WorkEvent event) {
+        if (event instanceof WorkEvent.JobClaimChanged changed) {
+            claimChanged(changed);
+        } else if (event instanceof WorkEvent.JobCancelled cancelled) {
+            closeJob(cancelled.jobId());
+        } else if (event instanceof WorkEvent.JobEnded ended) {
+            closeJob(ended.jobId());
+            claims.ended(ended.jobId());
+        } else if (event instanceof WorkEvent.ItemsDone done) {
+            claims.progressed(done.jobId());
+            if (opened.contains(done.jobId())) {
+                done.indexes().forEach(index -> scheduler.completed(new ItemRef(done.jobId(), index)));
+            }
+        } else if (event instanceof WorkEvent.Restored) {
+            Set.copyOf(opened).forEach(this::closeJob);
+            reopenAll();
+        }
+    }
+
+    private void reopenAll() {
+        for (Job job : work.ledger().openJobs()) {
+            if (job.holder().equals(settings.incarnation())) {
+                openJob(job);
+            }
+        }
+    }
+
+    private void claimChanged(WorkEvent.JobClaimChanged changed) {
+        closeJob(changed.jobId());
+        if (changed.holder().equals(settings.incarnation())) {
+            work.ledger().job(changed.jobId()).filter(Job::isOpen).ifPresent(this::openJob);
+        }
+    }
+
+    private void openJob(Job job) {
+        BitSet done = new BitSet(job.items());
+        for (int item = 0; item < job.items(); item++) {
+            if (job.isDone(item)) {
+                done.set(item);
+            }
+        }
+        opened.add(job.id());
+        scheduler.open(
+                new BatchJob(job.id(), job.workspace(), job.deployment(), job.deadline(), job.items()), done);
+    }
+
+    private void closeJob(String jobId) {
+        if (opened.remove(jobId)) {
+            scheduler.close(jobId);
+            results.discard(jobId);
+            closing.remove(jobId);
+        }
+    }
+
+    /** Starts and cancels items; call about every 5 ms and at once after grants or online load changed. */
+    void tick() {
+        scheduler.mayStart(!draining && work.isFresh(TAIL_LIMIT));
+        for (BatchAction action : scheduler.tick()) {
+            if (action instanceof BatchAction.Start start) {
+                start(start);
+            } else if (action instanceof BatchAction.Cancel cancel) {
+                cancel(cancel.item());
+            }
+        }
+    }
+
+    /** Writes gathered results; call about every 50 ms. */
+    void flush() {
+        results.flush(jobId -> work.ledger().job(jobId).map(Job::claim).orElse(0L));
+    }
+
+    /** Closes jobs whose deadline has passed; call about once a second. */
+    void closeExpired() {
+        Instant now = ticker.now();
+        for (String jobId : Set.copyOf(opened)) {
+            Optional<Job> job = work.ledger().job(jobId).filter(Job::isOpen);
+            if (job.isPresent() && job.get().deadline().isBefore(now) && mayClose(jobId)) {
+                closing.put(jobId, ticker.nanos());
+                Entry entry = Entry.newBuilder()
+                        .setJobClosed(JobClosed.newBuilder()
+                                .setJobId(jobId)
+                                .setClaim(job.get().claim())
+                                .setReason("deadline passed"))
+                        .build();
+                work.append(entry, settings.logTimeout()).subscribe().with(result -> {});
+            }
+        }
+    }
+
+    private boolean mayClose(String jobId) {
+        Long last = closing.get(jobId);
+        return last == null || ticker.nanos() - last > settings.logTimeout().toNanos() * 2;
+    }
+
+    /** Starts no further items. */
+    void drain() {
+        draining = true;
+    }
+
+    /** Returns the number of items on engines and of results that are not acknowledged. */
+    int unfinished() {
+        return running.size() + results.pending();
+    }
+
+    /** Cancels all items in flight. */
+    void stop() {
+        Set.copyOf(running.keySet()).forEach(this::cancel);
+    }
+
+    BatchScheduler scheduler() {
+        return scheduler;
+    }
+
+    private void start(BatchAction.Start action) {
+        ItemRef item = action.item();
+        Running run = new Running(action.upstream());
+        running.put(item, run);
+        count(action.upstream(), 1);
+        Optional<Job> job = work.ledger().job(item.jobId()).filter(Job::isOpen);
+        Optional<BatchFile> file = job.flatMap(found -> work.ledger().file(found.fileId()));
+        if (file.isEmpty()) {
+            end(item, run);
+            scheduler.failed(item, ItemOutcome.CANCELLED);
+            return;
+        }
+        var location = file.get().chunkOf(item.index());
+        content.chunk(location)
+                .subscribe()
+                .with(chunk -> send(item, run, job.get(), chunk, item.index() - location.firstItem(), action.attempt()));
+    }
+
+    private void send(ItemRef item, Running run, Job job, Either<LogError, FileChunk> chunk, int line, int attempt) {
+        if (running.get(item) != run) {
+            return;
+        }
+        Upstream upstream = config.get().upstreams().get(run.upstream);
+        boolean mayRun = chunk.isRight()
+                && upstream != null
+                && job.isOpen()
+                && job.holder().equals(settings.incarnation())
+                && work.isFresh(TAIL_LIMIT);
+        if (!mayRun) {
+            end(item, run);
+            scheduler.failed(item, ItemOutcome.NOT_SENT);
+            return;
+        }
+        Either<String, InputFile.Line> parsed = JobContent.line(chunk.get(), line);
+        Either<ItemResult, ModelRequest> request = parsed.isLeft()
+                ? Either.left(ItemExecutor.error(item.index(), "", 0, "invalid_line", parsed.getLeft()))
+                : ItemExecutor.parse(item.index(), parsed.get(), job.endpoint());
+        if (request.isLeft()) {
+            complete(item, run, request.getLeft());
+            return;
+        }
+        String requestId = item.jobId() + "-" + item.index() + "-" + settings.incarnation() + "-" + started++;
+        run.exchange = executor.run(
+                upstream,
+                requestId,
+                item.index(),
+                parsed.get().customId(),
+                request.get(),
+                attempt > 1,
+                new ItemListener(item, run));
+    }
+
+    private void complete(ItemRef item, Running run, ItemResult result) {
+        end(item, run);
+        if (scheduler.finished(item)) {
+            results.add(item.jobId(), result);
+        }
+    }
+
+    private void cancel(ItemRef item) {
+        Running run = running.get(item);
+        if (run == null) {
+            return;
+        }
+        if (run.exchange != null) {
+            run.exchange.cancel();
+        }
+        end(item, run);
+        scheduler.failed(item, ItemOutcome.CANCELLED);
+    }
+
+    private void end(ItemRef item, Running run) {
+        if (running.remove(item, run)) {
+            count(run.upstream, -1);
+        }
+    }
+
+    private void count(String upstream, int change) {
+        int items = inFlight.merge(upstream, change, Integer::sum);
+        inFlightListener.accept(upstream, items);
+    }
+
+    /** Runs items again whose results could not be buffered or recorded. */
+    private void dropped(String jobId, ItemResult result) {
+        if (opened.contains(jobId)) {
+            scheduler.reopen(new ItemRef(jobId, result.getIndex()));
+        }
+    }
+
+    private static final class Running {
+        private final String upstream;
+        private UpstreamClient.Exchange exchange;
+
+        private Running(String upstream) {
+            this.upstream = upstream;
+        }
+    }
+
+    private final class ItemListener implements ItemExecutor.Listener {
+        private final ItemRef item;
+        private final Running run;
+
+        private ItemListener(ItemRef item, Running run) {
+            this.item = item;
+            this.run = run;
+        }
+
+        @Override
+        public void firstToken() {
+            scheduler.firstToken(item);
+        }
+
+        @Override
+        public void done(ItemResult result) {
+            complete(item, run, result);
+        }
+
+        @Override
+        public void failed(ItemOutcome outcome, ItemResult asResult) {
+            end(item, run);
+            ItemResolution resolution = scheduler.failed(item, outcome);
+            boolean isFinal =
+                    resolution == ItemResolution.REFUSED || resolution == ItemResolution.ATTEMPTS_EXHAUSTED;
+            if (isFinal) {
+                results.add(item.jobId(), asResult);
+            }
+        }
+    }
+}
