--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/Callers.java
@@ -0,0 +1,74 @@
+package dev.lavenderline.node;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import dev.lavenderline.http.CallerServer;
+import dev.lavenderline.http.HttpLimits;
+import dev.lavenderline.node.calls.KeyedCallService;
+import dev.lavenderline.node.supervisor.Component;
+import dev.lavenderline.platform.Futures;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * The callers' side of a node.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ */
+final class Callers implements Component {
+    private final CallerServer server;
+
+    Callers(
+            Vertx vertx,
+            Settings settings,
+            Identity identity,
+            Node.Parts parts,
+            MetricRegistry metrics,
+            Timers timers,
+            Ticker ticker) {
+        KeyedCallService keyedCalls = new KeyedCallService(
+                parts.streams.calls(),
+                identity.incarnation(),
+                settings.platform().logTimeout(),
+                timers,
+                ticker);
+        parts.streams.onCall(keyedCalls::onEvent);
+        SocketAddress address = SocketAddress.parse(settings.addresses().callers());
+        Settings.Traffic traffic = settings.traffic();
+        this.server = CallerServer.builder(vertx)
+                .address(address.host(), address.port())
+                .config(() -> parts.streams.config().ledger().config())
+                .dispatcher(parts.upstreams.dispatcher())
+                .upstreams(parts.upstreams.client())
+                .batch(parts.jobs.api())
+                .keyedCalls(keyedCalls)
+                .limits(HttpLimits.defaults()
+                        .withSilence(traffic.firstTokenLimit(), traffic.stallLimit())
+                        .withBodies((int) traffic.maxRequestBytes(), (int) traffic.maxFileBytes()))
+                .ticker(ticker)
+                .metrics(metrics)
+                .build();
+    }
+
+    CallerServer server() {
+        return server;
+    }
+
+    @Override
+    public Uni<Void> start() {
+        return Futures.toUni(server.start());
+    }
+
+    @Override
+    public Uni<Void> stop() {
+        return Futures.toUni(server.drain(Duration.ofMillis(1)));
+    }
+
+    @Override
+    public Map<String, Object> state() {
+        return Map.of("open_requests", server.openRequests());
+    }
+}
--- a/node/src/main/java/dev/lavenderline/node/Main.java
+++ b/node/src/main/java/dev/lavenderline/node/Main.java
@@ -1,8 +1,43 @@
 package dev.lavenderline.node;
 
-/** Entry point. */
+import dev.lavenderline.core.Ticker;
+
+/** Entry point of the binary {@code lavenderline}. */
 public final class Main {
+    private static final int EXIT_UNAVAILABLE = 69;
+
     private Main() {}
 
-    public static void main(String[] args) {}
+    /** Returns the version of this build. */
+    static String version() {
+        String version = Main.class.getPackage().getImplementationVersion();
+        return version == null ? "development" : version;
+    }
+
+    public static void main(String[] args) {
+        SettingsParser.parseOrExit(args, System.getenv(), version(), Main::run);
+    }
+
+    private static void run(Settings settings) {
+        Logging.configure(settings.logging());
+        Node node = Node.create(settings, Ticker.system(), code -> Runtime.getRuntime().halt(code));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndWait(node), "drain"));
+        node.start()
+                .onSuccess(ports -> System.out.println("ready callers=" + ports.callers() + " operators="
+                        + ports.operators() + " peers=" + ports.peers()))
+                .onFailure(cause -> {
+                    NodeEvent.ROOT_FAILED.log(cause, EXIT_UNAVAILABLE);
+                    Runtime.getRuntime().halt(EXIT_UNAVAILABLE);
+                });
+    }
+
+    /** Keeps the process alive after SIGTERM until the node has drained and ends the process itself. */
+    private static void drainAndWait(Node node) {
+        node.drain("signal");
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/Streams.java
@@ -0,0 +1,204 @@
+package dev.lavenderline.node;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.config.ConfigLedger;
+import dev.lavenderline.core.config.ConfigParser;
+import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.ledger.CallEvent;
+import dev.lavenderline.core.ledger.CallLedger;
+import dev.lavenderline.core.ledger.Ledger;
+import dev.lavenderline.core.ledger.WorkEvent;
+import dev.lavenderline.core.ledger.WorkLedger;
+import dev.lavenderline.node.log.LoggedStream;
+import dev.lavenderline.node.supervisor.Component;
+import dev.lavenderline.node.supervisor.GuardedTimers;
+import dev.lavenderline.platform.AppendBudget;
+import dev.lavenderline.platform.HttpLogService;
+import dev.lavenderline.platform.LogFollower;
+import dev.lavenderline.platform.LogWriter;
+import dev.lavenderline.platform.RecordReader;
+import dev.lavenderline.platform.Snapshotter;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * The streams of the log that a node folds: {@code config}, {@code work} and {@code calls}.
+ *
+ * <p>Invariant: {@link #start} completes only when every stream was read to its end, so a node that serves never shows
+ * an older state than it acknowledged before a restart. Not thread-safe; confined to the node's event loop.
+ */
+final class Streams implements Component {
+    /** Shorter than the limit for starting items, so that an idle stream stays fresh. */
+    private static final Duration WORK_POLL = Duration.ofMillis(500);
+
+    private static final Duration POLL = Duration.ofSeconds(1);
+    private static final long READER_CACHE_BYTES = 24L << 20;
+    private static final int READ_AHEAD_BYTES = 2 << 20;
+
+    private final HttpLogService log;
+    private final RecordReader reader;
+    private final GuardedTimers timers;
+    private final Ticker ticker;
+    private final Settings settings;
+    private final AppendBudget budget;
+    private final String incarnation;
+    private final LoggedStream<ConfigLedger> config;
+    private final LoggedStream<WorkLedger> work;
+    private final LoggedStream<CallLedger> calls;
+    private final List<Snapshotter> snapshotters = new ArrayList<>();
+    private final List<Consumer<FleetConfig>> configListeners = new ArrayList<>();
+    private final List<Consumer<WorkEvent>> workListeners = new ArrayList<>();
+    private final List<Consumer<CallEvent>> callListeners = new ArrayList<>();
+
+    /**
+     * Creates the streams and begins to read them.
+     *
+     * @param isSnapshotWriter whether this node writes the snapshots of a stream now
+     */
+    Streams(
+            Vertx vertx,
+            Settings settings,
+            String incarnation,
+            Predicate<String> isSnapshotWriter,
+            GuardedTimers timers,
+            Ticker ticker,
+            Consumer<Throwable> onFailure) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.timers = timers;
+        this.ticker = ticker;
+        Settings.Platform platform = settings.platform();
+        this.log = new HttpLogService(vertx, platform.log(), platform.logTimeout());
+        this.reader = new RecordReader(log, READER_CACHE_BYTES, READ_AHEAD_BYTES);
+        this.budget = AppendBudget.perSecond(ticker, platform.appendRate());
+        ConfigLedger configLedger = new ConfigLedger(
+                files -> ConfigParser.parse(files).mapLeft(Object::toString),
+                newConfig -> configListeners.forEach(listener -> listener.accept(newConfig)));
+        WorkLedger workLedger = new WorkLedger(
+                platform.resultsRetention(), event -> workListeners.forEach(listener -> listener.accept(event)));
+        CallLedger callLedger = new CallLedger(
+                platform.resultsRetention(), event -> callListeners.forEach(listener -> listener.accept(event)));
+        this.config = stream("config", configLedger, platform.workLinger(), POLL, isSnapshotWriter, onFailure);
+        this.work = stream("work", workLedger, platform.workLinger(), WORK_POLL, isSnapshotWriter, onFailure);
+        this.calls = stream("calls", callLedger, platform.callsLinger(), POLL, isSnapshotWriter, onFailure);
+    }
+
+    private <L extends Ledger> LoggedStream<L> stream(
+            String name,
+            L ledger,
+            Duration linger,
+            Duration poll,
+            Predicate<String> isSnapshotWriter,
+            Consumer<Throwable> onFailure) {
+        LogWriter writer = LogWriter.builder(log, timers, ticker)
+                .stream(name)
+                .writer(incarnation)
+                .linger(linger)
+                .budget(budget)
+                .build();
+        List<Runnable> listener = new ArrayList<>();
+        LogFollower follower = LogFollower.builder(log, timers, ticker)
+                .stream(name)
+                .ledger(ledger)
+                .pollWait(poll)
+                .listener(() -> listener.forEach(Runnable::run))
+                .start();
+        follower.failed()
+                .subscribe()
+                .with(error -> onFailure.accept(new IllegalStateException(error.message())));
+        LoggedStream<L> stream = new LoggedStream<>(ledger, writer, follower, timers, ticker);
+        listener.add(stream::folded);
+        snapshotters.add(new Snapshotter(
+                follower,
+                writer,
+                timers,
+                ticker,
+                settings.platform().logRetention(),
+                () -> isSnapshotWriter.test(name)));
+        return stream;
+    }
+
+    LoggedStream<ConfigLedger> config() {
+        return config;
+    }
+
+    LoggedStream<WorkLedger> work() {
+        return work;
+    }
+
+    LoggedStream<CallLedger> calls() {
+        return calls;
+    }
+
+    RecordReader reader() {
+        return reader;
+    }
+
+    void onConfig(Consumer<FleetConfig> listener) {
+        configListeners.add(listener);
+    }
+
+    void onWork(Consumer<WorkEvent> listener) {
+        workListeners.add(listener);
+    }
+
+    void onCall(Consumer<CallEvent> listener) {
+        callListeners.add(listener);
+    }
+
+    private List<LoggedStream<?>> all() {
+        return List.of(config, work, calls);
+    }
+
+    @Override
+    public Uni<Void> start() {
+        Uni<Void> caughtUp = Uni.createFrom().voidItem();
+        for (LoggedStream<?> stream : all()) {
+            caughtUp = caughtUp.chain(() -> stream.follower().caughtUp());
+        }
+        return caughtUp.invoke(() -> snapshotters.forEach(Snapshotter::start));
+    }
+
+    /** Sends everything that is buffered; completes when it is acknowledged. */
+    Uni<Void> flush() {
+        Uni<Void> flushed = Uni.createFrom().voidItem();
+        for (LoggedStream<?> stream : all()) {
+            flushed = flushed.chain(() -> stream.writer().flush());
+        }
+        return flushed;
+    }
+
+    @Override
+    public Uni<Void> stop() {
+        snapshotters.forEach(Snapshotter::stop);
+        for (LoggedStream<?> stream : all()) {
+            stream.follower().stop();
+            stream.writer().close();
+        }
+        timers.cancelAll();
+        log.close();
+        return Uni.createFrom().voidItem();
+    }
+
+    @Override
+    public Map<String, Object> state() {
+        Map<String, Object> state = new LinkedHashMap<>();
+        for (LoggedStream<?> stream : all()) {
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("offset", stream.ledger().position());
+            one.put("tail_age_ms", stream.age().toMillis());
+            one.put("pending_bytes", stream.writer().pendingBytes());
+            one.put("appends", stream.writer().appends());
+            one.put("malformed_records", stream.follower().malformedRecords());
+            state.put(stream.writer().stream(), one);
+        }
+        return state;
+    }
+}
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -40,7 +40,7 @@
  * {@link #TAIL_LIMIT} ago and this node holds the current claim of its job; a result is final only when it is folded
  * from the log. Not thread-safe; confined to the node's event loop.
  */
-public final class JobRunner {
+final class JobRunner {
     /** A cancel or a newer claim may stand in records that were not read for this long. */
     static final Duration TAIL_LIMIT = Duration.ofSeconds(1);
 
@@ -67,7 +67,7 @@
      * @param incarnation id of this run of the node
      * @param logTimeout longest wait for the acknowledgement of a record
      */
-    public record Settings(String incarnation, Duration logTimeout) {}
+    record Settings(String incarnation, Duration logTimeout) {}
 
     JobRunner(
             LoggedStream<WorkLedger> work,
--- /dev/null
+++ b/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
@@ -0,0 +1,174 @@
+package dev.lavenderline.node.jobs;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import dev.lavenderline.core.admission.BatchScheduler;
+import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.ledger.Job;
+import dev.lavenderline.core.ledger.WorkEvent;
+import dev.lavenderline.core.ledger.WorkLedger;
+import dev.lavenderline.http.BatchApi;
+import dev.lavenderline.http.UpstreamClient;
+import dev.lavenderline.node.cluster.Cluster;
+import dev.lavenderline.node.log.LoggedStream;
+import dev.lavenderline.node.supervisor.Component;
+import dev.lavenderline.node.supervisor.GuardedTimers;
+import dev.lavenderline.platform.RecordReader;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+/**
+ * The batch side of a node: the callers' interface, claims and the execution of items.
+ *
+ * <p>Not thread-safe; confined to the node's event loop.
+ */
+public final class Jobs implements Component {
+    private static final Duration TICK = Duration.ofMillis(5);
+    private static final Duration FLUSH = Duration.ofMillis(50);
+    private static final Duration CLAIM_CHECK = Duration.ofMillis(200);
+    private static final Duration DEADLINE_CHECK = Duration.ofSeconds(1);
+    private static final Duration DRAIN_CHECK = Duration.ofMillis(50);
+
+    private final LoggedStream<WorkLedger> work;
+    private final JobService service;
+    private final JobClaims claims;
+    private final JobRunner runner;
+    private final GuardedTimers timers;
+    private final Options options;
+
+    /**
+     * Settings of the batch side.
+     *
+     * @param incarnation id of this run of the node
+     * @param region region of the host
+     * @param logTimeout longest wait for the acknowledgement of a record
+     * @param firstToken longest time until an item's first token
+     * @param stall longest time between tokens of an item
+     */
+    public record Options(
+            String incarnation, String region, Duration logTimeout, Duration firstToken, Duration stall) {}
+
+    public Jobs(
+            Vertx vertx,
+            LoggedStream<WorkLedger> work,
+            RecordReader reader,
+            BatchScheduler scheduler,
+            UpstreamClient client,
+            Cluster cluster,
+            Supplier<FleetConfig> config,
+            BiConsumer<String, Integer> inFlightListener,
+            Options options,
+            GuardedTimers timers,
+            Ticker ticker) {
+        this.work = work;
+        this.timers = timers;
+        this.options = options;
+        JobContent content = new JobContent(reader);
+        this.service = new JobService(
+                work,
+                content,
+                config,
+                new JobService.Settings(options.region(), options.logTimeout()),
+                vertx,
+                timers,
+                ticker);
+        this.claims = new JobClaims(
+                work, options.incarnation(), cluster::isLive, cluster::rank, options.logTimeout(), ticker);
+        this.runner = new JobRunner(
+                work,
+                content,
+                scheduler,
+                new ItemExecutor(client, options.firstToken(), options.stall()),
+                claims,
+                config,
+                inFlightListener,
+                new JobRunner.Settings(options.incarnation(), options.logTimeout()),
+                ticker);
+    }
+
+    /** Returns the callers' interface. */
+    public BatchApi api() {
+        return service;
+    }
+
+    /** Takes an event of the work ledger. */
+    public void onEvent(WorkEvent event) {
+        runner.onEvent(event);
+    }
+
+    /** Starts and cancels items now; called when online load or grants changed. */
+    public void schedule() {
+        runner.tick();
+    }
+
+    @Override
+    public Uni<Void> start() {
+        runner.start();
+        timers.every(TICK, runner::tick);
+        timers.every(FLUSH, runner::flush);
+        timers.every(CLAIM_CHECK, claims::check);
+        timers.every(DEADLINE_CHECK, runner::closeExpired);
+        return Uni.createFrom().voidItem();
+    }
+
+    /**
+     * Starts no further items, waits until those in flight are recorded, then releases the claims.
+     *
+     * @param limit time after which items in flight are cancelled; the next holder runs them again
+     */
+    public Uni<Void> drain(Duration limit) {
+        runner.drain();
+        Uni<Void> idle = Uni.createFrom().emitter(emitter -> {
+            Timers.Timer[] check = new Timers.Timer[1];
+            Timers.Timer timeout = timers.after(limit, () -> {
+                check[0].cancel();
+                runner.stop();
+                emitter.complete(null);
+            });
+            check[0] = timers.every(DRAIN_CHECK, () -> {
+                if (runner.unfinished() == 0) {
+                    check[0].cancel();
+                    timeout.cancel();
+                    emitter.complete(null);
+                }
+            });
+        });
+        return idle.chain(claims::release);
+    }
+
+    @Override
+    public Uni<Void> stop() {
+        timers.cancelAll();
+        runner.stop();
+        return Uni.createFrom().voidItem();
+    }
+
+    @Override
+    public Map<String, Object> state() {
+        List<Map<String, Object>> owned = new ArrayList<>();
+        for (Job job : work.ledger().openJobs()) {
+            if (job.holder().equals(options.incarnation())) {
+                Map<String, Object> one = new LinkedHashMap<>();
+                one.put("id", job.id());
+                one.put("claim", job.claim());
+                one.put("items", job.items());
+                one.put("done", job.done());
+                one.put("failed", job.failed());
+                one.put("deadline", job.deadline().toString());
+                owned.add(one);
+            }
+        }
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("owned", owned);
+        state.put("unfinished", runner.unfinished());
+        state.put("open_jobs", work.ledger().openJobs().size());
+        return state;
+    }
+}
