--- a/bench/src/main/java/dev/lavenderline/bench/Main.java
+++ b/bench/src/main/java/dev/lavenderline/bench/Main.java
@@ -1,8 +1,27 @@
 package dev.lavenderline.bench;
 
-/** Entry point. */
+import dev.lavenderline.bench.quickstart.Quickstart;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToIntFunction;
+
+/** Entry point of the programs that do not ship: {@code quickstart}. */
 public final class Main {
+    private static final int USAGE = 2;
+    private static final Map<String, ToIntFunction<List<String>>> COMMANDS =
+            new TreeMap<>(Map.of("quickstart", Quickstart::run));
+
     private Main() {}
 
-    public static void main(String[] args) {}
+    public static void main(String[] args) {
+        ToIntFunction<List<String>> command = args.length == 0 ? null : COMMANDS.get(args[0]);
+        if (command == null) {
+            System.err.println("usage: bench " + String.join("|", COMMANDS.keySet()) + " [options]");
+            System.exit(USAGE);
+            return;
+        }
+        System.exit(command.applyAsInt(Arrays.asList(args).subList(1, args.length)));
+    }
 }
--- a/node/src/main/java/dev/lavenderline/node/Addresses.java
+++ b/node/src/main/java/dev/lavenderline/node/Addresses.java
@@ -21,8 +21,6 @@
 
     /** Returns whether other processes can connect to a valid address as it is written. */
     static boolean isReachable(String text) {
-        HostAndPort address = HostAndPort.fromString(text);
-        return address.getPort() > 0
-                && !InetAddresses.forString(address.getHost()).isAnyLocalAddress();
+        return !InetAddresses.forString(HostAndPort.fromString(text).getHost()).isAnyLocalAddress();
     }
 }
--- a/node/src/main/java/dev/lavenderline/node/Identity.java
+++ b/node/src/main/java/dev/lavenderline/node/Identity.java
@@ -23,8 +23,6 @@
         long seed = settings.seed().orElseGet(secure::nextLong);
         String node = settings.identity().node();
         return new Identity(
-                node,
-                node + "-" + HexFormat.of().formatHex(id),
-                RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+                node, node + "-" + HexFormat.of().formatHex(id), RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
     }
 }
--- a/node/src/main/java/dev/lavenderline/node/Main.java
+++ b/node/src/main/java/dev/lavenderline/node/Main.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.node;
 
 import dev.lavenderline.core.Ticker;
+import io.vavr.control.Either;
 
 /** Entry point of the binary {@code lavenderline}. */
 public final class Main {
@@ -8,19 +9,20 @@
 
     private Main() {}
 
-    /** Returns the version of this build. */
-    static String version() {
-        String version = Main.class.getPackage().getImplementationVersion();
-        return version == null ? "development" : version;
-    }
-
     public static void main(String[] args) {
-        SettingsParser.parseOrExit(args, System.getenv(), version(), Main::run);
+        Either<SettingsParser.Exit, Settings> parsed = SettingsParser.parse(args, System.getenv());
+        if (parsed.isLeft()) {
+            SettingsParser.Exit exit = parsed.getLeft();
+            (exit.status() == 0 ? System.out : System.err).print(exit.text());
+            System.exit(exit.status());
+        }
+        run(parsed.get());
     }
 
     private static void run(Settings settings) {
         Logging.configure(settings.logging());
-        Node node = Node.create(settings, Ticker.system(), code -> Runtime.getRuntime().halt(code));
+        Node node = Node.create(
+                settings, Ticker.system(), code -> Runtime.getRuntime().halt(code));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndWait(node), "drain"));
         node.start()
                 .onSuccess(ports -> System.out.println("ready callers=" + ports.callers() + " operators="
--- a/node/src/main/java/dev/lavenderline/node/Node.java
+++ b/node/src/main/java/dev/lavenderline/node/Node.java
@@ -148,8 +148,7 @@
             return parts.streams;
         });
         root.child("membership", onFailure -> {
-            parts.cluster = new ClusterComponent(
-                    vertx, settings, identity, parts.streams, guarded(onFailure), ticker, onFailure);
+            parts.cluster = new ClusterComponent(vertx, settings, identity, guarded(onFailure), ticker);
             return parts.cluster;
         });
         root.child("upstreams", onFailure -> {
@@ -176,7 +175,7 @@
         NodeEvent.STARTED.log(
                 settings.identity().node(),
                 identity.incarnation(),
-                Main.version(),
+                SettingsParser.version(),
                 listening.callers(),
                 listening.operators(),
                 listening.peers());
--- a/node/src/main/java/dev/lavenderline/node/SettingsParser.java
+++ b/node/src/main/java/dev/lavenderline/node/SettingsParser.java
@@ -214,7 +214,7 @@
         return Optional.ofNullable((T) values.get(setting));
     }
 
-    private static String version() {
+    static String version() {
         return Optional.ofNullable(SettingsParser.class.getPackage().getImplementationVersion())
                 .orElse("development build");
     }
--- a/node/src/main/java/dev/lavenderline/node/SettingsTable.java
+++ b/node/src/main/java/dev/lavenderline/node/SettingsTable.java
@@ -23,8 +23,8 @@
             "advertise-peers",
             "",
             1,
-            "Address that other nodes use to connect; --peers-address if missing. Required if that one is a wildcard"
-                    + " or has port 0.");
+            "Address that other nodes use to connect; --peers-address with the bound port if missing. Required if that"
+                    + " one is a wildcard.");
 
     static final Setting<URI> LOG_URL = Setting.url("log-url", true, "The platform's log service.");
     static final Setting<URI> HOSTS_URL = Setting.url("hosts-url", true, "The platform's host list.");
--- a/node/src/main/java/dev/lavenderline/node/Streams.java
+++ b/node/src/main/java/dev/lavenderline/node/Streams.java
@@ -97,22 +97,18 @@
             Duration poll,
             Predicate<String> isSnapshotWriter,
             Consumer<Throwable> onFailure) {
-        LogWriter writer = LogWriter.builder(log, timers, ticker)
-                .stream(name)
+        LogWriter writer = LogWriter.builder(log, timers, ticker).stream(name)
                 .writer(incarnation)
                 .linger(linger)
                 .budget(budget)
                 .build();
         List<Runnable> listener = new ArrayList<>();
-        LogFollower follower = LogFollower.builder(log, timers, ticker)
-                .stream(name)
+        LogFollower follower = LogFollower.builder(log, timers, ticker).stream(name)
                 .ledger(ledger)
                 .pollWait(poll)
                 .listener(() -> listener.forEach(Runnable::run))
                 .start();
-        follower.failed()
-                .subscribe()
-                .with(error -> onFailure.accept(new IllegalStateException(error.message())));
+        follower.failed().subscribe().with(error -> onFailure.accept(new IllegalStateException(error.message())));
         LoggedStream<L> stream = new LoggedStream<>(ledger, writer, follower, timers, ticker);
         listener.add(stream::folded);
         snapshotters.add(new Snapshotter(
--- a/node/src/main/java/dev/lavenderline/node/Upstreams.java
+++ b/node/src/main/java/dev/lavenderline/node/Upstreams.java
@@ -41,12 +41,7 @@
     private final GuardedTimers timers;
 
     Upstreams(
-            Vertx vertx,
-            Settings settings,
-            Identity identity,
-            Node.Parts parts,
-            GuardedTimers timers,
-            Ticker ticker) {
+            Vertx vertx, Settings settings, Identity identity, Node.Parts parts, GuardedTimers timers, Ticker ticker) {
         this.parts = parts;
         this.timers = timers;
         UpstreamClient.Options defaults = UpstreamClient.Options.defaults();
@@ -64,7 +59,8 @@
                 base.queueBound(),
                 base.hedging(),
                 base.candidates());
-        String policy = settings.traffic().policy().name().toLowerCase(Locale.ROOT).replace('_', '-');
+        String policy =
+                settings.traffic().policy().name().toLowerCase(Locale.ROOT).replace('_', '-');
         this.dispatcher = Dispatchers.create(
                 policy, options, ticker, identity.random(), new Locality(self.region(), self.failureDomain()));
         this.controller = new SlotController(identity.node(), ticker);
@@ -80,12 +76,7 @@
 
     /** Creates the batch side on top of the given parts. */
     static Jobs jobs(
-            Vertx vertx,
-            Settings settings,
-            Identity identity,
-            Node.Parts parts,
-            GuardedTimers timers,
-            Ticker ticker) {
+            Vertx vertx, Settings settings, Identity identity, Node.Parts parts, GuardedTimers timers, Ticker ticker) {
         Jobs jobs = new Jobs(
                 vertx,
                 parts.streams.work(),
@@ -162,7 +153,8 @@
     public Map<String, Object> state() {
         Map<String, Object> state = new LinkedHashMap<>();
         state.put("views", dispatcher.views().stream().map(Object::toString).toList());
-        state.put("controlled", controller.views().stream().map(Object::toString).toList());
+        state.put(
+                "controlled", controller.views().stream().map(Object::toString).toList());
         state.put("batch", scheduler.view().toString());
         return state;
     }
--- a/node/src/main/java/dev/lavenderline/node/calls/KeyedCallService.java
+++ b/node/src/main/java/dev/lavenderline/node/calls/KeyedCallService.java
@@ -125,7 +125,8 @@
             if (result.isLeft()) {
                 return Uni.createFrom().item(result);
             }
-            return calls.reached(result.get()).invoke(() -> releaseIf(abandoned[0], claim, result.get()))
+            return calls.reached(result.get())
+                    .invoke(() -> releaseIf(abandoned[0], claim, result.get()))
                     .replaceWith(result);
         });
         return Timeouts.within(folded, timers, logTimeout, () -> {
@@ -158,7 +159,9 @@
     private boolean isOwn(Claim claim, long offset) {
         return calls.ledger()
                 .call(claim.workspace, claim.key)
-                .filter(call -> call.claim() == offset && call.holder().equals(holder) && call.finished().isEmpty())
+                .filter(call -> call.claim() == offset
+                        && call.holder().equals(holder)
+                        && call.finished().isEmpty())
                 .isPresent();
     }
 
@@ -177,9 +180,10 @@
         if (left.isNegative() || left.isZero()) {
             return error(unknownOutcome());
         }
-        Uni<Void> finished = Uni.createFrom().emitter(emitter -> waiting.computeIfAbsent(
-                        mapKey(claim.workspace, claim.key), key -> new ArrayList<>())
-                .add(emitter));
+        Uni<Void> finished = Uni.createFrom()
+                .emitter(
+                        emitter -> waiting.computeIfAbsent(mapKey(claim.workspace, claim.key), key -> new ArrayList<>())
+                                .add(emitter));
         Duration wait = left.compareTo(claim.timeout) < 0 ? left : claim.timeout;
         return Timeouts.within(finished, timers, wait, () -> null).chain(() -> afterWait(claim));
     }
@@ -205,9 +209,8 @@
 
     private Uni<Void> finish(Run run, CallFinished.Builder finished) {
         Entry entry = Entry.newBuilder()
-                .setCallFinished(finished.setWorkspace(run.workspace())
-                        .setKey(run.key())
-                        .setClaim(run.claim()))
+                .setCallFinished(
+                        finished.setWorkspace(run.workspace()).setKey(run.key()).setClaim(run.claim()))
                 .build();
         // The writer keeps the entry and sends it again during an outage, so the caller need not wait longer.
         return Timeouts.within(calls.writer().write(entry), timers, logTimeout, () -> Either.right(0L))
--- a/node/src/main/java/dev/lavenderline/node/jobs/InputFile.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/InputFile.java
@@ -31,8 +31,7 @@
     /** Largest line in bytes; keeps a chunk below the record limit of the log. */
     static final int MAX_LINE_BYTES = 512 * 1024;
 
-    private static final ObjectMapper JSON =
-            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private static final Set<String> ENDPOINTS = Set.of("/v1/chat/completions", "/v1/completions");
 
     public InputFile {
@@ -83,7 +82,8 @@
         }
         String url = node.path("url").asText("");
         if (!ENDPOINTS.contains(url)) {
-            return Either.left("has url '" + url + "', expected one of " + ENDPOINTS.stream().sorted().toList());
+            return Either.left("has url '" + url + "', expected one of "
+                    + ENDPOINTS.stream().sorted().toList());
         }
         JsonNode body = node.path("body");
         if (!body.isObject() || body.path("model").asText("").isEmpty()) {
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobClaims.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobClaims.java
@@ -98,8 +98,7 @@
             return false;
         }
         Long progress = lastProgress.get(job.id());
-        boolean hasProgress =
-                progress != null && ticker.nanos() - progress < GONE_LIMIT.toNanos();
+        boolean hasProgress = progress != null && ticker.nanos() - progress < GONE_LIMIT.toNanos();
         return hasProgress || isLive.test(job.holder());
     }
 
@@ -133,9 +132,8 @@
         for (Job job : work.ledger().openJobs()) {
             if (job.holder().equals(holder)) {
                 entries.add(Entry.newBuilder()
-                        .setJobReleased(JobReleased.newBuilder()
-                                .setJobId(job.id())
-                                .setClaim(job.claim()))
+                        .setJobReleased(
+                                JobReleased.newBuilder().setJobId(job.id()).setClaim(job.claim()))
                         .build());
             }
         }
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobContent.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobContent.java
@@ -55,8 +55,7 @@
 
     /** Reads one chunk. */
     Uni<Either<LogError, FileChunk>> chunk(ChunkLocation location) {
-        return reader.fetch(STREAM, location.offset())
-                .map(result -> result.flatMap(batch -> chunkIn(batch, location)));
+        return reader.fetch(STREAM, location.offset()).map(result -> result.flatMap(batch -> chunkIn(batch, location)));
     }
 
     private static Either<LogError, FileChunk> chunkIn(RecordBatch batch, ChunkLocation location) {
@@ -69,9 +68,10 @@
 
     /** Returns the model that the items of a file name. */
     Uni<Either<LogError, String>> model(BatchFile file) {
-        return chunk(file.chunkOf(0)).map(result -> result.flatMap(chunk -> line(chunk, 0)
-                .mapLeft(message -> (LogError) new LogError.Rejected(message))
-                .map(line -> line.body().path("model").asText())));
+        return chunk(file.chunkOf(0))
+                .map(result -> result.flatMap(chunk -> line(chunk, 0)
+                        .mapLeft(message -> (LogError) new LogError.Rejected(message))
+                        .map(line -> line.body().path("model").asText())));
     }
 
     /** Returns one line of a chunk, by its index within the chunk. */
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -139,8 +139,7 @@
             }
         }
         opened.add(job.id());
-        scheduler.open(
-                new BatchJob(job.id(), job.workspace(), job.deployment(), job.deadline(), job.items()), done);
+        scheduler.open(new BatchJob(job.id(), job.workspace(), job.deployment(), job.deadline(), job.items()), done);
     }
 
     private void closeJob(String jobId) {
@@ -225,7 +224,8 @@
         var location = file.get().chunkOf(item.index());
         content.chunk(location)
                 .subscribe()
-                .with(chunk -> send(item, run, job.get(), chunk, item.index() - location.firstItem(), action.attempt()));
+                .with(chunk ->
+                        send(item, run, job.get(), chunk, item.index() - location.firstItem(), action.attempt()));
     }
 
     private void send(ItemRef item, Running run, Job job, Either<LogError, FileChunk> chunk, int line, int attempt) {
@@ -331,8 +331,7 @@
         public void failed(ItemOutcome outcome, ItemResult asResult) {
             end(item, run);
             ItemResolution resolution = scheduler.failed(item, outcome);
-            boolean isFinal =
-                    resolution == ItemResolution.REFUSED || resolution == ItemResolution.ATTEMPTS_EXHAUSTED;
+            boolean isFinal = resolution == ItemResolution.REFUSED || resolution == ItemResolution.ATTEMPTS_EXHAUSTED;
             if (isFinal) {
                 results.add(item.jobId(), asResult);
             }
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobService.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobService.java
@@ -119,7 +119,9 @@
         while (to < file.chunks().size() && bytes < UPLOAD_WINDOW_BYTES) {
             InputFile.Chunk chunk = file.chunks().get(to);
             bytes += chunk.data().length;
-            last = work.append(chunkEntry(workspace, file.id(), to, chunk), settings.logTimeout().multipliedBy(4))
+            last = work.append(
+                            chunkEntry(workspace, file.id(), to, chunk),
+                            settings.logTimeout().multipliedBy(4))
                     .memoize()
                     .indefinitely();
             last.subscribe().with(result -> {});
@@ -192,9 +194,7 @@
         if (file.isLeft()) {
             return Uni.createFrom().item(Either.left(file.getLeft()));
         }
-        String id = idempotencyKey
-                .map(key -> JobIds.forKey(workspace, key))
-                .orElseGet(() -> contentId(workspace, job));
+        String id = idempotencyKey.map(key -> JobIds.forKey(workspace, key)).orElseGet(() -> contentId(workspace, job));
         Optional<Job> known = work.ledger().job(id);
         if (known.isPresent()) {
             return Uni.createFrom().item(same(known.get(), job));
@@ -383,22 +383,26 @@
     }
 
     private static ApiError readError(LogError error) {
-        return new ApiError(503, "log_unavailable", "the input file cannot be read: " + error, Optional.of(RETRY_AFTER));
+        return new ApiError(
+                503, "log_unavailable", "the input file cannot be read: " + error, Optional.of(RETRY_AFTER));
     }
 
     private static FileView view(BatchFile file) {
         return new FileView(
-                file.id(), file.name(), file.bytes(), file.items(), file.created().toEpochMilli());
+                file.id(),
+                file.name(),
+                file.bytes(),
+                file.items(),
+                file.created().toEpochMilli());
     }
 
     private static JobView view(Job job) {
-        String status =
-                switch (job.state()) {
-                    case IN_PROGRESS -> "in_progress";
-                    case COMPLETED -> "completed";
-                    case CANCELLED -> "cancelled";
-                    case EXPIRED -> "expired";
-                };
+        String status = switch (job.state()) {
+            case IN_PROGRESS -> "in_progress";
+            case COMPLETED -> "completed";
+            case CANCELLED -> "cancelled";
+            case EXPIRED -> "expired";
+        };
         return new JobView(
                 job.id(),
                 job.fileId(),
--- a/node/src/main/java/dev/lavenderline/node/supervisor/Supervisor.java
+++ b/node/src/main/java/dev/lavenderline/node/supervisor/Supervisor.java
@@ -145,13 +145,10 @@
 
     private void restartFrom(Child child) {
         int index = children.indexOf(child);
-        stopDownTo(index)
-                .chain(() -> startFrom(index))
-                .subscribe()
-                .with(started -> restarting = false, cause -> {
-                    restarting = false;
-                    childFailed(child, child.generation, cause);
-                });
+        stopDownTo(index).chain(() -> startFrom(index)).subscribe().with(started -> restarting = false, cause -> {
+            restarting = false;
+            childFailed(child, child.generation, cause);
+        });
     }
 
     /** Stops children in reverse order; a failure to stop one does not keep the others from stopping. */
--- a/standins/src/main/java/dev/lavenderline/standins/Main.java
+++ b/standins/src/main/java/dev/lavenderline/standins/Main.java
@@ -1,7 +1,9 @@
 package dev.lavenderline.standins;
 
+import dev.lavenderline.standins.engine.EngineServer;
 import dev.lavenderline.standins.hosts.HostListCommand;
 import dev.lavenderline.standins.log.LogCommand;
+import dev.lavenderline.standins.service.ServiceServer;
 import dev.lavenderline.standins.weights.WeightStoreCommand;
 import java.util.Arrays;
 import java.util.Map;
@@ -17,8 +19,12 @@
 public final class Main {
     private static final int USAGE = 2;
 
-    private static final Map<String, Command> COMMANDS = new TreeMap<>(
-            Map.of("log", new LogCommand(), "hosts", new HostListCommand(), "weights", new WeightStoreCommand()));
+    private static final Map<String, Command> COMMANDS = new TreeMap<>(Map.of(
+            "log", new LogCommand(),
+            "hosts", new HostListCommand(),
+            "weights", new WeightStoreCommand(),
+            "engine", EngineServer::run,
+            "service", ServiceServer::run));
 
     private Main() {}
 
