--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -74,6 +74,7 @@
                 .setPort(settings.port)
                 .setMaxHeaderSize(settings.limits.maxHeaderBytes())
                 .setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false)
                 .setTcpNoDelay(true);
         server = settings.vertx
                 .createHttpServer(options)
@@ -118,6 +119,16 @@
         router.post(ModelRequest.CHAT_PATH).handler(bodies).handler(online::handle);
         router.post(ModelRequest.TEXT_PATH).handler(bodies).handler(online::handle);
         router.get("/v1/models").handler(this::models);
+        new BatchHandler(context, settings.batch).mount(router, bodies);
+        RouteHandler routes = new RouteHandler(context, settings.keyedCalls);
+        router.route().handler(ctx -> {
+            if (routes.covers(ctx.request().path())) {
+                ctx.next();
+            } else {
+                ctx.fail(404);
+            }
+        });
+        router.route().handler(bodies).handler(routes::handle);
         router.route().failureHandler(this::failed);
         return router;
     }
--- /dev/null
+++ b/http/src/test/java/dev/lavenderline/http/CallerDisconnectTest.java
@@ -0,0 +1,45 @@
+package dev.lavenderline.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+
+/** Guards against engines that keep working for callers that are gone. */
+class CallerDisconnectTest {
+    @Test
+    void closedStreamFreesTheSequence() throws IOException, InterruptedException {
+        try (TestFleet fleet = new TestFleet().engine("e1", "--step-base", "10").start()) {
+            HttpResponse<InputStream> response = fleet.http.send(
+                    fleet.chat("a long diagnosis", 100_000, true), HttpResponse.BodyHandlers.ofInputStream());
+            response.body().read();
+            response.body().close();
+
+            awaitFreed(fleet);
+        }
+    }
+
+    @Test
+    void closedConnectionOfAWholeAnswerFreesTheSequence() {
+        try (TestFleet fleet = new TestFleet().engine("e1", "--step-base", "10").start()) {
+            CompletableFuture<HttpResponse<String>> answer =
+                    fleet.sendAsync(fleet.chat("a long diagnosis", 100_000, false));
+            fleet.awaitTokens("e1", 3);
+            answer.cancel(true);
+
+            awaitFreed(fleet);
+        }
+    }
+
+    private static void awaitFreed(TestFleet fleet) {
+        Awaitility.await().until(() -> fleet.newest("e1").path("end").asText().equals("cancelled"));
+        Awaitility.await().until(() -> fleet.server.openRequests() == 0);
+        assertEquals(List.of("e1:cancelled"), fleet.dispatcher.outcomes);
+        assertEquals(0, fleet.dispatcher.openTickets);
+    }
+}
--- /dev/null
+++ b/http/src/test/java/dev/lavenderline/http/ResumedStreamTest.java
@@ -0,0 +1,33 @@
+package dev.lavenderline.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against tokens that are lost or repeated when the connection to an engine breaks in mid-stream. */
+class ResumedStreamTest {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void cutStreamGivesTheWholeAnswer(boolean stream) {
+        try (TestFleet fleet = new TestFleet().engine("e1", "--step-base", "10").start()) {
+            CompletableFuture<HttpResponse<String>> answer = fleet.sendAsync(fleet.chat("the motor hums", 60, stream));
+            fleet.awaitTokens("e1", 5);
+            fleet.fault("e1", "{\"cut_streams\":true}");
+            fleet.awaitTokens("e1", 30);
+            fleet.fault("e1", "{\"cut_streams\":true}");
+            HttpResponse<String> response = answer.join();
+
+            String text = stream ? TestFleet.streamedText(response.body()) : TestFleet.text(response);
+            assertEquals(fleet.expectedText("the motor hums", 60), text);
+            assertTrue(!stream || response.body().endsWith("data: [DONE]\n\n"));
+            assertEquals(2, fleet.counter("http.resumes"));
+            assertEquals(1, fleet.history("e1").path("requests").size());
+            assertEquals(List.of("e1:finished"), fleet.dispatcher.outcomes);
+        }
+    }
+}
--- a/http/src/test/java/dev/lavenderline/http/TestFleet.java
+++ b/http/src/test/java/dev/lavenderline/http/TestFleet.java
@@ -13,11 +13,14 @@
 import dev.lavenderline.standins.engine.EngineServer;
 import dev.lavenderline.standins.service.ServiceOptions;
 import dev.lavenderline.standins.service.ServiceServer;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -29,6 +32,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import org.awaitility.Awaitility;
 
 /** A caller server in front of stand-ins, with a client for tests. */
 final class TestFleet implements AutoCloseable {
@@ -48,6 +52,7 @@
     private final AtomicLong requestIds = new AtomicLong();
     private HttpLimits limits = HttpLimits.defaults();
     private Duration timeout = Duration.ofSeconds(30);
+    private Context loop;
     CallerServer server;
 
     TestFleet engine(String name, String... options) {
@@ -104,6 +109,7 @@
         vertx.deployVerticle(new VerticleBase() {
                     @Override
                     public Future<?> start() {
+                        loop = context;
                         server = CallerServer.builder(vertx)
                                 .address("127.0.0.1", 0)
                                 .config(() -> config)
@@ -127,6 +133,64 @@
         return new Workspace(name, List.of(hash), 1, 0, 0, 0);
     }
 
+    /** Adds an engine that refuses connections. */
+    TestFleet deadEngine(String name) {
+        return upstream(name, Upstream.Kind.ENGINE, ENGINES, closedPort());
+    }
+
+    /** Adds a service that refuses connections. */
+    TestFleet deadService(String name) {
+        return upstream(name, Upstream.Kind.SERVICE, SERVICES, closedPort());
+    }
+
+    private static int closedPort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    List<String> services() {
+        return upstreams.values().stream()
+                .filter(upstream -> upstream.kind() == Upstream.Kind.SERVICE)
+                .map(Upstream::name)
+                .toList();
+    }
+
+    void announceDrain() {
+        Promise<Void> announced = Promise.promise();
+        loop.runOnContext(run -> {
+            server.announceDrain();
+            announced.complete();
+        });
+        announced.future().await();
+    }
+
+    /** Starts to drain the server. */
+    Future<Void> drain(Duration drainTimeout) {
+        Promise<Void> drained = Promise.promise();
+        loop.runOnContext(run -> server.drain(drainTimeout).onComplete(drained));
+        return drained.future();
+    }
+
+    /** Waits until an engine has generated some tokens of its newest request. */
+    void awaitTokens(String upstream, int tokens) {
+        Awaitility.await()
+                .pollInterval(Duration.ofMillis(5))
+                .until(() -> newest(upstream).path("tokens").asInt() >= tokens);
+    }
+
+    /** Returns the newest request that an engine saw. */
+    JsonNode newest(String upstream) {
+        JsonNode requests = history(upstream).path("requests");
+        return requests.path(requests.size() - 1);
+    }
+
+    long counter(String name) {
+        return metrics.counter(name).getCount();
+    }
+
     /** Sets a fault of a stand-in. */
     void fault(String upstream, String json) {
         try {
