--- a/core/src/main/java/dev/lavenderline/core/routing/LatencyAwareDispatcher.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/LatencyAwareDispatcher.java
@@ -21,8 +21,8 @@
     private static final int AFFINITY_BOUND = 8192;
     /** An engine with a cached prefix is preferred while its estimate is at most this part of a first token higher. */
     private static final double AFFINITY_MARGIN = 0.5;
-    /** Round trip between failure domains of a region in nanoseconds, added to the estimate. */
-    private static final double OTHER_DOMAIN_NANOS = 2e6;
+    /** Penalty for another failure domain of the region, in first-token times; above the noise. */
+    private static final double OTHER_DOMAIN_PENALTY = 0.1;
     /** Estimates are compared with up to 5% of noise, so that nodes with equal views do not choose the same upstream. */
     private static final double NOISE = 0.05;
     /** Penalty for a long request on an engine whose sequences are all long, in first-token times. */
@@ -157,7 +157,8 @@
                     return chosen;
                 }
             }
-            return leastBad();
+            chosen = leastBad(true);
+            return chosen != null ? chosen : leastBad(false);
         }
 
         private UpstreamState search(UpstreamState preferred) {
@@ -167,7 +168,7 @@
                 consider(preferred, 0);
             }
             considerSome(group.domain(), part, 0);
-            considerSome(group.region(), part, OTHER_DOMAIN_NANOS);
+            considerSome(group.region(), part, OTHER_DOMAIN_PENALTY * group.typicalFirstToken());
             boolean localHealthy = healthySeen;
             UpstreamState local = withAffinity();
             double threshold = options().priceThreshold().toNanos();
@@ -308,11 +309,12 @@
         }
 
         /** Returns the ejected upstream with the least estimate, because every upstream is ejected. */
-        private UpstreamState leastBad() {
+        private UpstreamState leastBad(boolean withoutExcluded) {
             UpstreamState chosen = null;
             double least = Double.MAX_VALUE;
             for (UpstreamState state : group.all()) {
-                if (state.leaving() || inUse(state)) {
+                boolean excluded = withoutExcluded && request.excluded().contains(state.name());
+                if (state.leaving() || inUse(state) || excluded) {
                     continue;
                 }
                 double estimate = FirstTokenEstimator.estimate(state, group, now) * (1 + random.nextDouble());
--- a/core/src/main/java/dev/lavenderline/core/routing/OutlierDetector.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/OutlierDetector.java
@@ -87,12 +87,9 @@
         if (weight >= 1) {
             slowSinceNanos = nowNanos;
         }
-        boolean again = failed;
         failed = true;
         fall(0, nowNanos);
-        if (again) {
-            probeFailed(nowNanos);
-        }
+        probeFailed(nowNanos);
         assessedNanos = nowNanos;
     }
 
@@ -105,13 +102,14 @@
         return ejected() && nowNanos - probeAtNanos >= 0;
     }
 
-    /** Plans the next probe after one was sent or failed. */
+    /** Plans the next probe when one is sent; the wait doubles with each probe. */
     void probed(long nowNanos) {
+        probeWaitNanos = Math.min(LONGEST_PROBE_NANOS, 2 * probeWaitNanos);
         probeAtNanos = nowNanos + probeWaitNanos;
     }
 
+    /** Lets the wait for the next probe begin with the failure of the last one. */
     void probeFailed(long nowNanos) {
-        probeWaitNanos = Math.min(LONGEST_PROBE_NANOS, 2 * probeWaitNanos);
         probeAtNanos = nowNanos + probeWaitNanos;
     }
 
