--- /dev/null
+++ b/core/src/test/java/dev/lavenderline/core/admission/BatchAttemptsTest.java
@@ -0,0 +1,95 @@
+package dev.lavenderline.core.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.core.routing.Fleets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against poison items that block a job, and against prefills of batch items in a row. */
+class BatchAttemptsTest {
+    private final SchedulerHarness harness = new SchedulerHarness(Fleets.engines(2, 16));
+
+    private List<BatchAction.Start> next() {
+        for (int waited = 0; waited < 600; waited++) {
+            harness.grant("e0", 4);
+            List<BatchAction.Start> starts = harness.starts();
+            if (!starts.isEmpty()) {
+                return starts;
+            }
+            harness.ticker.advanceMillis(100);
+        }
+        return List.of();
+    }
+
+    @Test
+    void itemThatKillsEnginesIsExhaustedAfterFiveAttempts() {
+        harness.open("job", "w", 1, Duration.ofHours(1));
+        for (int attempt = 1; attempt <= 5; attempt++) {
+            BatchAction.Start start = next().get(0);
+            assertEquals(attempt, start.attempt());
+            ItemOutcome outcome = attempt % 2 == 0 ? ItemOutcome.TIMED_OUT : ItemOutcome.KILLED;
+            ItemResolution expected = attempt < 5 ? ItemResolution.RETRY : ItemResolution.ATTEMPTS_EXHAUSTED;
+            assertEquals(expected, harness.scheduler.failed(start.item(), outcome));
+        }
+        assertTrue(next().isEmpty());
+        assertEquals(1, harness.scheduler.view().jobs().get(0).done());
+    }
+
+    @Test
+    void refusedItemIsFinalAndBusyEnginesCountNoAttempt() {
+        harness.open("job", "w", 1, Duration.ofHours(1));
+        for (int i = 0; i < 8; i++) {
+            BatchAction.Start start = next().get(0);
+            assertEquals(1, start.attempt());
+            assertEquals(ItemResolution.RETRY, harness.scheduler.failed(start.item(), ItemOutcome.REJECTED));
+        }
+        ItemRef ref = next().get(0).item();
+        assertEquals(ItemResolution.REFUSED, harness.scheduler.failed(ref, ItemOutcome.REFUSED));
+        assertEquals(ItemResolution.IGNORED, harness.scheduler.failed(ref, ItemOutcome.KILLED));
+    }
+
+    @Test
+    void backoffGrowsWithinItsBoundsAndHasJitter() {
+        Backoff backoff =
+                new Backoff(500, 30_000, org.apache.commons.rng.simple.RandomSource.XO_SHI_RO_256_PP.create(7L));
+        for (int failures = 1; failures < 40; failures++) {
+            long full = failures > 6 ? 30_000 : 500L << (failures - 1);
+            long wait = backoff.waitNanos(failures);
+            assertTrue(wait >= full / 2 && wait <= full, wait + " after " + failures);
+        }
+        assertTrue(backoff.waitNanos(9) != backoff.waitNanos(9));
+    }
+
+    @Test
+    void oneSuspectForEachEngine() {
+        harness.open("job", "w", 2, Duration.ofHours(1));
+        harness.grant("e0", 4);
+        List<ItemRef> both = harness.fill();
+        both.forEach(ref -> harness.scheduler.failed(ref, ItemOutcome.KILLED));
+        assertEquals(2, both.size());
+        ItemRef first = next().get(0).item();
+        harness.scheduler.firstToken(first);
+        harness.ticker.advanceMillis(5000);
+        harness.grant("e0", 4);
+        assertTrue(harness.starts().isEmpty(), "two items that failed before must not run together");
+        harness.scheduler.finished(first);
+        assertEquals(1, harness.starts().size());
+    }
+
+    @Test
+    void oneStartBeforeEachFirstToken() {
+        harness.open("job", "w", 100, Duration.ofHours(1));
+        harness.grant("e0", 8);
+        harness.grant("e1", 8);
+        List<BatchAction.Start> starts = harness.starts();
+        assertEquals(
+                2, starts.stream().map(BatchAction.Start::upstream).distinct().count());
+        assertEquals(2, starts.size());
+        assertTrue(harness.starts().isEmpty());
+        harness.scheduler.firstToken(starts.get(0).item());
+        assertEquals(starts.get(0).upstream(), harness.starts().get(0).upstream());
+    }
+}
