--- /dev/null
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/DeployedFleet.java
@@ -0,0 +1,227 @@
+package dev.lavenderline.bench.fleet;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A fleet with one deployment, one plain service and a configuration in force, on ports that the system chose.
+ *
+ * <p>Not thread-safe.
+ *
+ * <pre>{@code
+ * try (DeployedFleet fleet = DeployedFleet.builder(directory).engines(4).nodes(3).start()) {
+ *     fleet.client().get(fleet.node(0).callersUrl() + "/v1/models");
+ * }
+ * }</pre>
+ */
+public final class DeployedFleet implements AutoCloseable {
+    /** Deployment of all engines. */
+    public static final String DEPLOYMENT = "repair";
+
+    private static final String TOKEN = "bench-token";
+    private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(17);
+
+    private final Builder settings;
+    private final LocalFleet local;
+    private final ConfigPublisher publisher;
+    private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
+    private final List<LocalNode> nodes = new ArrayList<>();
+    private long revision;
+
+    /** A running upstream stand-in. */
+    public record Upstream(String name, ManagedProcess process, int port, String region) {
+        /** Returns its address, {@code 127.0.0.1:PORT}. */
+        public String address() {
+            return "127.0.0.1:" + port;
+        }
+
+        /** Returns its base URL. */
+        public String url() {
+            return "http://" + address();
+        }
+    }
+
+    private DeployedFleet(Builder settings) {
+        this.settings = settings;
+        this.local = LocalFleet.create(settings.directory);
+        this.publisher = new ConfigPublisher(local);
+    }
+
+    /** Returns a builder; processes log into the directory. */
+    public static Builder builder(Path directory) {
+        return new Builder(directory);
+    }
+
+    private void start() {
+        local.startPlatform(settings.logOptions);
+        Map<String, ManagedProcess> started = new LinkedHashMap<>();
+        for (int i = 0; i < settings.engines; i++) {
+            started.put("engine-" + i, local.startUpstream("engine", "engine-" + i, 0, settings.engineOptions));
+        }
+        for (int i = 0; i < settings.services; i++) {
+            started.put("service-" + i, local.startUpstream("service", "service-" + i, 0, settings.serviceOptions));
+        }
+        int index = 0;
+        for (Map.Entry<String, ManagedProcess> entry : started.entrySet()) {
+            String name = entry.getKey();
+            String region = region(index++ % settings.engines);
+            upstreams.put(name, new Upstream(name, entry.getValue(), LocalFleet.port(entry.getValue()), region));
+        }
+        upstreams.values().forEach(upstream -> local.register("upstream", upstream.address(), "live"));
+        for (int i = 0; i < settings.nodes; i++) {
+            startNode("node-" + i, region(i));
+        }
+        publish(Map.of("00-fleet.yaml", config()));
+        awaitInForce();
+    }
+
+    /** Starts another node, or a new run of one that ended. */
+    public LocalNode startNode(String name, String region) {
+        LocalNode node = local.startNode(name, region, region + "-1", settings.nodeOptions);
+        nodes.removeIf(other -> other.name().equals(name));
+        nodes.add(node);
+        return node;
+    }
+
+    private String region(int index) {
+        return settings.regions.get(index % settings.regions.size());
+    }
+
+    /** Publishes files on top of the current revision and returns the new revision. */
+    public long publish(Map<String, String> files) {
+        revision = publisher.publish(revision, files);
+        return revision;
+    }
+
+    /** Waits until the last published revision is in force on all live nodes. */
+    public void awaitInForce() {
+        long expected = revision;
+        Poll.until("revision " + expected + " in force on all nodes", IN_FORCE_LIMIT, () -> nodes.stream()
+                .filter(node -> node.process().isAlive())
+                .allMatch(node -> node.revision() >= expected && node.isReady()));
+    }
+
+    private String config() {
+        StringBuilder yaml = new StringBuilder();
+        yaml.append("models: {repair-lm: {versions: [\"1\"], weight_bytes: 14GB}}\n");
+        yaml.append("deployments: {repair: {model: repair-lm, version: \"1\", online: {first_token: 520ms, ");
+        yaml.append("between_tokens: 74ms, timeout: 60s}, batch: {max_share: 1.0}}}\n");
+        yaml.append("upstreams:\n");
+        for (Upstream upstream : upstreams.values()) {
+            boolean isEngine = upstream.name().startsWith("engine");
+            yaml.append("  ").append(upstream.name()).append(": {");
+            yaml.append(isEngine ? "engine_of: repair" : "service: dispatch");
+            yaml.append(", address: \"").append(upstream.address()).append("\", region: ").append(upstream.region());
+            yaml.append(", failure_domain: ").append(upstream.region()).append("-1");
+            yaml.append(", max_concurrent: ").append(settings.maxConcurrent).append("}\n");
+        }
+        String hash = Hashing.sha256().hashString(TOKEN, StandardCharsets.UTF_8).toString();
+        yaml.append("workspaces: {bench: {tokens_sha256: [\"").append(hash).append("\"]}}\n");
+        if (settings.services > 0) {
+            yaml.append("routes:\n");
+            yaml.append("  /lockout: {service: dispatch, methods: [POST], repeatable: false, timeout: 5s}\n");
+            yaml.append("  /parts: {service: dispatch, methods: [GET], repeatable: true, timeout: 5s}\n");
+        }
+        return yaml.toString();
+    }
+
+    /** Returns the processes below this fleet, for faults of the platform. */
+    public LocalFleet local() {
+        return local;
+    }
+
+    /** Returns a client with the fleet's token. */
+    public CallerClient client() {
+        return new CallerClient(TOKEN);
+    }
+
+    /** Returns the nodes in the order of their start. */
+    public List<LocalNode> nodes() {
+        return List.copyOf(nodes);
+    }
+
+    public LocalNode node(int index) {
+        return nodes.get(index);
+    }
+
+    /** Returns the upstreams by name: {@code engine-0} and so on, {@code service-0} and so on. */
+    public Map<String, Upstream> upstreams() {
+        return upstreams;
+    }
+
+    @Override
+    public void close() {
+        local.close();
+    }
+
+    /** Size and options of a fleet. */
+    public static final class Builder {
+        private final Path directory;
+        private int engines = 2;
+        private int services;
+        private int nodes = 1;
+        private int maxConcurrent = 16;
+        private List<String> regions = List.of("north-moor");
+        private List<String> engineOptions = List.of();
+        private List<String> serviceOptions = List.of();
+        private List<String> nodeOptions = List.of();
+        private List<String> logOptions = List.of();
+
+        private Builder(Path directory) {
+            this.directory = directory;
+        }
+
+        public Builder engines(int count, String... options) {
+            engines = count;
+            engineOptions = List.of(options);
+            return this;
+        }
+
+        public Builder services(int count, String... options) {
+            services = count;
+            serviceOptions = List.of(options);
+            return this;
+        }
+
+        public Builder nodes(int count, String... options) {
+            nodes = count;
+            nodeOptions = List.of(options);
+            return this;
+        }
+
+        /** Regions, over which nodes and engines are spread in turn. */
+        public Builder regions(String... names) {
+            regions = List.of(names);
+            return this;
+        }
+
+        /** Sequences of one engine in the configuration; must match the stand-in's option. */
+        public Builder maxConcurrent(int sequences) {
+            maxConcurrent = sequences;
+            return this;
+        }
+
+        public Builder logOptions(String... options) {
+            logOptions = List.of(options);
+            return this;
+        }
+
+        /** Starts everything and waits until the configuration is in force. */
+        public DeployedFleet start() {
+            DeployedFleet fleet = new DeployedFleet(this);
+            try {
+                fleet.start();
+                return fleet;
+            } catch (RuntimeException e) {
+                fleet.close();
+                throw e;
+            }
+        }
+    }
+}
--- a/core/src/main/java/dev/lavenderline/core/ledger/WorkLedger.java
+++ b/core/src/main/java/dev/lavenderline/core/ledger/WorkLedger.java
@@ -97,6 +97,16 @@
         return List.copyOf(state.open);
     }
 
+    /** Returns all jobs that are known, ended ones too, in no particular order. */
+    public List<Job> allJobs() {
+        return List.copyOf(state.jobs.values());
+    }
+
+    /** Returns all sealed files, in no particular order. */
+    public List<BatchFile> files() {
+        return state.files.values().stream().filter(BatchFile::sealed).toList();
+    }
+
     /** Returns the holder of a role. */
     public Optional<Role> role(String name) {
         return Optional.ofNullable(state.roles.get(name));
--- a/node/src/main/java/dev/lavenderline/node/Streams.java
+++ b/node/src/main/java/dev/lavenderline/node/Streams.java
@@ -15,6 +15,7 @@
 import dev.lavenderline.platform.AppendBudget;
 import dev.lavenderline.platform.HttpLogService;
 import dev.lavenderline.platform.LogFollower;
+import dev.lavenderline.platform.LogService;
 import dev.lavenderline.platform.LogWriter;
 import dev.lavenderline.platform.RecordReader;
 import dev.lavenderline.platform.Snapshotter;
@@ -133,6 +134,10 @@
         return calls;
     }
 
+    LogService log() {
+        return log;
+    }
+
     RecordReader reader() {
         return reader;
     }
--- a/node/src/main/java/dev/lavenderline/node/Upstreams.java
+++ b/node/src/main/java/dev/lavenderline/node/Upstreams.java
@@ -80,6 +80,7 @@
         Jobs jobs = new Jobs(
                 vertx,
                 parts.streams.work(),
+                parts.streams.log(),
                 parts.streams.reader(),
                 parts.upstreams.scheduler,
                 parts.upstreams.client,
@@ -90,6 +91,7 @@
                         identity.incarnation(),
                         settings.identity().region(),
                         settings.platform().logTimeout(),
+                        settings.platform().logRetention(),
                         settings.traffic().firstTokenLimit(),
                         settings.traffic().stallLimit()),
                 timers,
@@ -152,10 +154,9 @@
     @Override
     public Map<String, Object> state() {
         Map<String, Object> state = new LinkedHashMap<>();
-        state.put("views", dispatcher.views().stream().map(Object::toString).toList());
-        state.put(
-                "controlled", controller.views().stream().map(Object::toString).toList());
-        state.put("batch", scheduler.view().toString());
+        state.put("views", StateValues.of(dispatcher.views()));
+        state.put("controlled", StateValues.of(controller.views()));
+        state.put("batch", StateValues.of(scheduler.view()));
         return state;
     }
 }
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobContent.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobContent.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.core.ledger.BatchFile;
 import dev.lavenderline.core.ledger.ChunkLocation;
 import dev.lavenderline.core.ledger.Job;
+import dev.lavenderline.core.ledger.WorkLedger;
 import dev.lavenderline.platform.LogError;
 import dev.lavenderline.platform.RecordReader;
 import dev.lavenderline.proto.log.Entry;
@@ -20,8 +21,10 @@
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.BitSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.SortedSet;
 import java.util.TreeSet;
 
 /**
@@ -118,25 +121,29 @@
 
     private static Buffer lines(Job job, Output output, long offset, RecordBatch batch) {
         Buffer buffer = Buffer.buffer();
-        BitSet seen = new BitSet();
+        for (ItemResult result : resultsAt(job, offset, batch)) {
+            append(buffer, output, job, result);
+        }
+        return buffer;
+    }
+
+    /** Returns the results of a job that the batch at an offset holds for it now. */
+    static List<ItemResult> resultsAt(Job job, long offset, RecordBatch batch) {
+        SortedSet<Integer> items = new TreeSet<>();
         for (Entry entry : batch.getEntriesList()) {
-            if (!entry.hasItemsCompleted()
-                    || !entry.getItemsCompleted().getJobId().equals(job.id())) {
-                continue;
+            if (entry.getItemsCompleted().getJobId().equals(job.id())) {
+                entry.getItemsCompleted().getResultsList().forEach(result -> items.add(result.getIndex()));
             }
-            for (ItemResult result : entry.getItemsCompleted().getResultsList()) {
-                int index = result.getIndex();
-                boolean isCurrent = index >= 0
-                        && index < job.items()
-                        && job.resultOffset(index).orElse(0) == offset
-                        && !seen.get(index);
-                if (isCurrent) {
-                    seen.set(index);
-                    append(buffer, output, job, result);
-                }
+        }
+        List<ItemResult> results = new ArrayList<>();
+        for (int item : items) {
+            boolean isHere =
+                    item >= 0 && item < job.items() && job.resultOffset(item).orElse(0) == offset;
+            if (isHere) {
+                WorkLedger.resultIn(batch, job.id(), item).ifPresent(results::add);
             }
         }
-        return buffer;
+        return results;
     }
 
     private static void append(Buffer buffer, Output output, Job job, ItemResult result) {
--- a/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
@@ -13,6 +13,7 @@
 import dev.lavenderline.node.log.LoggedStream;
 import dev.lavenderline.node.supervisor.Component;
 import dev.lavenderline.node.supervisor.GuardedTimers;
+import dev.lavenderline.platform.LogService;
 import dev.lavenderline.platform.RecordReader;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
@@ -34,12 +35,14 @@
     private static final Duration FLUSH = Duration.ofMillis(50);
     private static final Duration CLAIM_CHECK = Duration.ofMillis(200);
     private static final Duration DEADLINE_CHECK = Duration.ofSeconds(1);
+    private static final Duration MAX_REPUBLISH_PERIOD = Duration.ofMinutes(1);
     private static final Duration DRAIN_CHECK = Duration.ofMillis(50);
 
     private final LoggedStream<WorkLedger> work;
     private final JobService service;
     private final JobClaims claims;
     private final JobRunner runner;
+    private final Republisher republisher;
     private final GuardedTimers timers;
     private final Options options;
 
@@ -49,15 +52,22 @@
      * @param incarnation id of this run of the node
      * @param region region of the host
      * @param logTimeout longest wait for the acknowledgement of a record
+     * @param logRetention how long the log keeps a record
      * @param firstToken longest time until an item's first token
      * @param stall longest time between tokens of an item
      */
     public record Options(
-            String incarnation, String region, Duration logTimeout, Duration firstToken, Duration stall) {}
+            String incarnation,
+            String region,
+            Duration logTimeout,
+            Duration logRetention,
+            Duration firstToken,
+            Duration stall) {}
 
     public Jobs(
             Vertx vertx,
             LoggedStream<WorkLedger> work,
+            LogService log,
             RecordReader reader,
             BatchScheduler scheduler,
             UpstreamClient client,
@@ -91,6 +101,16 @@
                 inFlightListener,
                 new JobRunner.Settings(options.incarnation(), options.logTimeout()),
                 ticker);
+        this.republisher = new Republisher(
+                work,
+                log,
+                content,
+                options.incarnation(),
+                cluster::isLive,
+                cluster::rank,
+                options.logRetention(),
+                options.logTimeout(),
+                ticker);
     }
 
     /** Returns the callers' interface. */
@@ -115,9 +135,15 @@
         timers.every(FLUSH, runner::flush);
         timers.every(CLAIM_CHECK, claims::check);
         timers.every(DEADLINE_CHECK, runner::closeExpired);
+        timers.every(republishPeriod(), republisher::check);
         return Uni.createFrom().voidItem();
     }
 
+    private Duration republishPeriod() {
+        Duration part = options.logRetention().dividedBy(32);
+        return part.compareTo(MAX_REPUBLISH_PERIOD) < 0 ? part : MAX_REPUBLISH_PERIOD;
+    }
+
     /**
      * Starts no further items, waits until those in flight are recorded, then releases the claims.
      *
@@ -168,6 +194,7 @@
         Map<String, Object> state = new LinkedHashMap<>();
         state.put("owned", owned);
         state.put("unfinished", runner.unfinished());
+        state.put("republished", republisher.republished());
         state.put("open_jobs", work.ledger().openJobs().size());
         return state;
     }
