--- a/http/src/main/java/dev/lavenderline/http/BatchHandler.java
+++ b/http/src/main/java/dev/lavenderline/http/BatchHandler.java
@@ -31,8 +31,11 @@
     private static final int MAX_METADATA = 16;
     private static final int MAX_METADATA_CHARS = 512;
 
+    private static final int UPLOADS_IN_MEMORY = 2;
+
     private final ServerContext server;
     private final BatchApi batch;
+    private long uploadBytes;
 
     BatchHandler(ServerContext server, BatchApi batch) {
         this.server = server;
@@ -64,6 +67,7 @@
         HttpServerRequest request = ctx.request();
         String type = request.getHeader("Content-Type");
         Upload upload = new Upload(ctx);
+        ctx.addEndHandler(ended -> upload.release());
         if (type != null && type.startsWith("multipart/form-data")) {
             request.setExpectMultipart(true);
             request.uploadHandler(part -> {
@@ -113,9 +117,20 @@
                 fail(new ApiError(413, "too_large", "the file has more than " + limit + " bytes", Optional.empty()));
                 return;
             }
+            if (uploadBytes + piece.length() > (long) UPLOADS_IN_MEMORY * limit) {
+                ctx.response().putHeader("Connection", "close");
+                fail(ApiError.notRun("too many uploads are in progress", Duration.ofSeconds(5)));
+                return;
+            }
+            uploadBytes += piece.length();
             content.appendBuffer(piece);
         }
 
+        /** Gives the memory back; called when the answer was sent or the caller left. */
+        void release() {
+            uploadBytes -= content.length();
+        }
+
         void fail(ApiError error) {
             if (!failed) {
                 failed = true;
@@ -153,8 +168,12 @@
             refuse(ctx, job.getLeft());
             return;
         }
-        Optional<String> key = Optional.ofNullable(ctx.request().getHeader("Idempotency-Key"));
-        answerLater(ctx, batch.create(workspace(ctx), key, job.get()), this::job);
+        Either<ApiError, Optional<String>> key = IdempotencyKey.of(ctx.request());
+        if (key.isLeft()) {
+            refuse(ctx, key.getLeft());
+            return;
+        }
+        answerLater(ctx, batch.create(workspace(ctx), key.get(), job.get()), this::job);
     }
 
     private static Either<ApiError, BatchApi.NewJob> parseJob(RoutingContext ctx) {
--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -78,6 +78,8 @@
                 .setTcpNoDelay(true);
         server = settings.vertx
                 .createHttpServer(options)
+                .connectionHandler(connection -> connection.exceptionHandler(
+                        cause -> HttpEvent.CONNECTION_BROKEN.debug(connection.remoteAddress(), cause.getMessage())))
                 .invalidRequestHandler(this::invalidRequest)
                 .requestHandler(router());
         return server.listen()
--- a/http/src/main/java/dev/lavenderline/http/HttpEvent.java
+++ b/http/src/main/java/dev/lavenderline/http/HttpEvent.java
@@ -9,6 +9,7 @@
     DRAINED("LL-1302", "drained, {} requests were still open"),
     HANDLER_FAILED("LL-1303", "request {} failed inside the node"),
     CALLER_LEFT("LL-1304", "the caller of request {} closed its connection"),
+    CONNECTION_BROKEN("LL-1305", "the connection of caller {} broke: {}"),
     ATTEMPT_FAILED("LL-1310", "attempt {} on upstream {} failed: {}: {}"),
     STREAM_RESUMED("LL-1311", "attempt {} on upstream {} is resumed at token {}"),
     STREAM_CONTINUED("LL-1312", "request {} is continued on upstream {} at token {}"),
--- a/http/src/main/java/dev/lavenderline/http/HttpLimits.java
+++ b/http/src/main/java/dev/lavenderline/http/HttpLimits.java
@@ -7,7 +7,7 @@
  *
  * @param maxHeaderBytes largest size of all headers together
  * @param maxBodyBytes largest body of a request other than an upload
- * @param maxFileBytes largest uploaded file
+ * @param maxFileBytes largest uploaded file; uploads in progress use at most twice as much memory
  * @param firstToken longest time until an engine's first token before the attempt counts as silent
  * @param stall longest time between tokens before a stream counts as silent
  * @param comment interval of SSE comments while a caller waits
@@ -28,7 +28,7 @@
         return new HttpLimits(
                 16 * 1024,
                 16 << 20,
-                256 << 20,
+                128 << 20,
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(3),
                 Duration.ofSeconds(5),
--- a/http/src/main/java/dev/lavenderline/http/OnlineRequest.java
+++ b/http/src/main/java/dev/lavenderline/http/OnlineRequest.java
@@ -321,6 +321,11 @@
             lastWriteNanos = now;
             attempt.tokens(1);
             sink.token(token);
+            if (response.writeQueueFull()) {
+                // A slow caller holds back its own stream instead of filling the node's memory.
+                exchange.pause();
+                response.drainHandler(drained -> exchange.resume());
+            }
         }
 
         private void win() {
--- a/http/src/main/java/dev/lavenderline/http/RouteHandler.java
+++ b/http/src/main/java/dev/lavenderline/http/RouteHandler.java
@@ -9,15 +9,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
 /**
  * Forwards calls to plain services by the longest path prefix. Non-repeatable calls with an {@code Idempotency-Key}
  * claim the key before they are sent. Confined to the event loop.
  */
 final class RouteHandler {
-    private static final Pattern KEY = Pattern.compile("[\\x21-\\x7e]{1,200}");
-
     private final ServerContext server;
     private final KeyedCalls keyedCalls;
 
@@ -51,15 +48,13 @@
             return;
         }
         Buffer body = ctx.body().buffer() == null ? Buffer.buffer() : ctx.body().buffer();
-        String key = ctx.request().getHeader("Idempotency-Key");
-        if (route.repeatable() || key == null) {
+        Either<ApiError, Optional<String>> key = IdempotencyKey.of(ctx.request());
+        if (key.isLeft()) {
+            refuse(ctx, key.getLeft());
+        } else if (route.repeatable() || key.get().isEmpty()) {
             new RoutedCall(server, ctx, route, timeout.get(), body, RoutedCall.Recorder.NONE).start();
-        } else if (!KEY.matcher(key).matches()) {
-            refuse(
-                    ctx,
-                    ApiError.invalid("invalid_header", "Idempotency-Key must have 1 to 200 visible ASCII characters"));
         } else {
-            claim(ctx, route, timeout.get(), body, key);
+            claim(ctx, route, timeout.get(), body, key.get().get());
         }
     }
 
--- a/standins/src/main/java/dev/lavenderline/standins/engine/EngineServer.java
+++ b/standins/src/main/java/dev/lavenderline/standins/engine/EngineServer.java
@@ -119,7 +119,9 @@
         router.post("/v1/orders").handler(orders::order);
         router.get("/v1/loaded").handler(orders::loaded);
         HttpServerOptions http = new HttpServerOptions().setHost(options.host()).setPort(options.port());
-        server = vertx.createHttpServer(http).requestHandler(router);
+        server = vertx.createHttpServer(http)
+                .connectionHandler(connection -> connection.exceptionHandler(broken -> {}))
+                .requestHandler(router);
         sample();
         return server.listen();
     }
--- a/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
+++ b/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
@@ -57,7 +57,9 @@
         router.get("/history").handler(ctx -> ctx.json(new JsonObject().put("runs", runs)));
         router.route().handler(bodies).handler(this::call);
         HttpServerOptions http = new HttpServerOptions().setHost(options.host()).setPort(options.port());
-        server = vertx.createHttpServer(http).requestHandler(router);
+        server = vertx.createHttpServer(http)
+                .connectionHandler(connection -> connection.exceptionHandler(broken -> {}))
+                .requestHandler(router);
         return server.listen();
     }
 
@@ -115,7 +117,7 @@
                 .put("run", run.getString("run"))
                 .put("method", run.getString("method"))
                 .put("path", run.getString("path"))
-                .put("query", String.valueOf(ctx.request().query()))
+                .put("query", ctx.request().query() == null ? "" : ctx.request().query())
                 .put("body", ctx.body().asString());
         if (options.paddingBytes() > 0) {
             answer.put("padding", "x".repeat(options.paddingBytes()));
