--- /dev/null
+++ b/ctl/src/test/java/dev/lavenderline/ctl/Run.java
@@ -0,0 +1,29 @@
+package dev.lavenderline.ctl;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * One run of lavenderctl.
+ *
+ * @param out standard output
+ * @param err standard error
+ */
+record Run(int status, String out, String err) {
+    static Run of(String... args) {
+        return with(Map.of(), args);
+    }
+
+    static Run with(Map<String, String> environment, String... args) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        int status = new Lavenderctl(environment, print(out), print(err)).run(args);
+        return new Run(status, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+    }
+
+    private static PrintStream print(ByteArrayOutputStream bytes) {
+        return new PrintStream(bytes, true, StandardCharsets.UTF_8);
+    }
+}
