--- a/core/src/test/java/dev/lavenderline/core/config/ConfigLedgerTest.java
+++ b/core/src/test/java/dev/lavenderline/core/config/ConfigLedgerTest.java
@@ -183,10 +183,13 @@
                 }
                 assertEquals(isValid ? Outcome.ACCEPTED : Outcome.VOID, main.outcome("c" + size));
             }
-            assertEquals(accepted.get(accepted.size() - 1), main.revision());
-            TreeMap<String, String> actual = new TreeMap<>();
-            main.files().forEach((name, content) -> actual.put(name, new String(content, UTF_8)));
-            assertEquals(folder, actual);
+            for (ConfigLedger reader : readers.both()) {
+                assertEquals(accepted.get(accepted.size() - 1), reader.revision());
+                TreeMap<String, String> actual = new TreeMap<>();
+                reader.files().forEach((name, content) -> actual.put(name, new String(content, UTF_8)));
+                assertEquals(folder, actual);
+                assertEquals(folder.keySet(), reader.config().models().keySet());
+            }
         }
         Statistics.label("several revisions")
                 .collect(accepted.size() > 3)
--- a/core/src/test/java/dev/lavenderline/core/ledger/KeyedCallTest.java
+++ b/core/src/test/java/dev/lavenderline/core/ledger/KeyedCallTest.java
@@ -144,7 +144,9 @@
         // The key is free if it has no current claim; a final outcome stays until the retention has passed.
         Map<String, Long> current = new HashMap<>();
         Map<String, CallOutcome> outcomes = new HashMap<>();
+        List<CallEvent> seen = new ArrayList<>();
         CallLedger main = new CallLedger(RETENTION, event -> {
+            seen.add(event);
             if (event instanceof CallEvent.Claimed claimed) {
                 assertFalse(current.containsKey(claimed.key()), "second claim of a key in use");
                 current.put(claimed.key(), claimed.claim());
@@ -165,13 +167,17 @@
                 case CLAIM ->
                     claims.add(readers.append(
                             records.batch(step.node(), List.of(claim(step.key(), step.node(), records.now())))));
-                case FINISH ->
-                    readers.append(records.batch(
-                            step.node(),
-                            List.of(finish(
-                                    step.key(),
-                                    claims.get(Math.max(0, claims.size() - 1 - step.choice() / 4 % 3)),
-                                    CallOutcome.forNumber(step.choice() % 4)))));
+                case FINISH -> {
+                    long claim = claims.get(Math.max(0, claims.size() - 1 - step.choice() / 4 % 3));
+                    CallOutcome outcome = CallOutcome.forNumber(step.choice() % 4);
+                    boolean isValid = current.containsKey(step.key())
+                            && current.get(step.key()) == claim
+                            && !outcomes.containsKey(step.key())
+                            && outcome != CallOutcome.CALL_OUTCOME_UNSPECIFIED;
+                    int before = seen.size();
+                    readers.append(records.batch(step.node(), List.of(finish(step.key(), claim, outcome))));
+                    assertEquals(isValid ? before + 1 : before, seen.size(), "outcome under claim " + claim);
+                }
                 case COPY -> {
                     if (!records.records().isEmpty()) {
                         readers.append(records.records()
@@ -187,16 +193,18 @@
                 // Shorter than the retention in total, so that no call is forgotten.
                 case TIME -> records.advance(Duration.ofMinutes(step.choice() / 16));
             }
-            for (String key : List.of("k0", "k1")) {
-                assertEquals(
-                        current.get(key),
-                        main.call("w", key).map(KeyedCall::claim).orElse(null));
-                assertEquals(
-                        outcomes.get(key),
-                        main.call("w", key)
-                                .flatMap(KeyedCall::finished)
-                                .map(CallFinished::getOutcome)
-                                .orElse(null));
+            for (CallLedger reader : readers.both()) {
+                for (String key : List.of("k0", "k1")) {
+                    assertEquals(
+                            current.get(key),
+                            reader.call("w", key).map(KeyedCall::claim).orElse(null));
+                    assertEquals(
+                            outcomes.get(key),
+                            reader.call("w", key)
+                                    .flatMap(KeyedCall::finished)
+                                    .map(CallFinished::getOutcome)
+                                    .orElse(null));
+                }
             }
         }
         Statistics.label("final outcome")
--- a/core/src/test/java/dev/lavenderline/core/ledger/Readers.java
+++ b/core/src/test/java/dev/lavenderline/core/ledger/Readers.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.lavenderline.proto.log.RecordBatch;
+import java.util.List;
 import java.util.function.Supplier;
 
 /** Several readers of one log that must agree after each record. */
@@ -39,6 +40,11 @@
         return offset;
     }
 
+    /** Returns the reader from the start and one that was restored; what they answer has to be the same. */
+    public List<L> both() {
+        return List.of(fromStart, restored);
+    }
+
     /** Restores a new and a lagging reader from a snapshot, and offers them an older one. */
     public void restore() {
         long asOf = fromStart.position();
--- a/core/src/test/java/dev/lavenderline/core/ledger/WorkLedgerPropertyTest.java
+++ b/core/src/test/java/dev/lavenderline/core/ledger/WorkLedgerPropertyTest.java
@@ -149,7 +149,7 @@
             readers.append(batch);
             Stored stored = log.records().get(log.records().size() - 1);
             model.apply(stored);
-            compare();
+            readers.both().forEach(this::compare);
         }
 
         void on(WorkEvent event) {
@@ -161,11 +161,12 @@
             }
         }
 
-        void compare() {
+        void compare(WorkLedger ledger) {
             assertEquals(
                     model.jobs.keySet(),
-                    main.jobs(WorkEntries.WORKSPACE).stream().map(Job::id).collect(Collectors.toSet()));
-            model.jobs.forEach((id, expected) -> compare(expected, main.job(id).orElseThrow()));
+                    ledger.jobs(WorkEntries.WORKSPACE).stream().map(Job::id).collect(Collectors.toSet()));
+            model.jobs.forEach(
+                    (id, expected) -> compare(expected, ledger.job(id).orElseThrow()));
         }
 
         void compare(ModelJob expected, Job job) {
