--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/membership/Rendezvous.java
@@ -0,0 +1,41 @@
+package dev.lavenderline.core.membership;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Rendezvous (highest random weight) order of candidates for a key.
+ *
+ * <p>All nodes with the same candidates agree on the order, and the order of two candidates does not depend on the
+ * others. Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+ */
+public final class Rendezvous {
+    private static final HashFunction HASH = Hashing.murmur3_128();
+
+    private Rendezvous() {}
+
+    /** Returns the candidates in the order of preference for the key, without duplicates. */
+    public static List<String> order(String key, Collection<String> candidates) {
+        return candidates.stream()
+                .distinct()
+                .map(candidate -> new Weighted(candidate, weight(key, candidate)))
+                .sorted(Comparator.comparingLong(Weighted::weight).reversed().thenComparing(Weighted::candidate))
+                .map(Weighted::candidate)
+                .toList();
+    }
+
+    static long weight(String key, String candidate) {
+        return HASH.newHasher()
+                .putInt(key.length())
+                .putString(key, StandardCharsets.UTF_8)
+                .putString(candidate, StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+
+    private record Weighted(String candidate, long weight) {}
+}
--- /dev/null
+++ b/core/src/test/java/dev/lavenderline/core/membership/MembersTest.java
@@ -0,0 +1,220 @@
+package dev.lavenderline.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.membership.Member.Status;
+import dev.lavenderline.proto.peer.Heartbeat;
+import dev.lavenderline.proto.peer.Hello;
+import dev.lavenderline.proto.peer.MemberView;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class MembersTest {
+    private long nanos = -Duration.ofDays(3).toNanos();
+    private final Ticker ticker = new Ticker() {
+        @Override
+        public Instant now() {
+            return Instant.EPOCH;
+        }
+
+        @Override
+        public long nanos() {
+            return nanos;
+        }
+    };
+    private final Members members = new Members(ticker, hello("self", "s1"));
+
+    private static Hello hello(String node, String incarnation) {
+        return Hello.newBuilder()
+                .setNode(node)
+                .setIncarnation(incarnation)
+                .setAddress(node + ":7070")
+                .setRegion("muscat")
+                .build();
+    }
+
+    private static Heartbeat heartbeat(MemberView... views) {
+        return Heartbeat.newBuilder().addAllMembers(List.of(views)).build();
+    }
+
+    private static MemberView view(String node, String incarnation, int ageMs) {
+        return MemberView.newBuilder()
+                .setNode(node)
+                .setIncarnation(incarnation)
+                .setAddress(node + ":7070")
+                .setAgeMs(ageMs)
+                .build();
+    }
+
+    private void pass(long millis) {
+        nanos += Duration.ofMillis(millis).toNanos();
+    }
+
+    private Status status(String incarnation) {
+        return members.member(incarnation).orElseThrow().status();
+    }
+
+    private List<String> live() {
+        return members.live().stream().map(Member::node).toList();
+    }
+
+    /** Guards against a takeover that starts too early or never, and against new work for a dead node. */
+    @Test
+    void silentNeighbourIsSuspectedThenGone() {
+        members.heartbeat(hello("b", "b1"), heartbeat());
+        pass(1_499);
+        assertEquals(Status.LIVE, status("b1"));
+        pass(1);
+        assertEquals(Status.SUSPECT, status("b1"));
+        assertEquals(List.of("b", "self"), live());
+        assertEquals(Duration.ZERO, members.goneFor("b1"));
+        pass(1_500);
+        assertEquals(Status.GONE, status("b1"));
+        assertFalse(members.isLive("b1"));
+        assertEquals(List.of("self"), live());
+        pass(1_000);
+        assertEquals(Duration.ofSeconds(4), members.goneFor("b1"));
+        members.heartbeat(hello("b", "b1"), heartbeat());
+        assertEquals(
+                List.of("b", "self"),
+                members.inRegion("muscat").stream().map(Member::node).toList());
+        assertEquals(List.of(), members.inRegion("sohar"));
+    }
+
+    /** Guards against a takeover because of one broken link while another node still hears the member. */
+    @Test
+    void viewsOfOthersKeepAMemberLive() {
+        members.heartbeat(hello("b", "b1"), heartbeat());
+        pass(2_900);
+        members.heartbeat(hello("c", "c1"), heartbeat(view("b", "b1", 400)));
+        pass(1_000);
+        assertEquals(Status.LIVE, status("b1"));
+        pass(1_700);
+        assertEquals(Status.GONE, status("b1"));
+    }
+
+    /** Guards against a restarted node that counts twice, or whose former run comes back by a stale view. */
+    @Test
+    void restartReplacesTheFormerRun() {
+        members.heartbeat(hello("b", "b1"), heartbeat());
+        pass(500);
+        members.heartbeat(hello("b", "b2"), heartbeat());
+        members.heartbeat(hello("c", "c1"), heartbeat(view("b", "b1", 0)));
+        members.heartbeat(hello("b", "b1"), heartbeat());
+        assertTrue(members.isLive("b2"));
+        assertFalse(members.isLive("b1"));
+        assertEquals(Duration.ofMillis(500), members.goneFor("b1"));
+        members.heartbeat(hello("c", "c1"), heartbeat(view("b", "b0", 100)));
+        assertTrue(members.isLive("b2"), "an unknown run with older news is an earlier run");
+        pass(1_000);
+        members.heartbeat(hello("c", "c1"), heartbeat(view("b", "b3", 100)));
+        assertTrue(members.isLive("b3"));
+    }
+
+    /** Guards against new work for a node that is leaving, and against views that bring it back after its end. */
+    @Test
+    void staleViewsNeverReviveAMemberThatLeft() {
+        members.heartbeat(hello("b", "b1"), heartbeat());
+        members.leaving("b1");
+        assertEquals(List.of("self"), live());
+        assertTrue(members.isLive("b1"), "it still finishes its work");
+        members.heartbeat(hello("c", "c1"), heartbeat(view("b", "b1", 0)));
+        assertEquals(List.of("c", "self"), live());
+        pass(3_000);
+        members.heartbeat(hello("c", "c1"), heartbeat(view("b", "b1", 10)));
+        assertFalse(members.isLive("b1"));
+    }
+
+    /** Guards against work for a host that the platform is taking away, and against the lag of the list. */
+    @Test
+    void leavingHostsGetNoWorkAndMissingOnesStay() {
+        members.heartbeat(hello("b", "b1"), heartbeat());
+        members.heartbeat(hello("c", "c1"), heartbeat());
+        members.hosts(List.of("self:7070"), List.of("c:7070"));
+        assertEquals(List.of("b", "self"), live());
+        assertTrue(members.isLive("c1"));
+        members.update(true, 7);
+        assertEquals(List.of("b"), live());
+        assertEquals(7, members.member("s1").orElseThrow().configRevision());
+    }
+
+    /** Guards against a job of a run that this node never saw and that nobody ever claims. */
+    @Test
+    void unknownRunIsGoneSinceTheStart() {
+        pass(4_000);
+        assertEquals(Duration.ofSeconds(4), members.goneFor("unknown"));
+    }
+
+    /** Guards against links without an answer, links over all of which a node is unreachable, and a cost that grows. */
+    @Test
+    void neighboursAreSymmetricFewAndConnected() {
+        List<String> hosts =
+                IntStream.range(0, 530).mapToObj(i -> "n" + i + ":7070").toList();
+        Map<String, Set<String>> links = new HashMap<>();
+        for (int i = 0; i < hosts.size(); i++) {
+            Members node = new Members(ticker, hello("n" + i, "i" + i));
+            node.hosts(hosts, List.of());
+            links.put(hosts.get(i), node.neighbours(Members.MAX_NEIGHBOURS));
+        }
+        links.forEach((address, neighbours) -> {
+            assertTrue(neighbours.size() <= Members.MAX_NEIGHBOURS, neighbours::toString);
+            assertFalse(neighbours.contains(address));
+            neighbours.forEach(other -> assertTrue(links.get(other).contains(address), address + " and " + other));
+        });
+        Set<String> reached = new HashSet<>(Set.of(hosts.get(0)));
+        for (int hop = 0; hop < 6; hop++) {
+            List.copyOf(reached).forEach(address -> reached.addAll(links.get(address)));
+        }
+        assertEquals(530, reached.size(), "nodes within six hops");
+    }
+
+    /** Guards against heartbeats that grow with the cluster, and against members that are never refreshed. */
+    @Test
+    void viewsAreBoundedAndTakeTurns() {
+        for (int i = 0; i < 40; i++) {
+            members.heartbeat(hello("n" + i, "i" + i), heartbeat());
+        }
+        Set<String> seen = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            List<MemberView> views = members.views(2);
+            assertEquals(2, views.size());
+            views.forEach(view -> seen.add(view.getNode()));
+        }
+        assertEquals(40, seen.size());
+    }
+
+    /** Guards against distant nodes that are taken for gone between two views, and against a death nobody hears of. */
+    @Test
+    void distantMemberIsGoneWhenReported() {
+        List<String> hosts = new ArrayList<>(List.of("self:7070"));
+        IntStream.range(0, 100).forEach(i -> hosts.add("n" + i + ":7070"));
+        members.hosts(hosts, List.of());
+        int distant = IntStream.range(0, 100)
+                .filter(i -> !members.neighbours(Members.MAX_NEIGHBOURS).contains("n" + i + ":7070"))
+                .findFirst()
+                .orElseThrow();
+        String incarnation = "i" + distant;
+        members.heartbeat(hello("c", "c1"), heartbeat(view("n" + distant, incarnation, 100)));
+        pass(10_000);
+        assertTrue(members.isLive(incarnation));
+        members.heartbeat(hello("c", "c1"), heartbeat(view("n" + distant, incarnation, 20_000)));
+        assertTrue(members.isLive(incarnation), "the report is older than the last news");
+        members.heartbeat(hello("c", "c1"), heartbeat(view("n" + distant, incarnation, 10_200)));
+        assertFalse(members.isLive(incarnation));
+        members.heartbeat(hello("c", "c1"), heartbeat(view("n" + distant, incarnation, 50)));
+        assertTrue(members.isLive(incarnation));
+        pass(30_000);
+        assertFalse(members.isLive(incarnation));
+    }
+}
