--- a/bench/src/main/java/dev/lavenderline/bench/fleet/DeployedFleet.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/DeployedFleet.java
@@ -102,9 +102,12 @@
     /** Waits until the last published revision is in force on all live nodes. */
     public void awaitInForce() {
         long expected = revision;
-        Poll.until("revision " + expected + " in force on all nodes", IN_FORCE_LIMIT, () -> nodes.stream()
-                .filter(node -> node.process().isAlive())
-                .allMatch(node -> node.revision() >= expected && node.isReady()));
+        Poll.until(
+                "revision " + expected + " in force on all nodes",
+                IN_FORCE_LIMIT,
+                () -> nodes.stream()
+                        .filter(node -> node.process().isAlive())
+                        .allMatch(node -> node.revision() >= expected && node.isReady()));
     }
 
     private String config() {
@@ -117,7 +120,10 @@
             boolean isEngine = upstream.name().startsWith("engine");
             yaml.append("  ").append(upstream.name()).append(": {");
             yaml.append(isEngine ? "engine_of: repair" : "service: dispatch");
-            yaml.append(", address: \"").append(upstream.address()).append("\", region: ").append(upstream.region());
+            yaml.append(", address: \"")
+                    .append(upstream.address())
+                    .append("\", region: ")
+                    .append(upstream.region());
             yaml.append(", failure_domain: ").append(upstream.region()).append("-1");
             yaml.append(", max_concurrent: ").append(settings.maxConcurrent).append("}\n");
         }
--- a/bench/src/main/java/dev/lavenderline/bench/quickstart/Quickstart.java
+++ b/bench/src/main/java/dev/lavenderline/bench/quickstart/Quickstart.java
@@ -79,13 +79,8 @@
 
     private void applyConfig() {
         step("lavenderctl apply " + configFolder);
-        String operators = String.join(
-                ",",
-                fleet.nodes().values().stream().map(LocalNode::operatorsAddress).toList());
         ManagedProcess apply = fleet.start(
-                "apply",
-                "dev.lavenderline.ctl.Main",
-                List.of("apply", configFolder, "--log-url", fleet.logUrl(), "--nodes", operators));
+                "apply", "dev.lavenderline.ctl.Main", List.of("apply", configFolder, "--log-url", fleet.logUrl()));
         int code = apply.awaitExit(Duration.ofSeconds(20));
         check(code == 0, "lavenderctl apply gave exit code " + code);
         Poll.until(
