--- a/standins/src/main/java/dev/lavenderline/standins/log/LogStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/log/LogStandin.java
@@ -76,6 +76,10 @@
                 .handler(BodyHandler.create(false).setBodyLimit(MAX_RECORD_BYTES))
                 .handler(this::append);
         router.get("/streams/:stream/records").handler(this::read);
+        router.route()
+                .failureHandler(context -> context.response()
+                        .setStatusCode(context.statusCode() < 400 ? 500 : context.statusCode())
+                        .end());
         server = vertx.createHttpServer(
                 new HttpServerOptions().setHost(settings.bind).setPort(settings.port));
         return server.requestHandler(router).listen().map(HttpServer::actualPort);
