--- a/node/src/main/java/dev/lavenderline/node/Node.java
+++ b/node/src/main/java/dev/lavenderline/node/Node.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.core.config.FleetConfig;
 import dev.lavenderline.node.cluster.ClusterComponent;
+import dev.lavenderline.node.cluster.ConfigRelay;
 import dev.lavenderline.node.jobs.Jobs;
 import dev.lavenderline.node.operators.OperatorsServer;
 import dev.lavenderline.node.supervisor.GuardedTimers;
@@ -148,7 +149,17 @@
             return parts.streams;
         });
         root.child("membership", onFailure -> {
-            parts.cluster = new ClusterComponent(vertx, settings, identity, guarded(onFailure), ticker);
+            parts.cluster = new ClusterComponent(
+                    vertx,
+                    settings,
+                    identity,
+                    () -> parts.streams.config().ledger().config(),
+                    () -> parts.streams.work().ledger().position(),
+                    metrics,
+                    guarded(onFailure),
+                    ticker);
+            parts.relay = new ConfigRelay(parts.cluster, parts.streams.log(), parts.streams.config(), ticker);
+            parts.cluster.attach(parts.relay);
             return parts.cluster;
         });
         root.child("upstreams", onFailure -> {
@@ -186,7 +197,7 @@
     }
 
     private boolean isReady() {
-        return started && !draining && parts.streams.config().isFresh(STALE_CONFIG);
+        return started && !draining && parts.relay.isFresh(STALE_CONFIG);
     }
 
     private Map<String, Object> state() {
@@ -235,6 +246,7 @@
     static final class Parts {
         Streams streams;
         ClusterComponent cluster;
+        ConfigRelay relay;
         Upstreams upstreams;
         Jobs jobs;
         Callers callers;
