--- a/http/src/main/java/dev/lavenderline/http/HttpEvent.java
+++ b/http/src/main/java/dev/lavenderline/http/HttpEvent.java
@@ -15,6 +15,7 @@
     STREAM_CONTINUED("LL-1312", "request {} is continued on upstream {} at token {}"),
     CANCEL_FAILED("LL-1313", "cancel of {} on upstream {} failed: {}"),
     REQUEST_FAILED("LL-1314", "request {} failed: {}: {}"),
+    SENT_AGAIN("LL-1315", "attempt {} is sent to upstream {} again, which has not seen it"),
     ANSWER_TOO_LARGE("LL-1320", "the answer to keyed request {} has more than {} bytes and is not recorded");
 
     private final String code;
--- a/http/src/main/java/dev/lavenderline/http/OnlineRequest.java
+++ b/http/src/main/java/dev/lavenderline/http/OnlineRequest.java
@@ -253,6 +253,7 @@
         /** Whether the stream was resumed since the last token. */
         private boolean resumed;
 
+        private boolean sentAgain;
         private boolean ended;
 
         /** Creates an attempt that starts at a token of the answer. */
@@ -359,6 +360,11 @@
                 resumeStream();
                 return;
             }
+            boolean neverArrived = failure.kind() == UpstreamFailure.Kind.UNKNOWN_STREAM && !accepted;
+            if (neverArrived && !sentAgain) {
+                sendAgain();
+                return;
+            }
             end();
             if (winner == this) {
                 winner = null;
@@ -380,14 +386,19 @@
             continueElsewhere();
         }
 
-        /** A stream is resumed once without progress; then the engine counts as lost. */
+        /**
+         * Returns whether the same engine is asked again on a new connection, which is done once without progress. A
+         * failure before the first token may lie in a pooled connection, whose state can be lost while the engine is
+         * healthy; a new connection excludes that cause.
+         */
         private boolean resumable(UpstreamFailure failure) {
-            if (resumed || !accepted) {
+            if (resumed) {
                 return false;
             }
+            boolean pooled = !request.newConnection();
             return switch (failure.kind()) {
-                case BROKEN -> true;
-                case SILENT -> received > 0;
+                case BROKEN -> accepted || pooled;
+                case SILENT -> received > 0 || pooled;
                 default -> false;
             };
         }
@@ -399,6 +410,13 @@
             exchange = server.client().resume(upstream, request, received, this);
         }
 
+        /** Sends the request again when the engine answered that it has not seen it. */
+        private void sendAgain() {
+            sentAgain = true;
+            HttpEvent.SENT_AGAIN.info(request.requestId(), upstream.name());
+            exchange = server.client().stream(upstream, request.onNewConnection(), this);
+        }
+
         private ApiError refused(UpstreamFailure failure) {
             String reason = ErrorBodies.upstreamMessage(failure.body());
             return new ApiError(failure.status(), "refused_by_engine", reason, Optional.empty());
--- a/http/src/main/java/dev/lavenderline/http/StreamRequest.java
+++ b/http/src/main/java/dev/lavenderline/http/StreamRequest.java
@@ -21,4 +21,9 @@
         TrafficClass trafficClass,
         Duration firstToken,
         Duration stall,
-        boolean newConnection) {}
+        boolean newConnection) {
+    /** Returns the same request for a new connection. */
+    StreamRequest onNewConnection() {
+        return new StreamRequest(requestId, path, body, trafficClass, firstToken, stall, true);
+    }
+}
--- a/http/src/test/java/dev/lavenderline/http/TestFleet.java
+++ b/http/src/test/java/dev/lavenderline/http/TestFleet.java
@@ -187,6 +187,10 @@
         return requests.path(requests.size() - 1);
     }
 
+    int port(String upstream) {
+        return upstreams.get(upstream).port();
+    }
+
     long counter(String name) {
         return metrics.counter(name).getCount();
     }
--- /dev/null
+++ b/http/src/test/java/dev/lavenderline/http/UpstreamClientTest.java
@@ -0,0 +1,198 @@
+package dev.lavenderline.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.core.config.Upstream;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against answers of engines that are taken for complete or correct although they are not. */
+class UpstreamClientTest {
+    private static final String T0 = chunk("r1", "\"delta\":{\"content\":\"ä0\"}");
+    private static final String T1 = chunk("r1", "\"delta\":{\"content\":\"ö1\"}");
+    private static final String FINISH = chunk("r1", "\"delta\":{},\"finish_reason\":\"stop\"");
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Context loop = vertx.getOrCreateContext();
+    private final List<String> log = new CopyOnWriteArrayList<>();
+    private final AtomicInteger openConnections = new AtomicInteger();
+    private UpstreamClient client;
+    private Upstream upstream;
+
+    private static String chunk(String id, String choice) {
+        return "data: {\"id\":\"" + id + "\",\"choices\":[{" + choice + "}]}\n\n";
+    }
+
+    private void serve(UpstreamClient.Options options, Consumer<HttpServerRequest> handler) {
+        HttpServer server = vertx.createHttpServer()
+                .connectionHandler(this::count)
+                .requestHandler(handler::accept)
+                .listen(0, "127.0.0.1")
+                .await();
+        upstream = new Upstream("e1", Upstream.Kind.ENGINE, "g", "127.0.0.1:" + server.actualPort(), "r", "d", 1, true);
+        loop.runOnContext(run -> client = new UpstreamClient(vertx, options));
+        Awaitility.await().until(() -> client != null);
+    }
+
+    private void count(HttpConnection connection) {
+        openConnections.incrementAndGet();
+        connection.closeHandler(closed -> openConnections.decrementAndGet());
+    }
+
+    @AfterEach
+    void stop() {
+        vertx.close().await();
+    }
+
+    private void send(String id, TrafficClass trafficClass) {
+        Duration limit = Duration.ofSeconds(20);
+        StreamRequest request =
+                new StreamRequest(id, "/v1/completions", Buffer.buffer("{}"), trafficClass, limit, limit, false);
+        loop.runOnContext(run -> client.stream(upstream, request, new StreamListener() {
+            @Override
+            public void token(Token token) {
+                log.add(token.index() + ":" + token.text());
+            }
+
+            @Override
+            public void end(End end) {
+                log.add("end:" + end.finishReason());
+            }
+
+            @Override
+            public void failed(UpstreamFailure failure) {
+                log.add("failed:" + failure.kind());
+            }
+        }));
+    }
+
+    static Stream<Arguments> answers() {
+        return Stream.of(
+                Arguments.of("complete", T0 + T1 + FINISH + DONE, List.of("0:ä0", "1:ö1", "end:stop")),
+                Arguments.of(
+                        "comments and carriage returns",
+                        ": hello\r\n\r\n" + (T0 + FINISH + DONE).replace("\n", "\r\n"),
+                        List.of("0:ä0", "end:stop")),
+                Arguments.of("no end marker", T0 + FINISH, List.of("0:ä0", "failed:BROKEN")),
+                Arguments.of("no finish reason", T0 + DONE, List.of("0:ä0", "failed:BROKEN")),
+                Arguments.of("cut inside an event", T0 + T1.substring(0, 20), List.of("0:ä0", "failed:BROKEN")),
+                Arguments.of(
+                        "another request's token",
+                        T0 + chunk("r2", "\"delta\":{\"content\":\"x\"}") + FINISH + DONE,
+                        List.of("0:ä0", "failed:CROSSED")),
+                Arguments.of(
+                        "repeated token", "id: 0\n" + T0 + "id: 0\n" + T0 + FINISH + DONE, List.of("0:ä0", "end:stop")),
+                Arguments.of(
+                        "missing token",
+                        "id: 0\n" + T0 + "id: 2\n" + T1 + FINISH + DONE,
+                        List.of("0:ä0", "failed:BROKEN")),
+                Arguments.of("not JSON", T0 + "data: {oops\n\n" + DONE, List.of("0:ä0", "failed:BROKEN")),
+                Arguments.of("not an object", "data: 7\n\n" + DONE, List.of("failed:BROKEN")),
+                Arguments.of(
+                        "error event",
+                        T0 + "data: {\"error\":{\"message\":\"gone\"}}\n\n",
+                        List.of("0:ä0", "failed:BROKEN")));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("answers")
+    void answerIsReadInPiecesOfAnySize(String name, String answer, List<String> expected) {
+        byte[] bytes = answer.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        serve(UpstreamClient.Options.defaults(), request -> {
+            request.response().setChunked(true);
+            // Single bytes also split characters that have two of them.
+            for (byte one : bytes) {
+                request.response().write(Buffer.buffer(new byte[] {one}));
+            }
+            request.response().end();
+        });
+        send("r1", TrafficClass.ONLINE);
+
+        Awaitility.await().untilAsserted(() -> assertEquals(expected, log));
+    }
+
+    @Test
+    void batchDoesNotUseUpTheConnectionsOfOnline() {
+        serve(new UpstreamClient.Options(Duration.ofSeconds(1), Duration.ofSeconds(10), 1), request -> {
+            if (request.getHeader("X-Request-Class").equals("online")) {
+                request.response().setChunked(true).end(T0 + FINISH + DONE);
+            }
+        });
+        send("batch-1", TrafficClass.BATCH);
+        send("batch-2", TrafficClass.BATCH);
+        Awaitility.await().until(() -> openConnections.get() == 1);
+        send("r1", TrafficClass.ONLINE);
+
+        Awaitility.await().untilAsserted(() -> assertEquals(List.of("0:ä0", "end:stop"), log));
+    }
+
+    @Test
+    void idleConnectionIsClosedAndNotUsedAgain() {
+        serve(
+                new UpstreamClient.Options(Duration.ofSeconds(1), Duration.ofSeconds(1), 8),
+                request -> request.response().setChunked(true).end(T0 + FINISH + DONE));
+        send("r1", TrafficClass.ONLINE);
+        Awaitility.await().until(() -> log.size() == 2);
+        assertEquals(1, openConnections.get());
+
+        Awaitility.await().until(() -> openConnections.get() == 0);
+    }
+
+    @Test
+    void failureSaysWhetherBytesMayHaveBeenWritten() {
+        serve(UpstreamClient.Options.defaults(), request -> request.connection().close());
+        List<UpstreamFailure> failures = new CopyOnWriteArrayList<>();
+        CallRequest call = new CallRequest(
+                "c1",
+                io.vertx.core.http.HttpMethod.POST,
+                "/lockout",
+                io.vertx.core.MultiMap.caseInsensitiveMultiMap(),
+                Buffer.buffer("body"),
+                true,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(5));
+        CallListener listener = new CallListener() {
+            @Override
+            public void head(int status, io.vertx.core.MultiMap headers) {}
+
+            @Override
+            public void data(Buffer piece) {}
+
+            @Override
+            public void end() {}
+
+            @Override
+            public void failed(UpstreamFailure failure) {
+                failures.add(failure);
+            }
+        };
+        Upstream closed = new Upstream("s2", Upstream.Kind.SERVICE, "g", "127.0.0.1:1", "r", "d", 1, true);
+        loop.runOnContext(run -> client.call(upstream, call, listener));
+        Awaitility.await().until(() -> failures.size() == 1);
+        loop.runOnContext(run -> client.call(closed, call, listener));
+        Awaitility.await().until(() -> failures.size() == 2);
+
+        assertTrue(failures.get(0).maybeSent());
+        assertFalse(failures.get(1).maybeSent());
+        assertEquals(UpstreamFailure.Kind.CONNECT, failures.get(1).kind());
+    }
+}
