--- a/http/src/main/java/dev/lavenderline/http/AnswerSink.java
+++ b/http/src/main/java/dev/lavenderline/http/AnswerSink.java
@@ -13,16 +13,14 @@
 final class AnswerSink {
     private final HttpServerResponse response;
     private final ModelRequest request;
-    private final String id;
-    private final long createdSeconds;
+    private final AnswerBody body;
     private final StringBuilder text = new StringBuilder();
     private int tokens;
 
     AnswerSink(HttpServerResponse response, ModelRequest request, String id, long createdSeconds) {
         this.response = response;
         this.request = request;
-        this.id = id;
-        this.createdSeconds = createdSeconds;
+        this.body = new AnswerBody(request, id, createdSeconds);
     }
 
     /** Returns the text passed on so far. */
@@ -79,8 +77,8 @@
 
     private ObjectNode chunkFor(StreamListener.Token token) {
         ObjectNode chunk = token.chunk();
-        chunk.put("id", id);
-        chunk.put("created", createdSeconds);
+        chunk.put("id", body.id());
+        chunk.put("created", body.createdSeconds());
         chunk.put("model", request.deployment());
         chunk.remove("usage");
         JsonNode choice = chunk.path("choices").path(0);
@@ -94,54 +92,18 @@
         return chunk;
     }
 
-    private ObjectNode envelope(String object) {
-        return Json.MAPPER
-                .createObjectNode()
-                .put("id", id)
-                .put("object", object)
-                .put("created", createdSeconds)
-                .put("model", request.deployment());
-    }
-
-    private ObjectNode usage(int promptTokens) {
-        return Json.MAPPER
-                .createObjectNode()
-                .put("prompt_tokens", promptTokens)
-                .put("completion_tokens", tokens)
-                .put("total_tokens", promptTokens + tokens);
-    }
-
     private void endStream(String finishReason, int promptTokens) {
         begin();
-        ObjectNode last = envelope(request.chat() ? "chat.completion.chunk" : "text_completion");
-        ObjectNode choice = last.putArray("choices").addObject().put("index", 0);
-        if (request.chat()) {
-            choice.putObject("delta");
-        } else {
-            choice.put("text", "");
-        }
-        choice.put("finish_reason", finishReason);
-        Buffer out = event(last);
+        Buffer out = event(body.lastChunk(finishReason));
         if (request.includeUsage()) {
-            ObjectNode counts = envelope(request.chat() ? "chat.completion.chunk" : "text_completion");
-            counts.putArray("choices");
-            counts.set("usage", usage(promptTokens));
-            out.appendBuffer(event(counts));
+            out.appendBuffer(event(body.usageChunk(tokens, promptTokens)));
         }
         response.end(out.appendString("data: [DONE]\n\n"));
     }
 
     private void endWhole(String finishReason, int promptTokens) {
-        ObjectNode body = envelope(request.chat() ? "chat.completion" : "text_completion");
-        ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
-        if (request.chat()) {
-            choice.putObject("message").put("role", "assistant").put("content", text.toString());
-        } else {
-            choice.put("text", text.toString());
-        }
-        choice.put("finish_reason", finishReason);
-        body.set("usage", usage(promptTokens));
-        response.putHeader("Content-Type", "application/json").end(bytes(body));
+        response.putHeader("Content-Type", "application/json")
+                .end(bytes(body.whole(text.toString(), tokens, finishReason, promptTokens)));
     }
 
     private static Buffer event(JsonNode node) {
--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -125,12 +125,11 @@
         RouteHandler routes = new RouteHandler(context, settings.keyedCalls);
         router.route().handler(ctx -> {
             if (routes.covers(ctx.request().path())) {
-                ctx.next();
+                routes.handle(ctx);
             } else {
                 ctx.fail(404);
             }
         });
-        router.route().handler(bodies).handler(routes::handle);
         router.route().failureHandler(this::failed);
         return router;
     }
--- a/http/src/main/java/dev/lavenderline/http/HeaderFilter.java
+++ b/http/src/main/java/dev/lavenderline/http/HeaderFilter.java
@@ -25,10 +25,14 @@
 
     private HeaderFilter() {}
 
-    /** Returns the headers of a caller's request that a service gets; the bearer token stays at the node. */
+    /**
+     * Returns the headers of a caller's request that a service gets. The bearer token stays at the node. Encodings are
+     * not negotiated, because a recorded answer is replayed to callers that may accept others.
+     */
     static MultiMap forService(MultiMap headers) {
         MultiMap kept = endToEnd(headers);
         kept.remove("authorization");
+        kept.remove("accept-encoding");
         return kept;
     }
 
--- a/http/src/main/java/dev/lavenderline/http/RouteHandler.java
+++ b/http/src/main/java/dev/lavenderline/http/RouteHandler.java
@@ -29,7 +29,17 @@
     }
 
     void handle(RoutingContext ctx) {
-        Route route = route(ctx.request().path()).orElseThrow();
+        RawBody.read(ctx, server.limits().maxBodyBytes(), body -> forward(ctx, body));
+    }
+
+    private void forward(RoutingContext ctx, Buffer body) {
+        Optional<Route> covering = route(ctx.request().path());
+        if (covering.isEmpty()) {
+            // The configuration changed while the body was read.
+            refuse(ctx, ApiError.notFound("no such path"));
+            return;
+        }
+        Route route = covering.get();
         String method = ctx.request().method().name();
         if (!route.methods().contains(method)) {
             ctx.response().putHeader("Allow", String.join(", ", route.methods()));
@@ -47,7 +57,6 @@
             refuse(ctx, timeout.getLeft());
             return;
         }
-        Buffer body = ctx.body().buffer() == null ? Buffer.buffer() : ctx.body().buffer();
         Either<ApiError, Optional<String>> key = IdempotencyKey.of(ctx.request());
         if (key.isLeft()) {
             refuse(ctx, key.getLeft());
--- a/http/src/test/java/dev/lavenderline/http/RepeatableRouteTest.java
+++ b/http/src/test/java/dev/lavenderline/http/RepeatableRouteTest.java
@@ -50,6 +50,19 @@
         }
     }
 
+    @Test
+    void multipartBodyIsForwardedUnchanged() {
+        String body = "--cut\r\nContent-Disposition: form-data; name=\"a\"\r\n\r\n1\r\n--cut--\r\n";
+        try (TestFleet fleet = new TestFleet().service("s1").start()) {
+            HttpResponse<String> response = fleet.send(fleet.request("/lookup/photo")
+                    .header("Content-Type", "multipart/form-data; boundary=cut")
+                    .POST(HttpRequest.BodyPublishers.ofString(body))
+                    .build());
+
+            assertEquals(body, TestFleet.json(response.body()).path("body").asText());
+        }
+    }
+
     @Test
     void bearerTokenStaysAtTheNode() {
         try (TestFleet fleet = new TestFleet().service("s1").start()) {
--- a/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
+++ b/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
@@ -55,7 +55,8 @@
         BodyHandler bodies = BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES);
         router.post("/faults").handler(bodies).handler(this::faults);
         router.get("/history").handler(ctx -> ctx.json(new JsonObject().put("runs", runs)));
-        router.route().handler(bodies).handler(this::call);
+        // The body handler would take multipart bodies apart, which the answer is to echo.
+        router.route().handler(ctx -> ctx.request().body().onSuccess(body -> call(ctx, body.toString())));
         HttpServerOptions http = new HttpServerOptions().setHost(options.host()).setPort(options.port());
         server = vertx.createHttpServer(http)
                 .connectionHandler(connection -> connection.exceptionHandler(broken -> {}))
@@ -73,7 +74,7 @@
         ctx.json(new JsonObject());
     }
 
-    private void call(RoutingContext ctx) {
+    private void call(RoutingContext ctx, String body) {
         if (rejects > 0) {
             rejects--;
             JsonObject error = new JsonObject().put("code", "overloaded").put("message", "the call was not run");
@@ -99,13 +100,13 @@
             dropAnswers--;
         }
         if (wait <= 0) {
-            answer(ctx, run, drop);
+            answer(ctx, run, body, drop);
         } else {
-            vertx.setTimer(wait, timer -> answer(ctx, run, drop));
+            vertx.setTimer(wait, timer -> answer(ctx, run, body, drop));
         }
     }
 
-    private void answer(RoutingContext ctx, JsonObject run, boolean drop) {
+    private void answer(RoutingContext ctx, JsonObject run, String body, boolean drop) {
         if (drop) {
             ctx.request().connection().close();
             return;
@@ -118,7 +119,7 @@
                 .put("method", run.getString("method"))
                 .put("path", run.getString("path"))
                 .put("query", ctx.request().query() == null ? "" : ctx.request().query())
-                .put("body", ctx.body().asString());
+                .put("body", body);
         if (options.paddingBytes() > 0) {
             answer.put("padding", "x".repeat(options.paddingBytes()));
         }
