--- a/core/src/main/java/dev/lavenderline/core/routing/FirstTokenEstimator.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/FirstTokenEstimator.java
@@ -16,8 +16,9 @@
         }
         int sequences = Math.max(1, state.config().maxConcurrent());
         int occupancy = state.occupancy();
-        double estimate = base * (1 + UpstreamStatistics.SHARE_PER_PENDING * state.withoutToken())
-                + interval * Math.min(1.0, occupancy / (double) sequences);
+        double estimate =
+                base * (1 + UpstreamStatistics.SHARE_PER_PENDING * state.pending(group.typicalFirstToken(), nowNanos))
+                        + interval * Math.min(1.0, occupancy / (double) sequences);
         int online = state.onlineOfAll();
         if (online >= sequences) {
             // A sequence becomes available after the service time of a request divided by the number of sequences.
--- a/core/src/main/java/dev/lavenderline/core/routing/LatencyAwareDispatcher.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/LatencyAwareDispatcher.java
@@ -25,12 +25,17 @@
     private static final double OTHER_DOMAIN_PENALTY = 0.1;
     /** Estimates are compared with up to 5% of noise, so that nodes with equal views do not choose the same upstream. */
     private static final double NOISE = 0.05;
+    /**
+     * Penalty for an engine whose sequences are all batch, in first-token times. It keeps online requests together on
+     * few engines, so that batch fills the others without being cancelled and without prefills next to online requests.
+     */
+    private static final double BATCH_PENALTY = 0.3;
     /** Penalty for a long request on an engine whose sequences are all long, in first-token times. */
     private static final double LONG_PENALTY = 10;
 
     private final UniformRandomProvider random;
     private final PrefixAffinity affinity = new PrefixAffinity(AFFINITY_BOUND);
-    private final Map<String, List<UpstreamState>> ejected = new HashMap<>();
+    private final Map<String, List<UpstreamState>> toProbe = new HashMap<>();
 
     LatencyAwareDispatcher(DispatcherOptions options, Ticker ticker, UniformRandomProvider random, Locality locality) {
         super(options, ticker, locality);
@@ -47,26 +52,26 @@
         return probeOr(chosen, request, nowNanos);
     }
 
-    /** Plans a probe of an ejected upstream if one is due; it is sent as a hedge if possible, else in place. */
+    /** Plans a probe of a slow or failed upstream if one is due; it is sent as a hedge if possible, else in place. */
     private UpstreamState probeOr(UpstreamState chosen, OnlineRequest request, long nowNanos) {
-        List<UpstreamState> group = ejected.getOrDefault(request.group().name(), List.of());
+        List<UpstreamState> group = toProbe.getOrDefault(request.group().name(), List.of());
         if (group.isEmpty() || request.isLong() || request.hasLongPrompt()) {
             return chosen;
         }
         boolean asHedge = options().hedging() && request.profile().repeatable();
-        if (asHedge && !hedgeAffordable()) {
-            return chosen;
-        }
+        boolean affordable = hedgeAffordable();
         for (UpstreamState state : group) {
             boolean sameRegion = state.config().region().equals(chosen.config().region());
-            if (!sameRegion || state.leaving() || !state.outlier.probeDue(nowNanos)) {
+            boolean due =
+                    asHedge && !affordable ? state.outlier.probeOverdue(nowNanos) : state.outlier.probeDue(nowNanos);
+            if (!sameRegion || state.leaving() || !due) {
                 continue;
             }
-            if (request.excluded().contains(state.name())) {
+            if (state == chosen || request.excluded().contains(state.name())) {
                 continue;
             }
             state.outlier.probed(nowNanos);
-            if (!asHedge) {
+            if (!asHedge || !affordable) {
                 return state;
             }
             request.probe(state);
@@ -96,20 +101,28 @@
     void assess(UpstreamGroup group, long nowNanos) {
         List<UpstreamState> found = new ArrayList<>();
         for (UpstreamState state : group.all()) {
+            double before = state.outlier.weight();
             state.outlier.assess(ratio(state, group, nowNanos), nowNanos);
-            if (state.outlier.ejected()) {
+            if (state.outlier.weight() < before) {
+                touch(state);
+            }
+            if (state.outlier.needsProbe()) {
                 found.add(state);
             }
         }
-        ejected.put(group.name(), found);
+        toProbe.put(group.name(), found);
     }
 
-    /** Returns the latency of an upstream relative to its group, 1 if it is unknown or better. */
+    /** Returns the latency of an upstream relative to its group, 0 if it is unknown. */
     private static double ratio(UpstreamState state, UpstreamGroup group, long nowNanos) {
-        double ratio = 1;
+        double ratio = 0;
         double medianInterval = group.medianInterval();
         if (medianInterval > 0) {
-            ratio = Math.max(ratio, state.interval(nowNanos) / medianInterval);
+            double intervalRatio = state.interval(nowNanos) / medianInterval;
+            // Shortly after a token the time since then is no sign of health.
+            if (intervalRatio > 1 || state.intervalKnown(nowNanos)) {
+                ratio = intervalRatio;
+            }
         }
         double medianFirstToken = group.medianFirstToken();
         if (medianFirstToken > 0) {
@@ -120,7 +133,8 @@
             if (group.firstTokenCount(nowNanos) >= LEAST_FIRST_TOKENS) {
                 double usual = Math.min(2 * medianFirstToken, group.firstTokenQuantile(0.95, nowNanos) / 2.0);
                 double age = state.oldestWithoutTokenNanos(nowNanos);
-                ratio = Math.max(ratio, age / Math.max(medianFirstToken, usual));
+                double ageRatio = age / Math.max(medianFirstToken, usual);
+                ratio = ageRatio > 1 ? Math.max(ratio, ageRatio) : ratio;
             }
         }
         return ratio;
@@ -231,7 +245,10 @@
                 return;
             }
             double estimate = FirstTokenEstimator.estimate(state, group, now);
-            double score = estimate / state.outlier.weight() + penaltyNanos + longPenalty * longPart(state);
+            double score = estimate / state.outlier.weight()
+                    + penaltyNanos
+                    + longPenalty * longPart(state)
+                    + BATCH_PENALTY * group.typicalFirstToken() * state.batchPart();
             score *= 1 + NOISE * random.nextDouble();
             if (score < bestScore) {
                 best = state;
--- a/core/src/main/java/dev/lavenderline/core/routing/LoadExchange.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/LoadExchange.java
@@ -26,6 +26,9 @@
      */
     LoadChange changedSince(long version);
 
+    /** Returns the online requests of this node and its peers in flight on an upstream, 0 if it is not configured. */
+    int onlineInFlight(String upstream);
+
     /** Sets the number of batch items that this node has in flight on an upstream. */
     void batchInFlight(String upstream, int items);
 
--- a/core/src/main/java/dev/lavenderline/core/routing/OnlineAttempt.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/OnlineAttempt.java
@@ -9,7 +9,7 @@
     private final UpstreamState upstream;
     private final boolean probe;
     private final long sentNanos;
-    private final int ahead;
+    private final double ahead;
     private boolean isLong;
     private long lastTokenNanos;
     private int tokens;
@@ -23,7 +23,7 @@
         this.upstream = upstream;
         this.probe = probe;
         this.sentNanos = now;
-        this.ahead = upstream.withoutToken();
+        this.ahead = upstream.pending(request.group().typicalFirstToken(), now);
         this.isLong = request.isLong();
     }
 
@@ -120,7 +120,7 @@
         return hasToken;
     }
 
-    int ahead() {
+    double ahead() {
         return ahead;
     }
 
--- a/core/src/main/java/dev/lavenderline/core/routing/OutlierDetector.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/OutlierDetector.java
@@ -5,8 +5,8 @@
  *
  * <p>Up to a ratio of 2 the weight is 1; up to 4 it is {@code 2 / ratio}; above 4, or after failures, it is 0 and the
  * upstream only gets probes. A weight falls at once and returns gradually: the return takes four times as long as the
- * slowdown lasted, at least 250 ms and at most 5 s. A weight of 0 caused by failures returns only after a successful
- * probe.
+ * slowdown lasted, at least 250 ms and at most 5 s. It returns only on evidence: tokens of open streams at a usual rate,
+ * or a successful probe; after failures only after a probe.
  */
 final class OutlierDetector {
     static final double REDUCED_RATIO = 2;
@@ -14,12 +14,15 @@
     private static final int FAILURES_TO_EJECT = 3;
     private static final long FIRST_PROBE_NANOS = 500_000_000L;
     private static final long LONGEST_PROBE_NANOS = 4_000_000_000L;
+    private static final long OVERDUE_NANOS = 10_000_000_000L;
     private static final long SHORTEST_RETURN_NANOS = 250_000_000L;
     private static final long LONGEST_RETURN_NANOS = 5_000_000_000L;
     private static final double RETURN_FACTOR = 4;
+    private static final double FIRST_WEIGHT = 0.05;
 
     private double weight = 1;
     private boolean failed;
+    private boolean unknown;
     private int failuresInRow;
     private long slowSinceNanos;
     private long returnNanos = SHORTEST_RETURN_NANOS;
@@ -35,13 +38,19 @@
         return weight == 0;
     }
 
+    /** Returns whether only a probe can show that the upstream recovered. */
+    boolean needsProbe() {
+        return ejected() || (weight < 1 && unknown);
+    }
+
     /**
      * Updates the weight.
      *
-     * @param ratio latency relative to the median of the group, 1 if unknown
+     * @param ratio latency relative to the median of the group, 0 if unknown
      */
     void assess(double ratio, long nowNanos) {
-        double target = failed ? 0 : target(ratio);
+        unknown = ratio == 0;
+        double target = failed ? 0 : unknown ? weight : target(ratio);
         if (target < weight) {
             if (weight >= 1) {
                 slowSinceNanos = nowNanos;
@@ -50,14 +59,14 @@
         } else if (target > weight) {
             long elapsed = assessedNanos == Long.MIN_VALUE ? 0 : nowNanos - assessedNanos;
             weight = Math.min(target, weight + elapsed / (double) returnNanos);
-        } else if (weight < 1) {
+        } else if (weight < 1 && !unknown) {
             lengthenReturn(nowNanos);
         }
         assessedNanos = nowNanos;
     }
 
     private void fall(double target, long nowNanos) {
-        if (target == 0 && weight > 0) {
+        if (weight >= 1) {
             probeWaitNanos = FIRST_PROBE_NANOS;
             probeAtNanos = nowNanos + probeWaitNanos;
         }
@@ -99,7 +108,12 @@
     }
 
     boolean probeDue(long nowNanos) {
-        return ejected() && nowNanos - probeAtNanos >= 0;
+        return needsProbe() && nowNanos - probeAtNanos >= 0;
+    }
+
+    /** Returns whether a probe is due for so long that it is sent without a second attempt. */
+    boolean probeOverdue(long nowNanos) {
+        return needsProbe() && nowNanos - probeAtNanos >= OVERDUE_NANOS;
     }
 
     /** Plans the next probe when one is sent; the wait doubles with each probe. */
@@ -117,6 +131,7 @@
     void probeSucceeded(long nowNanos) {
         failed = false;
         failuresInRow = 0;
+        weight = Math.max(weight, FIRST_WEIGHT);
         probeWaitNanos = FIRST_PROBE_NANOS;
         assessedNanos = nowNanos;
     }
--- a/core/src/main/java/dev/lavenderline/core/routing/PeerCounts.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/PeerCounts.java
@@ -14,9 +14,12 @@
     private Mean firstToken = Mean.EMPTY;
     private Mean interval = Mean.EMPTY;
 
-    void put(String node, UpstreamLoad load) {
-        count(loads.put(node, load), -1);
+    /** Replaces a node's load and returns it as it was before, null if there was none. */
+    UpstreamLoad put(String node, UpstreamLoad load) {
+        UpstreamLoad previous = loads.put(node, load);
+        count(previous, -1);
         count(load, 1);
+        return previous;
     }
 
     void remove(String node) {
@@ -31,8 +34,10 @@
         batch += sign * load.getBatchInFlight();
         active += load.getOnlineInFlight() + load.getOnlineWaiting() > 0 ? sign : 0;
         outstandingTokens += sign * load.getOutstandingTokens();
-        firstToken = firstToken.plus(load.getFirstTokenUs(), sign);
-        interval = interval.plus(load.getTokenIntervalUs(), sign);
+        if (load.getOnlineInFlight() > 0) {
+            firstToken = firstToken.plus(load.getFirstTokenUs(), sign);
+            interval = interval.plus(load.getTokenIntervalUs(), sign);
+        }
     }
 
     int online() {
@@ -52,12 +57,12 @@
         return outstandingTokens;
     }
 
-    /** Returns the peers' mean time to the first token in nanoseconds, 0 if none reported one. */
+    /** Returns the peers' mean time to the first token in nanoseconds, 0 if none with requests in flight reported one. */
     double firstTokenNanos() {
         return firstToken.nanos();
     }
 
-    /** Returns the peers' mean token interval in nanoseconds, 0 if none reported one. */
+    /** Returns the peers' mean token interval in nanoseconds, 0 if none with requests in flight reported one. */
     double intervalNanos() {
         return interval.nanos();
     }
--- a/core/src/main/java/dev/lavenderline/core/routing/QueueingDispatcher.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/QueueingDispatcher.java
@@ -173,9 +173,9 @@
         return false;
     }
 
-    /** Every attempt on an ejected upstream is a probe. */
+    /** Every attempt on an upstream without evidence of health is a probe. */
     private OnlineAttempt send(OnlineRequest request, UpstreamState upstream, long now) {
-        OnlineAttempt attempt = new OnlineAttempt(this, request, upstream, upstream.outlier.ejected(), now);
+        OnlineAttempt attempt = new OnlineAttempt(this, request, upstream, upstream.outlier.needsProbe(), now);
         request.sent(attempt);
         upstream.sent(attempt);
         touch(upstream);
@@ -245,7 +245,7 @@
         }
         UpstreamState probe = request.probe();
         request.probe(null);
-        boolean probing = probe != null && !probe.leaving() && probe.outlier.ejected();
+        boolean probing = probe != null && !probe.leaving() && probe.outlier.needsProbe();
         UpstreamState upstream = probing ? probe : chooseForHedge(request, now);
         if (upstream == null || !budget.takeHedge()) {
             return Optional.empty();
@@ -293,8 +293,14 @@
     }
 
     final void onCancelled(OnlineAttempt attempt) {
+        long now = nanos();
         if (attempt.probe() && !attempt.hasToken()) {
-            attempt.state().outlier.probeFailed(nanos());
+            attempt.state().outlier.probeFailed(now);
+        } else if (!attempt.hasToken() && !attempt.hasLongPrompt()) {
+            attempt.state()
+                    .statistics
+                    .noFirstToken(
+                            now - attempt.sentNanos(), attempt.request().group().typicalFirstToken(), now);
         }
         touch(attempt.state());
         drain(attempt.request().group(), attempt.state());
@@ -448,14 +454,15 @@
 
     @Override
     public final void peerLoads(String node, List<UpstreamLoad> loads) {
+        long now = nanos();
         Set<UpstreamGroup> affected = new HashSet<>();
         for (UpstreamLoad load : loads) {
             UpstreamState state = upstreams.get(load.getUpstream());
             if (state == null) {
                 continue;
             }
-            state.peers.put(node, load);
             UpstreamGroup group = groups.get(state.config().group());
+            state.peerLoad(node, load, group == null ? 0 : group.typicalFirstToken(), now);
             if (group != null && group.waiting() > 0) {
                 affected.add(group);
             }
@@ -493,11 +500,18 @@
         return states.stream().map(state -> state.load(now)).collect(Collectors.toList());
     }
 
+    @Override
+    public final int onlineInFlight(String name) {
+        UpstreamState state = upstreams.get(name);
+        return state == null ? 0 : state.onlineOfAll();
+    }
+
     @Override
     public final void batchInFlight(String upstream, int items) {
         UpstreamState state = upstreams.get(upstream);
         if (state != null && state.batch() != items) {
-            state.batch(items);
+            UpstreamGroup group = groups.get(state.config().group());
+            state.batch(items, group == null ? 0 : group.typicalFirstToken(), nanos());
             touch(state);
         }
     }
@@ -531,7 +545,7 @@
         }
     }
 
-    private void touch(UpstreamState state) {
+    final void touch(UpstreamState state) {
         state.changed(++version);
     }
 
--- a/core/src/main/java/dev/lavenderline/core/routing/UpstreamState.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/UpstreamState.java
@@ -11,11 +11,17 @@
 final class UpstreamState {
     private static final double NANOS_PER_MICRO = 1000;
     /** Peers' averages replace the node's own ones when these are older. */
-    private static final long OWN_AGE_NANOS = 1_000_000_000L;
+    private static final long OWN_INTERVAL_AGE_NANOS = 1_000_000_000L;
+
+    private static final long OWN_FIRST_TOKEN_AGE_NANOS = 2_000_000_000L;
+    /** Averages that are older are not reported to peers. */
+    private static final long REPORT_AGE_NANOS = 5_000_000_000L;
 
     final UpstreamStatistics statistics = new UpstreamStatistics();
     final OutlierDetector outlier = new OutlierDetector();
     final PeerCounts peers = new PeerCounts();
+    private final RecentStarts peerStarts = new RecentStarts();
+    private final RecentStarts batchStarts = new RecentStarts();
     private final Set<OnlineAttempt> withoutToken = new LinkedHashSet<>();
     private Upstream config;
     private boolean leaving;
@@ -107,10 +113,36 @@
         return batch;
     }
 
-    void batch(int items) {
+    void batch(int items, double firstTokenNanos, long nowNanos) {
+        if (items > batch) {
+            batchStarts.add(items - batch, firstTokenNanos, nowNanos);
+        }
         batch = items;
     }
 
+    /** Records a peer's load; rising counts show requests and batch items that were just started. */
+    void peerLoad(String node, UpstreamLoad load, double firstTokenNanos, long nowNanos) {
+        UpstreamLoad previous = peers.put(node, load);
+        if (previous == null) {
+            return;
+        }
+        int requests = load.getOnlineInFlight() - previous.getOnlineInFlight();
+        if (requests > 0) {
+            peerStarts.add(requests, firstTokenNanos, nowNanos);
+        }
+        int items = load.getBatchInFlight() - previous.getBatchInFlight();
+        if (items > 0) {
+            batchStarts.add(items, firstTokenNanos, nowNanos);
+        }
+    }
+
+    /** Returns the estimated number of requests and batch items of all nodes that wait for their first token. */
+    double pending(double firstTokenNanos, long nowNanos) {
+        return withoutToken.size()
+                + peerStarts.value(firstTokenNanos, nowNanos)
+                + batchStarts.value(firstTokenNanos, nowNanos);
+    }
+
     /** Returns online requests of all nodes on this upstream. */
     int onlineOfAll() {
         return online + peers.online();
@@ -142,13 +174,25 @@
 
     /** Returns the time to the first token with none ahead, own or else of the peers, 0 if unknown. */
     double firstTokenBase(long nowNanos) {
-        double own = statistics.firstTokenBase(nowNanos);
+        // A slow upstream without recent answers is still taken for slow.
+        double own = statistics.firstTokenBase(nowNanos, outlier.weight() < 1);
         return own > 0 ? own : peers.firstTokenNanos();
     }
 
     double firstToken(long nowNanos) {
-        double own = statistics.firstToken(nowNanos);
-        return own > 0 ? own : peers.firstTokenNanos();
+        double recent = statistics.firstToken(nowNanos, OWN_FIRST_TOKEN_AGE_NANOS);
+        if (recent > 0) {
+            return recent;
+        }
+        double reported = peers.firstTokenNanos();
+        return reported > 0 ? reported : statistics.firstToken(nowNanos, UpstreamStatistics.MAX_AGE_NANOS);
+    }
+
+    /** Returns whether tokens arrived recently, at this node or, as far as it has no streams, at a peer. */
+    boolean intervalKnown(long nowNanos) {
+        return nowNanos - statistics.lastObservationNanos() <= OWN_INTERVAL_AGE_NANOS
+                ? statistics.interval(nowNanos) > 0
+                : streaming == 0 && peers.intervalNanos() > 0;
     }
 
     /**
@@ -157,13 +201,23 @@
      */
     double interval(long nowNanos) {
         double known = statistics.interval(nowNanos);
-        if (nowNanos - statistics.lastObservationNanos() > OWN_AGE_NANOS && streaming == 0) {
+        if (nowNanos - statistics.lastObservationNanos() > OWN_INTERVAL_AGE_NANOS && streaming == 0) {
             double reported = peers.intervalNanos();
             known = reported > 0 ? reported : known;
         }
         return streaming > 0 ? Math.max(known, nowNanos - lastTokenNanos) : known;
     }
 
+    private double ownInterval(long nowNanos) {
+        double known = statistics.interval(nowNanos);
+        return streaming > 0 ? Math.max(known, nowNanos - lastTokenNanos) : known;
+    }
+
+    /** Returns the part of the sequences that batch items occupy, 0 to 1. */
+    double batchPart() {
+        return Math.min(1.0, (batch + peers.batch()) / (double) Math.max(1, config.maxConcurrent()));
+    }
+
     boolean idle() {
         return online == 0 && batch == 0;
     }
@@ -189,8 +243,8 @@
                 .setOnlineInFlight(online)
                 .setOnlineWaiting(waitingReported)
                 .setBatchInFlight(batch)
-                .setFirstTokenUs((int) (statistics.reportedFirstToken(nowNanos) / NANOS_PER_MICRO))
-                .setTokenIntervalUs((int) (statistics.reportedInterval(nowNanos) / NANOS_PER_MICRO))
+                .setFirstTokenUs((int) (statistics.firstToken(nowNanos, REPORT_AGE_NANOS) / NANOS_PER_MICRO))
+                .setTokenIntervalUs((int) (ownInterval(nowNanos) / NANOS_PER_MICRO))
                 .setOutstandingTokens(Math.max(0, outstandingTokens))
                 .build();
     }
--- a/core/src/main/java/dev/lavenderline/core/routing/UpstreamStatistics.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/UpstreamStatistics.java
@@ -10,16 +10,13 @@
     /** Share of the first-token time that each attempt ahead without a token adds. */
     static final double SHARE_PER_PENDING = 0.5;
 
-    private static final long MAX_AGE_NANOS = 10_000_000_000L;
-    private static final long REPORT_AGE_NANOS = 5_000_000_000L;
+    static final long MAX_AGE_NANOS = 10_000_000_000L;
     private static final long SLICE_NANOS = 5_000_000_000L;
     private static final int SLICES = 4;
 
     private final DecayingAverage firstToken = new DecayingAverage(2e9, 0.4);
     private final DecayingAverage firstTokenBase = new DecayingAverage(2e9, 0.25);
     private final DecayingAverage interval = new DecayingAverage(2e8, 0);
-    /** Slower average, so that single steps with a prefill do not show. */
-    private final DecayingAverage steadyInterval = new DecayingAverage(1e9, 0);
     /** Allocated with the first sample, because most upstreams of a large fleet are unused by a node. */
     private SlidingHistogram firstTokens;
 
@@ -29,9 +26,9 @@
     /**
      * Records the time to a first token.
      *
-     * @param ahead attempts of this node on the upstream that had no token yet when this one was sent
+     * @param ahead estimated requests and items on the upstream that had no token yet when this one was sent
      */
-    void firstToken(long nanos, int ahead, long nowNanos) {
+    void firstToken(long nanos, double ahead, long nowNanos) {
         firstToken.add(nanos, nowNanos);
         firstTokenBase.add(nanos / (1 + SHARE_PER_PENDING * ahead), nowNanos);
         if (firstTokens == null) {
@@ -40,10 +37,21 @@
         firstTokens.add(nanos, nowNanos);
     }
 
+    /**
+     * Records that an attempt was ended without a first token; only a wait above the average says something.
+     *
+     * @param usualNanos usual time to the first token in the group
+     */
+    void noFirstToken(long nanos, double usualNanos, long nowNanos) {
+        if (nanos > Math.max(usualNanos, firstToken.value())) {
+            firstToken.add(nanos, nowNanos);
+            firstTokenBase.add(nanos, nowNanos);
+        }
+    }
+
     /** Records the interval between two tokens of one stream. */
     void interval(long nanos, long nowNanos) {
         interval.add(nanos, nowNanos);
-        steadyInterval.add(nanos, nowNanos);
         if (intervals == null) {
             intervals = new SlidingHistogram(SLICE_NANOS, SLICES);
         }
@@ -59,13 +67,13 @@
         return lastObservationNanos;
     }
 
-    double firstToken(long nowNanos) {
-        return firstToken.fresh(nowNanos, MAX_AGE_NANOS) ? firstToken.value() : 0;
+    double firstToken(long nowNanos, long maxAgeNanos) {
+        return firstToken.fresh(nowNanos, maxAgeNanos) ? firstToken.value() : 0;
     }
 
     /** Returns the first-token time of an attempt with none ahead of it. */
-    double firstTokenBase(long nowNanos) {
-        return firstTokenBase.fresh(nowNanos, MAX_AGE_NANOS) ? firstTokenBase.value() : 0;
+    double firstTokenBase(long nowNanos, boolean anyAge) {
+        return anyAge || firstTokenBase.fresh(nowNanos, MAX_AGE_NANOS) ? firstTokenBase.value() : 0;
     }
 
     double interval(long nowNanos) {
@@ -76,15 +84,6 @@
         return firstToken.samples();
     }
 
-    /** Returns the averages that are recent enough for peers. */
-    double reportedFirstToken(long nowNanos) {
-        return firstToken.fresh(nowNanos, REPORT_AGE_NANOS) ? firstToken.value() : 0;
-    }
-
-    double reportedInterval(long nowNanos) {
-        return steadyInterval.fresh(nowNanos, REPORT_AGE_NANOS) ? steadyInterval.value() : 0;
-    }
-
     long firstTokenQuantile(double q, long nowNanos) {
         return firstTokens == null ? 0 : firstTokens.quantile(q, nowNanos);
     }
@@ -98,6 +97,5 @@
         firstToken.reset();
         firstTokenBase.reset();
         interval.reset();
-        steadyInterval.reset();
     }
 }
--- /dev/null
+++ b/core/src/test/java/dev/lavenderline/core/trial/TrialMain.java
@@ -0,0 +1,88 @@
+package dev.lavenderline.core.trial;
+
+import dev.lavenderline.core.routing.Dispatchers;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+
+/** Prints the ratios of docs/design.md, section 3, for the three policies; the median of five seeds each. */
+public final class TrialMain {
+    private static final double SECONDS = 60;
+    private static final int NODES = 6;
+
+    private TrialMain() {}
+
+    public static void main(String[] args) {
+        List<String> policies = args.length > 0
+                ? List.of(args)
+                : List.of(Dispatchers.LATENCY_AWARE, Dispatchers.LEAST_IN_FLIGHT, Dispatchers.ROUND_ROBIN);
+        for (String policy : policies) {
+            print(policy, "harm_ratio", seed -> p99(policy, 24, true, 0, 0, seed) / p99(policy, 24, false, 0, 0, seed));
+            print(policy, "batch_share", seed -> {
+                FleetTrial trial = new FleetTrial(new FleetTrial.Setup(policy, 24, true, 0, 0, NODES, seed));
+                trial.run(SECONDS);
+                return trial.batchShare();
+            });
+            print(
+                    policy,
+                    "hol_ratio",
+                    seed -> p99(policy, 14, false, 0.05, 0, seed) / p99(policy, 14, false, 0, 0, seed));
+            print(
+                    policy,
+                    "slowed_ratio",
+                    seed -> p99(policy, 24, false, 0, 2, seed) / p99(policy, 24, false, 0, 0, seed));
+            print(policy, "extra_ratio", seed -> {
+                FleetTrial trial = new FleetTrial(new FleetTrial.Setup(policy, 24, true, 0, 2, NODES, seed));
+                trial.run(SECONDS);
+                return trial.extra / (double) trial.requests;
+            });
+            details(policy);
+        }
+    }
+
+    private static double p99(String policy, double rate, boolean batch, double stragglers, int slowed, long seed) {
+        return new FleetTrial(new FleetTrial.Setup(policy, rate, batch, stragglers, slowed, NODES, seed)).run(SECONDS);
+    }
+
+    private static void print(String policy, String key, ToDoubleFunction<Long> figure) {
+        double[] values = new double[5];
+        for (int i = 0; i < values.length; i++) {
+            values[i] = figure.applyAsDouble((long) i + 1);
+        }
+        Arrays.sort(values);
+        System.out.printf(Locale.ROOT, "%-16s %-13s %8.3f   %s%n", policy, key, values[2], Arrays.toString(values));
+    }
+
+    private static void details(String policy) {
+        for (boolean batch : new boolean[] {false, true}) {
+            for (int slowed : new int[] {0, 2}) {
+                for (double stragglers : new double[] {0, 0.05}) {
+                    double rate = stragglers > 0 ? 14 : 24;
+                    FleetTrial trial =
+                            new FleetTrial(new FleetTrial.Setup(policy, rate, batch, stragglers, slowed, NODES, 1));
+                    trial.run(SECONDS);
+                    System.out.printf(
+                            Locale.ROOT,
+                            "  batch=%s slowed=%d stragglers=%.2f p50=%.0f p95=%.0f p99=%.0f max=%.0f n=%d refused=%d"
+                                    + " extra=%d remote=%d batchDone=%d cancelled=%d engineWait=%.0f %s%n",
+                            batch,
+                            slowed,
+                            stragglers,
+                            trial.percentile(0.5),
+                            trial.percentile(0.95),
+                            trial.percentile(0.99),
+                            trial.percentile(1),
+                            trial.requests,
+                            trial.refused,
+                            trial.extra,
+                            trial.remote,
+                            trial.batchDone,
+                            trial.batchCancelled,
+                            trial.longestOnlineWait,
+                            trial.occupancy());
+                }
+            }
+        }
+    }
+}
