--- a/bench/src/main/java/dev/lavenderline/bench/Main.java
+++ b/bench/src/main/java/dev/lavenderline/bench/Main.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.bench;
 
+import dev.lavenderline.bench.load.Bench;
 import dev.lavenderline.bench.quickstart.Quickstart;
 import java.util.Arrays;
 import java.util.List;
@@ -7,11 +8,11 @@
 import java.util.TreeMap;
 import java.util.function.ToIntFunction;
 
-/** Entry point of the programs that do not ship: {@code quickstart}. */
+/** Entry point of the programs that do not ship: {@code bench}, {@code quickstart}. */
 public final class Main {
     private static final int USAGE = 2;
     private static final Map<String, ToIntFunction<List<String>>> COMMANDS =
-            new TreeMap<>(Map.of("quickstart", Quickstart::run));
+            new TreeMap<>(Map.of("bench", Bench::run, "quickstart", Quickstart::run));
 
     private Main() {}
 
--- a/bench/src/main/java/dev/lavenderline/bench/fleet/DeployedFleet.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/DeployedFleet.java
@@ -24,7 +24,9 @@
     /** Deployment of all engines. */
     public static final String DEPLOYMENT = "repair";
 
-    private static final String TOKEN = "bench-token";
+    /** Bearer token of the fleet's only workspace. */
+    public static final String TOKEN = "bench-token";
+
     private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(17);
 
     private final Builder settings;
@@ -60,6 +62,20 @@
 
     private void start() {
         local.startPlatform(settings.logOptions);
+        if (settings.shared.isEmpty()) {
+            startUpstreams();
+        } else {
+            upstreams.putAll(settings.shared);
+        }
+        upstreams.values().forEach(upstream -> local.register("upstream", upstream.address(), "live"));
+        for (int i = 0; i < settings.nodes; i++) {
+            startNode("node-" + i, region(i));
+        }
+        publish(Map.of("00-fleet.yaml", config()));
+        awaitInForce();
+    }
+
+    private void startUpstreams() {
         Map<String, ManagedProcess> started = new LinkedHashMap<>();
         for (int i = 0; i < settings.engines; i++) {
             started.put("engine-" + i, local.startUpstream("engine", "engine-" + i, 0, settings.engineOptions));
@@ -73,12 +89,6 @@
             String region = region(index++ % settings.engines);
             upstreams.put(name, new Upstream(name, entry.getValue(), LocalFleet.port(entry.getValue()), region));
         }
-        upstreams.values().forEach(upstream -> local.register("upstream", upstream.address(), "live"));
-        for (int i = 0; i < settings.nodes; i++) {
-            startNode("node-" + i, region(i));
-        }
-        publish(Map.of("00-fleet.yaml", config()));
-        awaitInForce();
     }
 
     /** Starts another node, or a new run of one that ended. */
@@ -178,6 +188,7 @@
         private List<String> serviceOptions = List.of();
         private List<String> nodeOptions = List.of();
         private List<String> logOptions = List.of();
+        private Map<String, Upstream> shared = Map.of();
 
         private Builder(Path directory) {
             this.directory = directory;
@@ -218,6 +229,16 @@
             return this;
         }
 
+        /** Uses the upstreams of another fleet, which must outlive this one, instead of starting own ones. */
+        public Builder sharing(DeployedFleet other) {
+            shared = other.upstreams;
+            engines = other.settings.engines;
+            services = other.settings.services;
+            maxConcurrent = other.settings.maxConcurrent;
+            regions = other.settings.regions;
+            return this;
+        }
+
         /** Starts everything and waits until the configuration is in force. */
         public DeployedFleet start() {
             DeployedFleet fleet = new DeployedFleet(this);
--- /dev/null
+++ b/bench/src/main/java/dev/lavenderline/bench/load/Bench.java
@@ -0,0 +1,110 @@
+package dev.lavenderline.bench.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.lavenderline.bench.fleet.DeployedFleet;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Compares the chosen policy with the baselines: {@code bench [--quick] [--seed N] [--rounds N] [--policy NAME]}.
+ *
+ * <p>The policies take turns within each round on the same engines; each has its own nodes and its own log. The last line
+ * of the output is {@code RESULT} and a JSON object with the medians.
+ */
+public final class Bench {
+    private static final int USAGE = 2;
+    private static final String CHOSEN = "latency-aware";
+    private static final List<String> POLICIES = List.of(CHOSEN, "least-in-flight", "round-robin");
+    private static final int ENGINES = 8;
+    private static final int NODES = 3;
+    private static final int ROUNDS = 5;
+    private static final Experiment.Scale QUICK = new Experiment.Scale(ENGINES, Duration.ofMillis(2500), 90, 48);
+    private static final Experiment.Scale FULL = new Experiment.Scale(ENGINES, Duration.ofSeconds(15), 90, 48);
+
+    private Bench() {}
+
+    /** Runs the comparison and returns the exit code. */
+    public static int run(List<String> args) {
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(options(), args.toArray(new String[0]));
+        } catch (ParseException e) {
+            System.err.println("bench: " + e.getMessage());
+            return USAGE;
+        }
+        boolean isQuick = line.hasOption("quick");
+        long seed = Long.parseLong(line.getOptionValue("seed", "1"));
+        int rounds = Integer.parseInt(line.getOptionValue("rounds", Integer.toString(isQuick ? 1 : ROUNDS)));
+        List<String> policies =
+                line.hasOption("policy") ? List.of(line.getOptionValue("policy")) : POLICIES;
+        Measures measures = new Measures();
+        run(isQuick ? QUICK : FULL, seed, rounds, policies, measures);
+        System.out.print(measures.table());
+        report(measures, policies.get(0), seed);
+        return 0;
+    }
+
+    private static Options options() {
+        return new Options()
+                .addOption(Option.builder().longOpt("quick").desc("one short round").get())
+                .addOption(value("seed", "seed of the first round's arrivals; each round adds 1"))
+                .addOption(value("rounds", "rounds, each with its own seed"))
+                .addOption(value("policy", "only this policy"));
+    }
+
+    private static Option value(String name, String description) {
+        return Option.builder().longOpt(name).hasArg().desc(description).get();
+    }
+
+    private static void run(
+            Experiment.Scale scale, long seed, int rounds, List<String> policies, Measures measures) {
+        Path directory = Path.of("run", "bench");
+        Map<String, DeployedFleet> fleets = new LinkedHashMap<>();
+        try (LoadGenerator load = new LoadGenerator(DeployedFleet.TOKEN, DeployedFleet.DEPLOYMENT)) {
+            for (String policy : policies) {
+                DeployedFleet.Builder builder = DeployedFleet.builder(directory.resolve(policy))
+                        .engines(scale.engineCount(), EngineModel.STANDARD.options())
+                        .regions("north-moor", "river-vale", "south-coast")
+                        .nodes(NODES, "--policy=" + policy);
+                if (!fleets.isEmpty()) {
+                    builder.sharing(fleets.get(policies.get(0)));
+                }
+                fleets.put(policy, builder.start());
+            }
+            DeployedFleet engines = fleets.get(policies.get(0));
+            for (int round = 0; round < rounds; round++) {
+                for (String policy : policies) {
+                    new Experiment(policy, fleets.get(policy), engines, load, measures, scale).run(seed + round);
+                }
+            }
+        } finally {
+            fleets.values().forEach(DeployedFleet::close);
+        }
+    }
+
+    private static void report(Measures measures, String chosen, long seed) {
+        ObjectNode result = measures.json(chosen);
+        result.put("seed", seed);
+        Path file = Path.of("run", "bench", "result.json");
+        ObjectNode all = result.deepCopy();
+        all.set("rounds", measures.allRounds());
+        try {
+            Files.createDirectories(file.getParent());
+            Files.writeString(file, all.toPrettyString());
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot write " + file, e);
+        }
+        System.out.println("RESULT " + result);
+    }
+}
--- a/node/src/main/java/dev/lavenderline/node/Upstreams.java
+++ b/node/src/main/java/dev/lavenderline/node/Upstreams.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -71,6 +72,9 @@
                 controller,
                 scheduler,
                 () -> parts.streams.config().ledger().config(),
+                settings.traffic().policy() == Settings.Policy.LATENCY_AWARE
+                        ? engine -> Optional.empty()
+                        : SlotExchange::unlimited,
                 ticker);
     }
 
--- a/node/src/main/java/dev/lavenderline/node/cluster/SlotExchange.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/SlotExchange.java
@@ -18,7 +18,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /**
@@ -30,30 +32,40 @@
  */
 public final class SlotExchange {
     private static final Duration REGION_PERIOD = Duration.ofMillis(100);
+    private static final Duration UNLIMITED_VALIDITY = Duration.ofSeconds(2);
 
     private final Cluster cluster;
     private final LoadExchange loads;
     private final SlotController controller;
     private final BatchScheduler scheduler;
     private final Supplier<FleetConfig> config;
+    private final Function<Upstream, Optional<SlotGrant>> fixedGrant;
     private final Ticker ticker;
     private final Map<String, UpstreamLoad> forRegion = new HashMap<>();
     private Set<String> controlled = Set.of();
     private long version;
     private long regionSentNanos;
+    private long fixedGrants;
 
+    /**
+     * Creates the exchange.
+     *
+     * @param fixedGrant grant for an engine that needs no controller; empty for the policy with controllers
+     */
     public SlotExchange(
             Cluster cluster,
             LoadExchange loads,
             SlotController controller,
             BatchScheduler scheduler,
             Supplier<FleetConfig> config,
+            Function<Upstream, Optional<SlotGrant>> fixedGrant,
             Ticker ticker) {
         this.cluster = cluster;
         this.loads = loads;
         this.controller = controller;
         this.scheduler = scheduler;
         this.config = config;
+        this.fixedGrant = fixedGrant;
         this.ticker = ticker;
     }
 
@@ -108,7 +120,23 @@
         controller.lost(node);
     }
 
+    /** Returns a grant of all sequences of an engine, whatever online requests it has. */
+    public static Optional<SlotGrant> unlimited(Upstream engine) {
+        return Optional.of(SlotGrant.newBuilder()
+                .setUpstream(engine.name())
+                .setSlots(engine.maxConcurrent())
+                .setValidMs((int) UNLIMITED_VALIDITY.toMillis())
+                .setController("unlimited")
+                .build());
+    }
+
     private void request(Upstream engine, SlotRequest request) {
+        Optional<SlotGrant> fixed = fixedGrant.apply(engine);
+        if (fixed.isPresent()) {
+            scheduler.grant(
+                    fixed.get().toBuilder().setSequence(++fixedGrants).build());
+            return;
+        }
         String target = cluster.controllerOf(engine);
         if (target.equals(cluster.self())) {
             controller.request(target, request);
@@ -137,7 +165,9 @@
             forRegion.put(load.getUpstream(), load);
             Upstream engine = config.get().upstreams().get(load.getUpstream());
             if (engine != null && engine.kind() == Upstream.Kind.ENGINE) {
-                scheduler.onlineChanged(load.getUpstream(), load.getOnlineInFlight());
+                if (fixedGrant.apply(engine).isEmpty()) {
+                    scheduler.onlineChanged(load.getUpstream(), load.getOnlineInFlight());
+                }
                 byController
                         .computeIfAbsent(cluster.controllerOf(engine), node -> new ArrayList<>())
                         .add(load);
