--- a/node/src/main/java/dev/lavenderline/node/NodeEvent.java
+++ b/node/src/main/java/dev/lavenderline/node/NodeEvent.java
@@ -21,7 +21,7 @@
     UNREADY("LL-1002", Level.WARN, "unready: {}"),
     STOPPED("LL-1003", Level.INFO, "node {} stopped with exit code {}"),
     DRAIN_STARTED("LL-1004", Level.INFO, "drain started ({}): new requests accepted for another {}, {} in flight"),
-    DRAIN_FINISHED("LL-1005", Level.INFO, "drain finished after {}: {} job claims released"),
+    DRAIN_FINISHED("LL-1005", Level.INFO, "drain finished after {}"),
     DRAIN_TIMED_OUT("LL-1006", Level.WARN, "drain timed out after {}: {} requests still in flight"),
 
     CHILD_STARTED("LL-1010", Level.DEBUG, "child {} started"),
--- a/node/src/test/java/dev/lavenderline/node/DocsTest.java
+++ b/node/src/test/java/dev/lavenderline/node/DocsTest.java
@@ -3,13 +3,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dev.lavenderline.core.LogEvent;
+import dev.lavenderline.http.HttpEvent;
+import dev.lavenderline.platform.PlatformEvent;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashSet;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -21,8 +25,23 @@
 class DocsTest {
     private static final Path DOCS = Path.of("..", "docs");
 
-    /** The events of each module. */
-    private static final List<List<? extends LogEvent>> EVENTS = List.of(List.of(NodeEvent.values()));
+    /** A row of the events page. */
+    private record Row(String code, String name, String message) {}
+
+    /** The events of all modules in the order of their codes. */
+    private static final List<Row> EVENTS = Stream.of(
+                    rows(NodeEvent.values(), NodeEvent::code, NodeEvent::message),
+                    rows(PlatformEvent.values(), PlatformEvent::code, PlatformEvent::message),
+                    rows(HttpEvent.values(), HttpEvent::code, HttpEvent::message))
+            .flatMap(List::stream)
+            .toList();
+
+    private static <E extends Enum<E>> List<Row> rows(
+            E[] events, Function<E, String> code, Function<E, String> message) {
+        return Arrays.stream(events)
+                .map(event -> new Row(code.apply(event), event.name(), message.apply(event)))
+                .toList();
+    }
 
     @Test
     void operationsPageHasTheSettingsTable() throws IOException {
@@ -32,31 +51,35 @@
     @Test
     void eventsPageListsAllEvents() throws IOException {
         StringBuilder table = new StringBuilder("| code | event | message |\n| --- | --- | --- |\n");
-        for (List<? extends LogEvent> events : EVENTS) {
-            for (LogEvent event : events) {
-                table.append("| ")
-                        .append(event.code())
-                        .append(" | `")
-                        .append(event)
-                        .append("` | ");
-                table.append(event.message()).append(" |\n");
-            }
+        for (Row event : EVENTS) {
+            table.append("| " + event.code() + " | `" + event.name() + "` | " + event.message() + " |\n");
         }
         check(DOCS.resolve("events.md"), "events", table.toString());
     }
 
     @Test
-    void eventCodesAreUniqueAndWellFormed() {
-        Set<String> codes = new HashSet<>();
-        for (List<? extends LogEvent> events : EVENTS) {
-            for (LogEvent event : events) {
-                assertTrue(event.code().matches("LL-1[0-9]{3}"), event.code());
-                assertTrue(codes.add(event.code()), "used twice: " + event.code());
+    void eventCodesAreUniqueAndInOrder() {
+        List<String> codes = EVENTS.stream().map(Row::code).toList();
+
+        assertTrue(codes.stream().allMatch(code -> code.matches("LL-1[0-9]{3}")), codes.toString());
+        assertEquals(codes.stream().distinct().sorted().toList(), codes);
+        assertTrue(
+                Arrays.stream(NodeEvent.values()).allMatch(event -> event.code().startsWith("LL-10")));
+    }
+
+    /** An enum that is missing in the list above is missing in the page. */
+    @Test
+    void everyEventEnumOfTheModulesIsListed() throws IOException {
+        Set<String> found = new TreeSet<>();
+        for (String module : List.of("core", "platform", "peer", "http", "node")) {
+            try (Stream<Path> sources = Files.walk(Path.of("..", module, "src", "main", "java"))) {
+                sources.map(path -> path.getFileName().toString())
+                        .filter(name -> name.matches("(Node|Platform|Http|Peer)Event\\.java"))
+                        .forEach(found::add);
             }
         }
-        for (NodeEvent event : NodeEvent.values()) {
-            assertTrue(event.code().startsWith("LL-10"), event.code());
-        }
+
+        assertEquals(Set.of("NodeEvent.java", "PlatformEvent.java", "HttpEvent.java"), found);
     }
 
     private static void check(Path page, String part, String expected) throws IOException {
