--- a/peer/src/main/java/dev/lavenderline/peer/package-info.java
+++ b/peer/src/main/java/dev/lavenderline/peer/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Connections between nodes: framing, heartbeats, replacement of silent connections. */
 package dev.lavenderline.peer;
