--- a/node/src/main/java/dev/lavenderline/node/Setting.java
+++ b/node/src/main/java/dev/lavenderline/node/Setting.java
@@ -163,8 +163,7 @@
     private static Optional<URI> readUrl(String text) {
         try {
             URI url = new URI(text);
-            boolean valid =
-                    ("http".equals(url.getScheme()) || "https".equals(url.getScheme())) && url.getHost() != null;
+            boolean valid = "http".equals(url.getScheme()) && url.getHost() != null;
             return valid ? Optional.of(url) : Optional.empty();
         } catch (URISyntaxException e) {
             return Optional.empty();
--- a/node/src/test/java/dev/lavenderline/node/SettingsFaultsTest.java
+++ b/node/src/test/java/dev/lavenderline/node/SettingsFaultsTest.java
@@ -23,7 +23,7 @@
             "--peers-address",
             "0.0.0.0:0",
             "--log-url",
-            "log.example",
+            "https://log.example",
             "--append-rate",
             "0",
             "--work-linger",
