--- a/node/src/main/java/dev/lavenderline/node/Upstreams.java
+++ b/node/src/main/java/dev/lavenderline/node/Upstreams.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -71,6 +72,9 @@
                 controller,
                 scheduler,
                 () -> parts.streams.config().ledger().config(),
+                settings.traffic().policy() == Settings.Policy.LATENCY_AWARE
+                        ? engine -> Optional.empty()
+                        : SlotExchange::unlimited,
                 ticker);
     }
 
@@ -80,6 +84,7 @@
         Jobs jobs = new Jobs(
                 vertx,
                 parts.streams.work(),
+                parts.streams.log(),
                 parts.streams.reader(),
                 parts.upstreams.scheduler,
                 parts.upstreams.client,
@@ -90,6 +95,7 @@
                         identity.incarnation(),
                         settings.identity().region(),
                         settings.platform().logTimeout(),
+                        settings.platform().logRetention(),
                         settings.traffic().firstTokenLimit(),
                         settings.traffic().stallLimit()),
                 timers,
@@ -152,10 +158,9 @@
     @Override
     public Map<String, Object> state() {
         Map<String, Object> state = new LinkedHashMap<>();
-        state.put("views", dispatcher.views().stream().map(Object::toString).toList());
-        state.put(
-                "controlled", controller.views().stream().map(Object::toString).toList());
-        state.put("batch", scheduler.view().toString());
+        state.put("views", StateValues.of(dispatcher.views()));
+        state.put("controlled", StateValues.of(controller.views()));
+        state.put("batch", StateValues.of(scheduler.view()));
         return state;
     }
 }
