--- a/bench/src/main/java/dev/lavenderline/bench/Main.java
+++ b/bench/src/main/java/dev/lavenderline/bench/Main.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.bench;
 
+import dev.lavenderline.bench.fleet.Hold;
 import dev.lavenderline.bench.load.Bench;
 import dev.lavenderline.bench.quickstart.Quickstart;
 import java.util.Arrays;
@@ -12,7 +13,7 @@
 public final class Main {
     private static final int USAGE = 2;
     private static final Map<String, ToIntFunction<List<String>>> COMMANDS =
-            new TreeMap<>(Map.of("bench", Bench::run, "quickstart", Quickstart::run));
+            new TreeMap<>(Map.of("bench", Bench::run, "hold", Hold::run, "quickstart", Quickstart::run));
 
     private Main() {}
 
--- a/bench/src/main/java/dev/lavenderline/bench/fleet/DeployedFleet.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/DeployedFleet.java
@@ -69,8 +69,9 @@
         }
         upstreams.values().forEach(upstream -> local.register("upstream", upstream.address(), "live"));
         for (int i = 0; i < settings.nodes; i++) {
-            startNode("node-" + i, region(i));
+            nodes.add(local.launchNode("node-" + i, region(i), region(i) + "-1", settings.nodeOptions));
         }
+        nodes.forEach(local::join);
         publish(Map.of("00-fleet.yaml", config()));
         awaitInForce();
     }
--- a/bench/src/main/java/dev/lavenderline/bench/fleet/LocalFleet.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/LocalFleet.java
@@ -82,12 +82,18 @@
     /** Starts a node, waits until it listens and adds it to the host list. */
     public LocalNode startNode(String name, String region, String failureDomain, List<String> options) {
         LocalNode node = launchNode(name, region, failureDomain, options);
+        join(node);
+        return node;
+    }
+
+    /** Waits until a launched node listens and adds it to the host list. */
+    public void join(LocalNode node) {
         node.awaitListening();
         register("node", node.peersAddress(), "live");
-        return node;
     }
 
-    private LocalNode launchNode(String name, String region, String failureDomain, List<String> options) {
+    /** Starts a node and returns at once; several can start at the same time. */
+    public LocalNode launchNode(String name, String region, String failureDomain, List<String> options) {
         List<String> args = new ArrayList<>(List.of(
                 "--node=" + name,
                 "--region=" + region,
--- a/bench/src/main/java/dev/lavenderline/bench/fleet/ManagedProcess.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/ManagedProcess.java
@@ -2,9 +2,11 @@
 
 import java.io.BufferedReader;
 import java.io.File;
+import java.io.FileWriter;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
+import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -36,7 +38,7 @@
     /**
      * Starts a main class of this process's own class path and returns at once.
      *
-     * @param log file that gets standard error
+     * @param log file that gets standard error and standard output
      */
     static ManagedProcess start(String name, List<String> jvmOptions, String mainClass, List<String> args, File log) {
         List<String> command = new ArrayList<>();
@@ -143,10 +145,14 @@
 
     private void readOutput() {
         try (BufferedReader lines =
-                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+                        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+                Writer copy = new FileWriter(log, StandardCharsets.UTF_8, true)) {
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                 if (line.startsWith("ready ")) {
                     ready.complete(line.substring("ready ".length()));
+                } else {
+                    copy.write(line + "\n");
+                    copy.flush();
                 }
             }
             ready.completeExceptionally(new IllegalStateException(name + " ended before it was ready"));
--- a/bench/src/main/java/dev/lavenderline/bench/quickstart/Quickstart.java
+++ b/bench/src/main/java/dev/lavenderline/bench/quickstart/Quickstart.java
@@ -71,9 +71,11 @@
             upstreams.add(fleet.startUpstream("engine", "engine-" + (i + 1), FIRST_ENGINE_PORT + i, List.of()));
         }
         upstreams.add(fleet.startUpstream("service", "dispatch-1", SERVICE_PORT, List.of()));
+        List<LocalNode> nodes = new ArrayList<>();
         for (int i = 0; i < REGIONS.size(); i++) {
-            fleet.startNode("node-" + (i + 1), REGIONS.get(i), REGIONS.get(i) + "-1", List.of());
+            nodes.add(fleet.launchNode("node-" + (i + 1), REGIONS.get(i), REGIONS.get(i) + "-1", List.of()));
         }
+        nodes.forEach(fleet::join);
         upstreams.forEach(ManagedProcess::awaitReady);
     }
 
