--- /dev/null
+++ b/bench/src/main/java/dev/lavenderline/bench/history/package-info.java
@@ -0,0 +1,2 @@
+/** Judges recorded runs: what the log, the upstreams and the callers saw. */
+package dev.lavenderline.bench.history;
--- a/bench/src/main/java/dev/lavenderline/bench/load/Experiment.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/Experiment.java
@@ -170,7 +170,7 @@
     private LoadResult runLoad(LoadPlan plan, boolean stopLong) {
         List<String> urls =
                 fleet.nodes().stream().map(LocalNode::callersUrl).toList();
-        LoadResult result = load.run(plan, urls, stopLong);
+        LoadResult result = load.run(plan, () -> urls, stopLong);
         if (result.failedCount() > 0) {
             measures.add(policy, "failed_requests", result.failedCount());
         }
--- a/bench/src/main/java/dev/lavenderline/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/LoadGenerator.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 
 /**
  * Sends planned requests to nodes in turn without waiting for answers (open loop).
@@ -41,10 +42,10 @@
     /**
      * Runs a plan and waits for its answers.
      *
-     * @param urls base URLs of the nodes
+     * @param urls gives the base URLs of the nodes that take requests now, as a load balancer knows them
      * @param stopLong whether stragglers are given up by the caller when all other requests have ended
      */
-    public LoadResult run(LoadPlan plan, List<String> urls, boolean stopLong) {
+    public LoadResult run(LoadPlan plan, Supplier<List<String>> urls, boolean stopLong) {
         CompletableFuture<LoadResult> done = new CompletableFuture<>();
         context.runOnContext(ignored -> new Run(plan, urls, stopLong, done).start());
         Duration limit = GRACE;
@@ -77,7 +78,7 @@
 
     private final class Run {
         private final LoadPlan plan;
-        private final List<String> urls;
+        private final Supplier<List<String>> urls;
         private final boolean stopLong;
         private final CompletableFuture<LoadResult> done;
         private final LoadResult result = new LoadResult();
@@ -87,7 +88,7 @@
         private int openShort;
         private boolean stopped;
 
-        private Run(LoadPlan plan, List<String> urls, boolean stopLong, CompletableFuture<LoadResult> done) {
+        private Run(LoadPlan plan, Supplier<List<String>> urls, boolean stopLong, CompletableFuture<LoadResult> done) {
             this.plan = plan;
             this.urls = urls;
             this.stopLong = stopLong;
@@ -100,10 +101,11 @@
         }
 
         private void sendDue() {
-            long now = System.nanoTime() - startNanos;
+            long elapsed = System.nanoTime() - startNanos;
             while (next < plan.requests().size()
-                    && plan.requests().get(next).at().toNanos() <= now) {
-                send(plan.requests().get(next), urls.get(next % urls.size()));
+                    && plan.requests().get(next).at().toNanos() <= elapsed) {
+                List<String> now = urls.get();
+                send(plan.requests().get(next), now.get(next % now.size()));
                 next++;
             }
             if (next < plan.requests().size()) {
