--- a/core/src/main/java/dev/lavenderline/core/ledger/Job.java
+++ b/core/src/main/java/dev/lavenderline/core/ledger/Job.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 /**
  * A batch job.
@@ -220,7 +221,8 @@
         return endedMs;
     }
 
-    JobState snapshot() {
+    /** Captures the state; the supplier serializes it and may be called on any thread. */
+    Supplier<JobState> capture() {
         JobState.Builder builder = JobState.newBuilder()
                 .setCreated(created)
                 .setCreatedOffset(createdOffset)
@@ -230,10 +232,13 @@
                 .setClosedReason(closedReason)
                 .setEndedMs(endedMs)
                 .setFailedItems(failed);
-        for (long offset : results) {
-            builder.addResultOffset(offset);
-        }
-        return builder.build();
+        long[] offsets = results.clone();
+        return () -> {
+            for (long offset : offsets) {
+                builder.addResultOffset(offset);
+            }
+            return builder.build();
+        };
     }
 
     static Job of(JobState state) {
--- a/core/src/main/java/dev/lavenderline/core/ledger/Ledger.java
+++ b/core/src/main/java/dev/lavenderline/core/ledger/Ledger.java
@@ -2,6 +2,7 @@
 
 import dev.lavenderline.proto.log.RecordBatch;
 import java.time.Instant;
+import java.util.function.Supplier;
 
 /**
  * State folded from one stream of the log. Every reader that folds the same records has the same state.
@@ -21,6 +22,15 @@
     /** Serializes the state as of {@link #position()}. */
     byte[] snapshot();
 
+    /**
+     * Captures the state as of {@link #position()}. The supplier serializes it and may be called once on any thread, so
+     * that a large state does not hold up the event loop.
+     */
+    default Supplier<byte[]> prepareSnapshot() {
+        byte[] snapshot = snapshot();
+        return () -> snapshot;
+    }
+
     /**
      * Replaces the state by a snapshot.
      *
--- a/core/src/main/java/dev/lavenderline/core/ledger/WorkLedger.java
+++ b/core/src/main/java/dev/lavenderline/core/ledger/WorkLedger.java
@@ -27,6 +27,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Files, batch jobs, claims, results and roles, folded from the stream {@code work}.
@@ -133,16 +134,27 @@
 
     @Override
     public byte[] snapshot() {
+        return prepareSnapshot().get();
+    }
+
+    @Override
+    public Supplier<byte[]> prepareSnapshot() {
         WorkState.Builder builder = WorkState.newBuilder().addAllWriters(writerStates());
         state.files.values().forEach(file -> builder.addFiles(file.state()));
-        state.jobs.values().stream().sorted(BY_CREATION).forEach(job -> builder.addJobs(job.snapshot()));
         state.roles
                 .values()
                 .forEach(role -> builder.addRoles(RoleState.newBuilder()
                         .setRole(role.name())
                         .setHolder(role.holder())
                         .setClaim(role.claim())));
-        return serialize(builder.build());
+        List<Supplier<JobState>> jobs = state.jobs.values().stream()
+                .sorted(BY_CREATION)
+                .map(Job::capture)
+                .toList();
+        return () -> {
+            jobs.forEach(job -> builder.addJobs(job.get()));
+            return serialize(builder.build());
+        };
     }
 
     @Override
--- a/core/src/test/java/dev/lavenderline/core/ledger/WorkSnapshotTest.java
+++ b/core/src/test/java/dev/lavenderline/core/ledger/WorkSnapshotTest.java
@@ -1,8 +1,10 @@
 package dev.lavenderline.core.ledger;
 
+import static dev.lavenderline.core.ledger.WorkEntries.chunk;
 import static dev.lavenderline.core.ledger.WorkEntries.claim;
 import static dev.lavenderline.core.ledger.WorkEntries.complete;
 import static dev.lavenderline.core.ledger.WorkEntries.failure;
+import static dev.lavenderline.core.ledger.WorkEntries.republish;
 import static dev.lavenderline.core.ledger.WorkEntries.result;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -11,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -40,6 +43,16 @@
         assertEquals(new WorkEvent.Restored(3), events.get(0));
     }
 
+    /** Guards against a snapshot that mixes two states because records are folded while it is serialized. */
+    @Test
+    void preparedSnapshotHoldsTheStateOfItsPreparation() {
+        byte[] expected = ledger.snapshot();
+        Supplier<byte[]> prepared = ledger.prepareSnapshot();
+        log.append("b", republish("j", result(2, "x")), chunk("f-j", 0, 0, 3), claim("j", "b", 2));
+        log.append("b", complete("j", 4, result(1, "")));
+        assertArrayEquals(expected, prepared.get());
+    }
+
     /** Guards against a paused node whose old snapshot reverts the state of a reader. */
     @Test
     void snapshotThatIsNotNewerIsRefused() {
--- a/peer/src/main/java/dev/lavenderline/peer/Connection.java
+++ b/peer/src/main/java/dev/lavenderline/peer/Connection.java
@@ -55,7 +55,7 @@
     }
 
     void sendHeartbeat(Heartbeat heartbeat) {
-        if (heartbeatsSent == acknowledged) {
+        if (heartbeatsSent > 0 && heartbeatsSent == acknowledged) {
             // The wait for an acknowledgement starts now, however long ago the last heartbeat was sent.
             lastAcknowledgement = mesh.nanos();
         }
@@ -146,6 +146,7 @@
             refuse("the node's own name " + own.getNode());
         } else {
             peer = hello;
+            lastAcknowledgement = lastFrame;
             mesh.introduced(this);
         }
     }
