Complete a drain only after the last end handler has run

The drain test failed once in four runs with one request still counted as open, because the server's shutdown completed before the end handler.

--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.core.config.FleetConfig;
 import dev.lavenderline.core.routing.Dispatcher;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -42,11 +43,16 @@
  * }</pre>
  */
 public final class CallerServer {
+    /** Time for the end handlers of requests that are cut off by a drain. */
+    private static final Duration END_HANDLERS = Duration.ofSeconds(1);
+
     private final Builder settings;
     private final ServerContext context;
     private final BearerTokens tokens;
+    private final Promise<Void> idle = Promise.promise();
     private HttpServer server;
     private boolean closing;
+    private boolean stopped;
     private int openRequests;
 
     private CallerServer(Builder settings) {
@@ -110,9 +116,27 @@
         announceDrain();
         HttpEvent.DRAINING.info(openRequests);
         return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .compose(closed -> lastRequestEnded())
                 .onComplete(done -> HttpEvent.DRAINED.info(openRequests));
     }
 
+    /** Connections are closed, but the end handlers of the last requests may not have run yet. */
+    private Future<Void> lastRequestEnded() {
+        stopped = true;
+        if (openRequests == 0) {
+            return Future.succeededFuture();
+        }
+        long timer = settings.vertx.setTimer(END_HANDLERS.toMillis(), fired -> idle.tryComplete());
+        return idle.future().onComplete(done -> settings.vertx.cancelTimer(timer));
+    }
+
+    private void requestEnded() {
+        openRequests--;
+        if (stopped && openRequests == 0) {
+            idle.tryComplete();
+        }
+    }
+
     private Router router() {
         Router router = Router.router(settings.vertx);
         BodyHandler bodies = BodyHandler.create(false).setBodyLimit(settings.limits.maxBodyBytes());
@@ -136,7 +160,7 @@
 
     private void accept(RoutingContext ctx) {
         openRequests++;
-        ctx.addEndHandler(ended -> openRequests--);
+        ctx.addEndHandler(ended -> requestEnded());
         context.metrics().requests.mark();
         String id = settings.requestIds.get();
         ctx.response().putHeader("X-Request-Id", id);
--- a/http/src/test/java/dev/lavenderline/http/CallerDisconnectTest.java
+++ b/http/src/test/java/dev/lavenderline/http/CallerDisconnectTest.java
@@ -38,7 +38,7 @@
 
     private static void awaitFreed(TestFleet fleet) {
         Awaitility.await().until(() -> fleet.newest("e1").path("end").asText().equals("cancelled"));
-        Awaitility.await().until(() -> fleet.server.openRequests() == 0);
+        Awaitility.await().until(() -> fleet.openRequests() == 0);
         assertEquals(List.of("e1:cancelled"), fleet.dispatcher.outcomes);
         assertEquals(0, fleet.dispatcher.openTickets);
     }
--- a/http/src/test/java/dev/lavenderline/http/DrainTest.java
+++ b/http/src/test/java/dev/lavenderline/http/DrainTest.java
@@ -25,7 +25,7 @@
             for (int i = 0; i < 6; i++) {
                 answers.add(fleet.sendAsync(fleet.chat("request " + i, 60, i % 2 == 0)));
             }
-            Awaitility.await().until(() -> fleet.server.openRequests() == 6);
+            Awaitility.await().until(() -> fleet.openRequests() == 6);
             fleet.awaitTokens("e1", 2);
             Future<Void> drained = fleet.drain(Duration.ofSeconds(30));
             Awaitility.await()
@@ -39,7 +39,7 @@
                 assertTrue(i % 2 == 1 || response.body().endsWith("data: [DONE]\n\n"));
             }
             drained.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-            assertEquals(0, fleet.server.openRequests());
+            assertEquals(0, fleet.openRequests());
         }
     }
 
--- a/http/src/test/java/dev/lavenderline/http/SlowCallerTest.java
+++ b/http/src/test/java/dev/lavenderline/http/SlowCallerTest.java
@@ -22,7 +22,7 @@
                     fleet.chat("a very long diagnosis", tokens, true), HttpResponse.BodyHandlers.ofInputStream());
             Awaitility.await()
                     .until(() -> fleet.newest("e1").path("end").asText().equals("completed"));
-            assertEquals(1, fleet.server.openRequests());
+            assertEquals(1, fleet.openRequests());
             String events = new String(response.body().readAllBytes(), StandardCharsets.UTF_8);
 
             assertEquals(tokens, TestFleet.streamedText(events).split(" ").length);
--- a/http/src/test/java/dev/lavenderline/http/TestFleet.java
+++ b/http/src/test/java/dev/lavenderline/http/TestFleet.java
@@ -32,6 +32,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.awaitility.Awaitility;
 
 /** A caller server in front of stand-ins, with a client for tests. */
@@ -159,12 +160,20 @@
     }
 
     void announceDrain() {
-        Promise<Void> announced = Promise.promise();
-        loop.runOnContext(run -> {
+        onLoop(() -> {
             server.announceDrain();
-            announced.complete();
+            return null;
         });
-        announced.future().await();
+    }
+
+    int openRequests() {
+        return onLoop(server::openRequests);
+    }
+
+    private <T> T onLoop(Supplier<T> action) {
+        Promise<T> result = Promise.promise();
+        loop.runOnContext(run -> result.complete(action.get()));
+        return result.future().await();
     }
 
     /** Starts to drain the server. */
