--- a/bench/src/main/java/dev/lavenderline/bench/quickstart/Quickstart.java
+++ b/bench/src/main/java/dev/lavenderline/bench/quickstart/Quickstart.java
@@ -71,21 +71,18 @@
             upstreams.add(fleet.startUpstream("engine", "engine-" + (i + 1), FIRST_ENGINE_PORT + i, List.of()));
         }
         upstreams.add(fleet.startUpstream("service", "dispatch-1", SERVICE_PORT, List.of()));
+        List<LocalNode> nodes = new ArrayList<>();
         for (int i = 0; i < REGIONS.size(); i++) {
-            fleet.startNode("node-" + (i + 1), REGIONS.get(i), REGIONS.get(i) + "-1", List.of());
+            nodes.add(fleet.launchNode("node-" + (i + 1), REGIONS.get(i), REGIONS.get(i) + "-1", List.of()));
         }
+        nodes.forEach(fleet::join);
         upstreams.forEach(ManagedProcess::awaitReady);
     }
 
     private void applyConfig() {
         step("lavenderctl apply " + configFolder);
-        String operators = String.join(
-                ",",
-                fleet.nodes().values().stream().map(LocalNode::operatorsAddress).toList());
         ManagedProcess apply = fleet.start(
-                "apply",
-                "dev.lavenderline.ctl.Main",
-                List.of("apply", configFolder, "--log-url", fleet.logUrl(), "--nodes", operators));
+                "apply", "dev.lavenderline.ctl.Main", List.of("apply", configFolder, "--log-url", fleet.logUrl()));
         int code = apply.awaitExit(Duration.ofSeconds(20));
         check(code == 0, "lavenderctl apply gave exit code " + code);
         Poll.until(
