--- a/node/src/test/java/dev/lavenderline/node/DocsTest.java
+++ b/node/src/test/java/dev/lavenderline/node/DocsTest.java
@@ -32,6 +32,7 @@
     private static final List<Row> EVENTS = Stream.of(
                     rows(NodeEvent.values(), NodeEvent::code, NodeEvent::message),
                     rows(PlatformEvent.values(), PlatformEvent::code, PlatformEvent::message),
+                    peerRows(),
                     rows(HttpEvent.values(), HttpEvent::code, HttpEvent::message))
             .flatMap(List::stream)
             .toList();
@@ -43,6 +44,18 @@
                 .toList();
     }
 
+    /** The enum is not visible here and has no message patterns; its text form is the code. */
+    private static List<Row> peerRows() {
+        try {
+            return Arrays.stream(
+                            Class.forName("dev.lavenderline.peer.PeerEvent").getEnumConstants())
+                    .map(event -> new Row(event.toString(), ((Enum<?>) event).name(), ""))
+                    .toList();
+        } catch (ClassNotFoundException e) {
+            throw new IllegalStateException("the peer module has no event enum", e);
+        }
+    }
+
     @Test
     void operationsPageHasTheSettingsTable() throws IOException {
         check(DOCS.resolve("operations.md"), "settings", SettingsTable.markdown());
@@ -79,7 +92,7 @@
             }
         }
 
-        assertEquals(Set.of("NodeEvent.java", "PlatformEvent.java", "HttpEvent.java"), found);
+        assertEquals(Set.of("NodeEvent.java", "PlatformEvent.java", "PeerEvent.java", "HttpEvent.java"), found);
     }
 
     private static void check(Path page, String part, String expected) throws IOException {
