--- a/core/src/main/java/dev/lavenderline/core/admission/BatchLimit.java
+++ b/core/src/main/java/dev/lavenderline/core/admission/BatchLimit.java
@@ -8,7 +8,9 @@
  */
 final class BatchLimit {
     private static final double DECREASE = 0.7;
-    private static final long INCREASE_NANOS = 100_000_000L;
+    /** A slot that returns at once after an online request ended is often taken away by the next one. */
+    private static final long INCREASE_NANOS = 200_000_000L;
+
     private static final long INCREASE_WITHOUT_ONLINE_NANOS = 50_000_000L;
     /** Reports show the effect of a decrease after the items were cancelled and new tokens were averaged. */
     private static final long FEEDBACK_NANOS = 300_000_000L;
--- a/core/src/main/java/dev/lavenderline/core/admission/BatchScheduler.java
+++ b/core/src/main/java/dev/lavenderline/core/admission/BatchScheduler.java
@@ -25,7 +25,8 @@
  * Starts and cancels the items of the batch jobs that this node owns, within the slots that controllers granted.
  *
  * <p>Invariants: an item is in flight on at most one engine; an item of an open job is queued, backing off, in flight or
- * done; a node starts at most one item on an engine before the item's first token. When a lease expires, its items are
+ * done; a node starts at most one item on an engine before the item's first token, and on at most half of a region's
+ * engines at the same time, so that online requests find an engine without a batch prefill. When a lease expires, its items are
  * cancelled and requeued like after a revocation.
  *
  * <p>Not thread-safe; confined to the node's event loop.
@@ -250,12 +251,32 @@
             }
         }
         shuffle(free);
+        Map<Place, Integer> prefills = surplusPrefills();
         for (EngineLease engine : free) {
-            start(engine, actions, now);
+            Place place = Place.of(engine);
+            if (prefills.get(place) < 0 && start(engine, actions, now)) {
+                prefills.merge(place, 2, Integer::sum);
+            }
         }
         return actions;
     }
 
+    /** Returns for each place twice the pending prefills minus the engines, so that a negative number leaves room. */
+    private Map<Place, Integer> surplusPrefills() {
+        Map<Place, Integer> prefills = new HashMap<>();
+        for (EngineLease engine : engines.values()) {
+            prefills.merge(Place.of(engine), 2 * engine.prefills() - 1, Integer::sum);
+        }
+        return prefills;
+    }
+
+    /** Engines that can stand in for each other. */
+    private record Place(String deployment, String region) {
+        static Place of(EngineLease engine) {
+            return new Place(engine.config().group(), engine.config().region());
+        }
+    }
+
     private void yieldExcess(EngineLease engine, List<BatchAction> actions, long now) {
         if (engine.running().isEmpty()) {
             return;
@@ -276,11 +297,11 @@
     private boolean mayStartOn(EngineLease engine, long now) {
         return usable(engine)
                 && engine.prefills() == 0
-                && engine.pausedNanos(now) == 0
+                && engine.startAllowed(now)
                 && engine.held() < engine.usable(now);
     }
 
-    private void start(EngineLease engine, List<BatchAction> actions, long now) {
+    private boolean start(EngineLease engine, List<BatchAction> actions, long now) {
         boolean allowSuspect = !engine.hasSuspect();
         boolean remote = !local(engine) && hasLocal(engine.config().group());
         OpenJob job = order.next(
@@ -290,11 +311,11 @@
                         && !expired(candidate)
                         && (!remote || atRisk(candidate, now)));
         if (job == null) {
-            return;
+            return false;
         }
         int index = job.items.take(allowSuspect, now);
         if (index < 0) {
-            return;
+            return false;
         }
         ItemRef ref = new ItemRef(job.id(), index);
         int failed = job.items.attempts(index);
@@ -303,6 +324,7 @@
         engine.started(item);
         order.started(job);
         actions.add(new BatchAction.Start(ref, engine.name(), failed + 1));
+        return true;
     }
 
     private void shuffle(List<EngineLease> list) {
@@ -378,7 +400,7 @@
     private RunningItem end(ItemRef ref) {
         RunningItem item = running.remove(ref);
         if (item != null) {
-            item.engine.ended(item);
+            item.engine.ended(item, ticker.nanos());
             orphans.remove(item);
         }
         return item;
--- a/core/src/main/java/dev/lavenderline/core/admission/EngineLease.java
+++ b/core/src/main/java/dev/lavenderline/core/admission/EngineLease.java
@@ -12,6 +12,11 @@
     /** How long the node's own view of a burst limits its items before the controller's grants are trusted again. */
     private static final long YIELD_NANOS = 100_000_000L;
 
+    /** Peers see a freed slot and its next item as two changes, so that they notice the prefill. */
+    private static final long FREED_NANOS = 10_000_000L;
+    /** An online request has its first token after about this time; a batch prefill would delay it. */
+    private static final long ONLINE_PREFILL_NANOS = 40_000_000L;
+
     private final Map<String, Grant> grants = new HashMap<>();
     private final List<RunningItem> running = new ArrayList<>();
     private Upstream config;
@@ -21,12 +26,14 @@
     private long yieldUntilNanos;
     private int yieldLimit = Integer.MAX_VALUE;
     private long pausedUntilNanos;
+    private long startAfterNanos;
     private int failuresInRow;
 
     EngineLease(Upstream config, long nowNanos) {
         this.config = config;
         this.yieldUntilNanos = nowNanos;
         this.pausedUntilNanos = nowNanos;
+        this.startAfterNanos = nowNanos;
     }
 
     void configure(Upstream newConfig) {
@@ -59,6 +66,7 @@
                 runningBefore = held();
             }
             yieldUntilNanos = nowNanos + YIELD_NANOS;
+            holdStarts(nowNanos + ONLINE_PREFILL_NANOS);
             int excess = Math.max(0, inFlight - onlineBefore - Headroom.of(config.maxConcurrent()));
             yieldLimit = Math.max(0, runningBefore - excess);
         }
@@ -87,8 +95,20 @@
         running.add(item);
     }
 
-    void ended(RunningItem item) {
+    void ended(RunningItem item, long nowNanos) {
         running.remove(item);
+        holdStarts(nowNanos + FREED_NANOS);
+    }
+
+    private void holdStarts(long untilNanos) {
+        if (untilNanos - startAfterNanos > 0) {
+            startAfterNanos = untilNanos;
+        }
+    }
+
+    /** Returns whether an item may start now without delaying an online request's first token. */
+    boolean startAllowed(long nowNanos) {
+        return nowNanos - startAfterNanos >= 0 && nowNanos - pausedUntilNanos >= 0;
     }
 
     List<RunningItem> running() {
--- a/core/src/test/java/dev/lavenderline/core/admission/BatchOrderTest.java
+++ b/core/src/test/java/dev/lavenderline/core/admission/BatchOrderTest.java
@@ -31,7 +31,7 @@
             ItemRef ref = harness.starts().get(0).item();
             served.merge(ref.jobId(), 1, Integer::sum);
             harness.scheduler.finished(ref);
-            harness.ticker.advanceMillis(1);
+            harness.ticker.advanceMillis(10);
         }
         return served;
     }
@@ -126,6 +126,7 @@
         assertTrue(items.stream().allMatch(harness.scheduler::finished));
         assertFalse(harness.scheduler.finished(items.get(0)));
         harness.scheduler.reopen(items.get(1));
+        harness.ticker.advanceMillis(10);
         assertEquals(List.of(items.get(1)), harness.fill());
     }
 }
--- a/core/src/test/java/dev/lavenderline/core/admission/BatchYieldTest.java
+++ b/core/src/test/java/dev/lavenderline/core/admission/BatchYieldTest.java
@@ -44,6 +44,7 @@
         ItemRef cancelled = cancels().get(0);
         assertEquals(ItemResolution.RETRY, harness.scheduler.failed(cancelled, ItemOutcome.CANCELLED));
         harness.grant("e0", 10);
+        harness.ticker.advanceMillis(10);
         BatchAction.Start start = harness.starts().get(0);
         assertEquals(cancelled, start.item());
         assertEquals(1, start.attempt());
--- a/core/src/test/java/dev/lavenderline/core/trial/EngineModel.java
+++ b/core/src/test/java/dev/lavenderline/core/trial/EngineModel.java
@@ -49,6 +49,10 @@
             this.token = token;
             this.finished = finished;
         }
+
+        int tokensLeft() {
+            return tokens;
+        }
     }
 
     void submit(Sequence sequence) {
