--- a/core/src/main/java/dev/lavenderline/core/admission/EngineSlots.java
+++ b/core/src/main/java/dev/lavenderline/core/admission/EngineSlots.java
@@ -13,6 +13,7 @@
 /** Batch limit, online load and job owners of one engine that this node controls. */
 final class EngineSlots {
     static final long LEASE_NANOS = 1_000_000_000L;
+    private static final long IDLE_TICK_NANOS = 25_000_000L;
     private static final long RENEW_NANOS = 300_000_000L;
     private static final long REQUEST_AGE_NANOS = 1_000_000_000L;
     private static final long SIGNAL_AGE_NANOS = 1_000_000_000L;
@@ -37,20 +38,25 @@
     private int batch;
     private long batchSeenNanos;
     private long sequence;
+    private boolean changed = true;
+    private long tickedNanos;
 
     EngineSlots(Upstream config, Deployment deployment, long nowNanos) {
         this.config = config;
         this.deployment = deployment;
         this.limit = new BatchLimit(nowNanos);
         this.batchSeenNanos = nowNanos;
+        this.tickedNanos = nowNanos;
     }
 
     void configure(Upstream newConfig, Deployment newDeployment) {
+        changed = true;
         config = newConfig;
         deployment = newDeployment;
     }
 
     void load(String node, UpstreamLoad load, long nowNanos) {
+        changed = true;
         NodeLoad previous = loads.put(node, new NodeLoad(load, nowNanos));
         count(previous, -1);
         count(loads.get(node), 1);
@@ -71,6 +77,7 @@
     }
 
     void request(String node, SlotRequest request, long nowNanos) {
+        changed = true;
         SlotDemand demand = demands.computeIfAbsent(node, SlotDemand::new);
         demand.wanted = Math.max(0, request.getWanted());
         demand.held = Math.max(0, request.getHeld());
@@ -80,6 +87,7 @@
 
     /** Forgets a node; its slots stay reserved until its lease has expired, because it may still use them. */
     void lost(String node) {
+        changed = true;
         count(loads.remove(node), -1);
         SlotDemand demand = demands.remove(node);
         if (demand != null && demand.granted > 0) {
@@ -88,7 +96,7 @@
         }
     }
 
-    boolean hasDemands() {
+    private boolean hasDemands() {
         return !demands.isEmpty() || !lostLeases.isEmpty();
     }
 
@@ -103,8 +111,15 @@
         return Math.max(0, Math.min(free, share));
     }
 
+    /** Returns whether a tick may have an effect: after news, and every 25 ms for limits and leases. */
+    boolean due(long nowNanos) {
+        return hasDemands() && (changed || nowNanos - tickedNanos >= IDLE_TICK_NANOS);
+    }
+
     /** Adapts the limit and returns the grants to send. */
     void tick(String controller, boolean onlineTraffic, long nowNanos, List<AddressedGrant> grants) {
+        changed = false;
+        tickedNanos = nowNanos;
         int bound = bound(onlineTraffic);
         limit.update(signal(nowNanos), bound, nowNanos);
         expire(nowNanos);
--- a/core/src/main/java/dev/lavenderline/core/admission/SlotController.java
+++ b/core/src/main/java/dev/lavenderline/core/admission/SlotController.java
@@ -111,7 +111,7 @@
         long now = ticker.nanos();
         List<AddressedGrant> grants = new ArrayList<>();
         for (Map.Entry<String, EngineSlots> entry : engines.entrySet()) {
-            if (entry.getValue().hasDemands()) {
+            if (entry.getValue().due(now)) {
                 entry.getValue().tick(node, onlineTraffic(entry.getKey(), now), now, grants);
             }
         }
--- a/core/src/test/java/dev/lavenderline/core/admission/BatchAttemptsTest.java
+++ b/core/src/test/java/dev/lavenderline/core/admission/BatchAttemptsTest.java
@@ -105,8 +105,8 @@
         harness.open("job", "w", 100, Duration.ofHours(1));
         harness.grant("e0", 8);
         List<ItemRef> running = harness.fill();
-        harness.scheduler.finished(running.get(0));
         harness.scheduler.onlineChanged("e0", 1);
+        harness.scheduler.finished(running.get(0));
         harness.ticker.advanceMillis(39);
         assertTrue(harness.starts().isEmpty());
         harness.ticker.advanceMillis(1);
