--- a/bench/src/main/java/dev/lavenderline/bench/fleet/ConfigPublisher.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/ConfigPublisher.java
@@ -7,7 +7,6 @@
 import dev.lavenderline.proto.log.Entry;
 import dev.lavenderline.proto.log.RecordBatch;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -15,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.UUID;
 
 /**
@@ -24,6 +24,8 @@
  * <p>Not thread-safe.
  */
 public final class ConfigPublisher {
+    private static final Duration ACCEPT_LIMIT = Duration.ofSeconds(15);
+
     private final LocalFleet fleet;
     private final HttpClient http = HttpClient.newHttpClient();
     private final String writer = "publisher-" + UUID.randomUUID();
@@ -56,20 +58,34 @@
         return append(batch);
     }
 
+    /** Sends a record until the log accepts it; nodes fold copies of the same sequence once. */
     private long append(RecordBatch batch) {
+        long[] offset = new long[1];
+        Poll.until("the log accepts the change", ACCEPT_LIMIT, () -> {
+            OptionalLong accepted = tryAppend(batch);
+            accepted.ifPresent(value -> offset[0] = value);
+            return accepted.isPresent();
+        });
+        return offset[0];
+    }
+
+    private OptionalLong tryAppend(RecordBatch batch) {
         HttpRequest request = HttpRequest.newBuilder(URI.create(fleet.logUrl() + "/streams/config/records"))
                 .timeout(Duration.ofSeconds(5))
                 .POST(HttpRequest.BodyPublishers.ofByteArray(batch.toByteArray()))
                 .build();
         try {
             HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() >= 500) {
+                return OptionalLong.empty();
+            }
             if (response.statusCode() >= 300) {
                 throw new IllegalStateException("the log answered " + response.statusCode() + ": " + response.body());
             }
             JsonNode answer = new com.fasterxml.jackson.databind.ObjectMapper().readTree(response.body());
-            return answer.required("offset").asLong();
+            return OptionalLong.of(answer.required("offset").asLong());
         } catch (IOException e) {
-            throw new UncheckedIOException("cannot append to the log", e);
+            return OptionalLong.empty();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException("interrupted while appending to the log", e);
--- a/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
@@ -50,8 +50,11 @@
     private static final Duration HOSTS_TIMEOUT = Duration.ofSeconds(2);
     /** Interval at which the set of live members is worked out; bounds the delay of a changed controller. */
     private static final Duration REFRESH_PERIOD = Duration.ofMillis(200);
-    /** Members in one heartbeat; keeps its size the same at any number of nodes. */
-    private static final int VIEWS = 12;
+    /**
+     * Of this many refreshes two put a member view into the heartbeat. A view in each heartbeat to ten peers would exceed
+     * the 3 KB/s that a node may spend for control.
+     */
+    private static final int VIEW_REFRESHES = 5;
 
     private final Identity identity;
     private final Settings settings;
@@ -71,6 +74,7 @@
     private Optional<ConfigRelay> relay = Optional.empty();
     private Consumer<Set<String>> leavingListener = addresses -> {};
     private boolean draining;
+    private long refreshes;
 
     public ClusterComponent(
             Vertx vertx,
@@ -188,7 +192,7 @@
                 .setConfigRevision(revision)
                 .setWorkOffset(workOffset.getAsLong())
                 .setDraining(draining)
-                .addAllMembers(members.views(VIEWS))
+                .addAllMembers(members.views(viewsNow()))
                 .build();
         Set<String> nowLive = new TreeSet<>();
         Set<String> nowRegion = new TreeSet<>();
@@ -209,6 +213,13 @@
         exchange.ifPresent(SlotExchange::reassign);
     }
 
+    /** Returns how many views the next heartbeats carry; none while every member is heard directly. */
+    private int viewsNow() {
+        refreshes++;
+        boolean isMesh = members.all().size() - 1 <= Members.MAX_NEIGHBOURS;
+        return !isMesh && refreshes % VIEW_REFRESHES < 2 ? 1 : 0;
+    }
+
     private void gone(String node) {
         exchange.ifPresent(slots -> slots.peerGone(node));
     }
