--- a/bench/src/main/java/dev/lavenderline/bench/Main.java
+++ b/bench/src/main/java/dev/lavenderline/bench/Main.java
@@ -3,17 +3,18 @@
 import dev.lavenderline.bench.fleet.Hold;
 import dev.lavenderline.bench.load.Bench;
 import dev.lavenderline.bench.quickstart.Quickstart;
+import dev.lavenderline.bench.slopes.Slopes;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.ToIntFunction;
 
-/** Entry point of the programs that do not ship: {@code bench}, {@code quickstart}. */
+/** Entry point of the programs that do not ship: {@code bench}, {@code hold}, {@code quickstart}, {@code slopes}. */
 public final class Main {
     private static final int USAGE = 2;
-    private static final Map<String, ToIntFunction<List<String>>> COMMANDS =
-            new TreeMap<>(Map.of("bench", Bench::run, "hold", Hold::run, "quickstart", Quickstart::run));
+    private static final Map<String, ToIntFunction<List<String>>> COMMANDS = new TreeMap<>(
+            Map.of("bench", Bench::run, "hold", Hold::run, "quickstart", Quickstart::run, "slopes", Slopes::run));
 
     private Main() {}
 
--- a/bench/src/main/java/dev/lavenderline/bench/fleet/Hold.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/Hold.java
@@ -22,8 +22,8 @@
             System.out.println("log " + fleet.local().logUrl());
             fleet.upstreams().values().forEach(upstream -> System.out.println(upstream.name() + " " + upstream.url()));
             for (LocalNode node : fleet.nodes()) {
-                System.out.println(node.name() + " callers " + node.callersUrl() + " operators http://"
-                        + node.operatorsAddress());
+                System.out.println(
+                        node.name() + " callers " + node.callersUrl() + " operators http://" + node.operatorsAddress());
             }
             System.out.println("token " + DeployedFleet.TOKEN + "; end standard input to stop");
             while (System.in.read() >= 0) {
--- a/bench/src/main/java/dev/lavenderline/bench/load/BatchLoad.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/BatchLoad.java
@@ -27,8 +27,10 @@
         for (int node = 0; node < fleet.nodes().size(); node++) {
             jobs.add(create(fleet.node(node).callersUrl(), itemsPerJob, tokens, salt + node));
         }
-        Poll.until("batch items are done on all nodes", Duration.ofSeconds(20), () -> jobs.stream()
-                .allMatch(job -> done(job) > 0));
+        Poll.until(
+                "batch items are done on all nodes",
+                Duration.ofSeconds(20),
+                () -> jobs.stream().allMatch(job -> done(job) > 0));
     }
 
     private String create(String url, int items, int tokens, String salt) {
--- a/bench/src/main/java/dev/lavenderline/bench/load/Bench.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/Bench.java
@@ -46,8 +46,7 @@
         boolean isQuick = line.hasOption("quick");
         long seed = Long.parseLong(line.getOptionValue("seed", "1"));
         int rounds = Integer.parseInt(line.getOptionValue("rounds", Integer.toString(isQuick ? 1 : ROUNDS)));
-        List<String> policies =
-                line.hasOption("policy") ? List.of(line.getOptionValue("policy")) : POLICIES;
+        List<String> policies = line.hasOption("policy") ? List.of(line.getOptionValue("policy")) : POLICIES;
         Measures measures = new Measures();
         run(isQuick ? QUICK : FULL, seed, rounds, policies, measures);
         System.out.print(measures.table());
@@ -57,7 +56,10 @@
 
     private static Options options() {
         return new Options()
-                .addOption(Option.builder().longOpt("quick").desc("one short round").get())
+                .addOption(Option.builder()
+                        .longOpt("quick")
+                        .desc("one short round")
+                        .get())
                 .addOption(value("seed", "seed of the first round's arrivals; each round adds 1"))
                 .addOption(value("rounds", "rounds, each with its own seed"))
                 .addOption(value("policy", "only this policy"));
@@ -67,8 +69,7 @@
         return Option.builder().longOpt(name).hasArg().desc(description).get();
     }
 
-    private static void run(
-            Experiment.Scale scale, long seed, int rounds, List<String> policies, Measures measures) {
+    private static void run(Experiment.Scale scale, long seed, int rounds, List<String> policies, Measures measures) {
         Path directory = Path.of("run", "bench");
         Map<String, DeployedFleet> fleets = new LinkedHashMap<>();
         try (LoadGenerator load = new LoadGenerator(DeployedFleet.TOKEN, DeployedFleet.DEPLOYMENT)) {
--- a/bench/src/main/java/dev/lavenderline/bench/load/Experiment.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/Experiment.java
@@ -114,7 +114,8 @@
 
     private double withSlowEngines(LoadPlan usual, LoadResult alone) {
         ObjectNode fault = new ObjectMapper().createObjectNode();
-        fault.put("slow_factor", SLOW_FACTOR).put("for_ms", scale.length().plusSeconds(5).toMillis());
+        fault.put("slow_factor", SLOW_FACTOR)
+                .put("for_ms", scale.length().plusSeconds(5).toMillis());
         for (int i = 0; i < SLOW_ENGINES; i++) {
             engines.local().fault(engines.upstreams().get("engine-" + i).port(), fault);
         }
@@ -168,8 +169,7 @@
     }
 
     private LoadResult runLoad(LoadPlan plan, boolean stopLong) {
-        List<String> urls =
-                fleet.nodes().stream().map(LocalNode::callersUrl).toList();
+        List<String> urls = fleet.nodes().stream().map(LocalNode::callersUrl).toList();
         LoadResult result = load.run(plan, () -> urls, stopLong);
         if (result.failedCount() > 0) {
             measures.add(policy, "failed_requests", result.failedCount());
@@ -179,10 +179,15 @@
 
     /** Waits until no engine has work, so that one phase does not change the next. */
     private void settle() {
-        Poll.until("the engines are idle", SETTLE_LIMIT, () -> engines.upstreams().values().stream()
-                .filter(upstream -> upstream.name().startsWith("engine"))
-                .map(upstream -> engines.local().get(upstream.url() + "/v1/load"))
-                .allMatch(report -> report.path("running").asInt() + report.path("waiting").asInt() == 0));
+        Poll.until(
+                "the engines are idle",
+                SETTLE_LIMIT,
+                () -> engines.upstreams().values().stream()
+                        .filter(upstream -> upstream.name().startsWith("engine"))
+                        .map(upstream -> engines.local().get(upstream.url() + "/v1/load"))
+                        .allMatch(report -> report.path("running").asInt()
+                                        + report.path("waiting").asInt()
+                                == 0));
     }
 
     private void record(String key, double value) {
--- a/bench/src/main/java/dev/lavenderline/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/LoadGenerator.java
@@ -116,7 +116,8 @@
         }
 
         private void send(LoadPlan.Request request, String url) {
-            Exchange exchange = new Exchange(this, request, startNanos + request.at().toNanos());
+            Exchange exchange =
+                    new Exchange(this, request, startNanos + request.at().toNanos());
             open.add(exchange);
             openShort += request.isLong() ? 0 : 1;
             result.sent();
--- a/bench/src/main/java/dev/lavenderline/bench/load/LoadPlan.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/LoadPlan.java
@@ -46,7 +46,10 @@
         while (at < length.toNanos() / 1e9) {
             boolean isLong = random.nextDouble() < longShare;
             requests.add(new Request(
-                    Duration.ofNanos((long) (at * 1e9)), prompt(random), isLong ? tokens * longFactor : tokens, isLong));
+                    Duration.ofNanos((long) (at * 1e9)),
+                    prompt(random),
+                    isLong ? tokens * longFactor : tokens,
+                    isLong));
             at += gap.sample();
         }
         return new LoadPlan(requests);
--- a/bench/src/main/java/dev/lavenderline/bench/load/Measures.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/Measures.java
@@ -34,11 +34,7 @@
             table.append(policy).append('\n');
             keys.forEach((key, rounds) -> table.append(String.format(
                     "  %-28s %10.3f   (%.3f to %.3f, %d rounds)%n",
-                    key,
-                    median(policy, key),
-                    Collections.min(rounds),
-                    Collections.max(rounds),
-                    rounds.size())));
+                    key, median(policy, key), Collections.min(rounds), Collections.max(rounds), rounds.size())));
         });
         return table.toString();
     }
--- a/bench/src/test/java/dev/lavenderline/bench/guarantees/AtMostOnceTest.java
+++ b/bench/src/test/java/dev/lavenderline/bench/guarantees/AtMostOnceTest.java
@@ -88,9 +88,10 @@
         assertEquals(503, refused.status(), refused.body());
         assertEquals("not_run", code(refused));
         assertEquals(0, runs("log-down"));
-        Poll.until("the key can be used again", Duration.ofSeconds(20), () -> call(1, "log-down", "{}")
-                        .status()
-                == 200);
+        Poll.until(
+                "the key can be used again",
+                Duration.ofSeconds(20),
+                () -> call(1, "log-down", "{}").status() == 200);
         assertEquals(1, runs("log-down"));
     }
 
--- a/bench/src/test/java/dev/lavenderline/bench/guarantees/BatchSession.java
+++ b/bench/src/test/java/dev/lavenderline/bench/guarantees/BatchSession.java
@@ -74,8 +74,7 @@
     }
 
     CallerClient.Answer cancel(LocalNode node) {
-        return client.post(
-                node.callersUrl() + "/v1/batches/" + job + "/cancel", "application/json", "", Map.of());
+        return client.post(node.callersUrl() + "/v1/batches/" + job + "/cancel", "application/json", "", Map.of());
     }
 
     /** Returns the node that holds the job. */
--- a/bench/src/test/java/dev/lavenderline/bench/guarantees/CancelledJobTest.java
+++ b/bench/src/test/java/dev/lavenderline/bench/guarantees/CancelledJobTest.java
@@ -26,7 +26,8 @@
 
     @BeforeEach
     void start(TestInfo test) {
-        fleet = DeployedFleet.builder(Path.of("target", "fleets", test.getDisplayName().replaceAll("\\W", "")))
+        fleet = DeployedFleet.builder(
+                        Path.of("target", "fleets", test.getDisplayName().replaceAll("\\W", "")))
                 .engines(2)
                 .nodes(2)
                 .start();
@@ -79,8 +80,10 @@
 
     /** Lets the fleet run for the time in which a late start would be seen. */
     private static void observe(long fromMs) {
-        Poll.until("the observation time has passed", OBSERVATION.plusSeconds(2), () -> System.currentTimeMillis()
-                > fromMs + OBSERVATION.toMillis());
+        Poll.until(
+                "the observation time has passed",
+                OBSERVATION.plusSeconds(2),
+                () -> System.currentTimeMillis() > fromMs + OBSERVATION.toMillis());
     }
 
     private List<String> startedAfter(String job, long limitMs) {
--- a/bench/src/test/java/dev/lavenderline/bench/guarantees/ConfigInForceTest.java
+++ b/bench/src/test/java/dev/lavenderline/bench/guarantees/ConfigInForceTest.java
@@ -58,8 +58,7 @@
             String weight = Integer.toString(operator + 1);
             Map<String, String> files =
                     Map.of("10-operator-" + round + ".yaml", "workspaces: {bench: {weight: " + weight + "}}\n");
-            changes.add(CompletableFuture.supplyAsync(
-                    () -> new ConfigPublisher(fleet.local()).publish(base, files)));
+            changes.add(CompletableFuture.supplyAsync(() -> new ConfigPublisher(fleet.local()).publish(base, files)));
         }
         return changes.stream().map(CompletableFuture::join).toList();
     }
--- a/bench/src/test/java/dev/lavenderline/bench/guarantees/ExactlyOnceTest.java
+++ b/bench/src/test/java/dev/lavenderline/bench/guarantees/ExactlyOnceTest.java
@@ -29,7 +29,8 @@
 
     @BeforeEach
     void start(TestInfo test) {
-        fleet = DeployedFleet.builder(Path.of("target", "fleets", test.getDisplayName().replaceAll("\\W", "")))
+        fleet = DeployedFleet.builder(
+                        Path.of("target", "fleets", test.getDisplayName().replaceAll("\\W", "")))
                 .engines(3, "--step-base", "10")
                 .nodes(3)
                 .start();
@@ -76,10 +77,12 @@
         LocalNode other = otherThan(holder);
         Poll.until("a part of the items is done", JOB_LIMIT, () -> session.done(other) >= ITEMS / 8);
         holder.process().pause();
-        Poll.until("another node has claimed the job", JOB_LIMIT, () -> CompletionChecker.of(
-                                LogHistory.read(fleet.local(), "work"))
-                        .claims(job)
-                > 1);
+        Poll.until(
+                "another node has claimed the job",
+                JOB_LIMIT,
+                () -> CompletionChecker.of(LogHistory.read(fleet.local(), "work"))
+                                .claims(job)
+                        > 1);
         holder.process().resume();
 
         awaitCompletedAndCheck(session, job, other);
--- a/bench/src/test/java/dev/lavenderline/bench/guarantees/PlannedStopTest.java
+++ b/bench/src/test/java/dev/lavenderline/bench/guarantees/PlannedStopTest.java
@@ -45,7 +45,10 @@
             assertEquals(0, got.refusedCount(), "refused requests");
             assertEquals(got.sentCount(), got.wholeCount(), "whole answers");
             LocalNode node = fleet.node(0);
-            Poll.until("the job is completed", Duration.ofSeconds(40), () -> batch.status(node).equals("completed"));
+            Poll.until(
+                    "the job is completed",
+                    Duration.ofSeconds(40),
+                    () -> batch.status(node).equals("completed"));
             assertEquals(200, batch.readCustomIds(node).size());
         }
     }
--- a/bench/src/test/java/dev/lavenderline/bench/guarantees/WholeAnswerTest.java
+++ b/bench/src/test/java/dev/lavenderline/bench/guarantees/WholeAnswerTest.java
@@ -27,7 +27,8 @@
 
     @BeforeEach
     void start(TestInfo test) {
-        fleet = DeployedFleet.builder(Path.of("target", "fleets", test.getDisplayName().replaceAll("\\W", "")))
+        fleet = DeployedFleet.builder(
+                        Path.of("target", "fleets", test.getDisplayName().replaceAll("\\W", "")))
                 .engines(3)
                 .nodes(2)
                 .start();
@@ -73,8 +74,7 @@
         boolean isStream = caller % 3 != 0;
         ObjectNode body = CallerClient.chat(DeployedFleet.DEPLOYMENT, "caller " + caller, TOKENS, isStream);
         return CompletableFuture.supplyAsync(
-                () -> text(fleet.client().postJson(url, body, Map.of()), isStream),
-                task -> new Thread(task).start());
+                () -> text(fleet.client().postJson(url, body, Map.of()), isStream), task -> new Thread(task).start());
     }
 
     private static String text(CallerClient.Answer answer, boolean isStream) {
@@ -94,7 +94,11 @@
                 throw new IllegalStateException("not JSON: " + data, e);
             }
         };
-        answer.body().lines().filter(data -> data.startsWith("data: ")).map(data -> data.substring(6)).forEach(line);
+        answer.body()
+                .lines()
+                .filter(data -> data.startsWith("data: "))
+                .map(data -> data.substring(6))
+                .forEach(line);
         return isWhole[0] ? text.toString() : "incomplete: " + answer.body();
     }
 
--- a/bench/src/test/java/dev/lavenderline/bench/history/CompletionCheckerTest.java
+++ b/bench/src/test/java/dev/lavenderline/bench/history/CompletionCheckerTest.java
@@ -77,9 +77,12 @@
     }
 
     private void createAndClaim() {
-        append("a", 1, Entry.newBuilder()
-                .setJobCreated(JobCreated.newBuilder().setJobId("job").setItems(2))
-                .build());
+        append(
+                "a",
+                1,
+                Entry.newBuilder()
+                        .setJobCreated(JobCreated.newBuilder().setJobId("job").setItems(2))
+                        .build());
         append("a", 2, Entry.newBuilder().setJobClaimed(claim("a", 0)).build());
     }
 
@@ -92,7 +95,8 @@
     }
 
     private void complete(long claim, int... items) {
-        ItemsCompleted.Builder completed = ItemsCompleted.newBuilder().setJobId("job").setClaim(claim);
+        ItemsCompleted.Builder completed =
+                ItemsCompleted.newBuilder().setJobId("job").setClaim(claim);
         for (int item : items) {
             completed.addResults(ItemResult.newBuilder().setIndex(item).setCustomId("item-" + item));
         }
--- a/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
@@ -95,7 +95,9 @@
         this.mesh = PeerMesh.builder()
                 .cluster(settings.identity().cluster())
                 .self(hello())
-                .bind(host(settings.addresses().peers()), port(settings.addresses().peers()))
+                .bind(
+                        host(settings.addresses().peers()),
+                        port(settings.addresses().peers()))
                 .executor(task -> context.runOnContext(ignored -> task.run()))
                 .ticker(ticker)
                 .listener(new Listener())
@@ -143,7 +145,8 @@
     public void announceLeaving() {
         draining = true;
         refresh();
-        Leaving leaving = Leaving.newBuilder().setIncarnation(identity.incarnation()).build();
+        Leaving leaving =
+                Leaving.newBuilder().setIncarnation(identity.incarnation()).build();
         mesh.broadcast(Frame.newBuilder().setLeaving(leaving).build());
     }
 
@@ -250,9 +253,8 @@
     @Override
     public String controllerOf(Upstream engine) {
         return controllers.computeIfAbsent(engine.name(), name -> {
-            List<String> candidates = members.inRegion(engine.region()).stream()
-                    .map(Member::node)
-                    .toList();
+            List<String> candidates =
+                    members.inRegion(engine.region()).stream().map(Member::node).toList();
             List<String> order =
                     Rendezvous.order("slots/" + name, candidates.isEmpty() ? List.copyOf(live) : candidates);
             return order.isEmpty() ? identity.node() : order.get(0);
--- a/node/src/main/java/dev/lavenderline/node/cluster/SlotExchange.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/SlotExchange.java
@@ -133,8 +133,7 @@
     private void request(Upstream engine, SlotRequest request) {
         Optional<SlotGrant> fixed = fixedGrant.apply(engine);
         if (fixed.isPresent()) {
-            scheduler.grant(
-                    fixed.get().toBuilder().setSequence(++fixedGrants).build());
+            scheduler.grant(fixed.get().toBuilder().setSequence(++fixedGrants).build());
             return;
         }
         String target = cluster.controllerOf(engine);
