--- a/bench/src/main/java/dev/lavenderline/bench/slopes/Slopes.java
+++ b/bench/src/main/java/dev/lavenderline/bench/slopes/Slopes.java
@@ -69,7 +69,7 @@
 
     private static double median(IntToDoubleFunction cost, int size) {
         for (int i = 0; i < WARM_UPS; i++) {
-            cost.applyAsDouble(size);
+            double unused = cost.applyAsDouble(size);
         }
         double[] values = new double[RUNS];
         for (int i = 0; i < RUNS; i++) {
--- a/node/src/main/java/dev/lavenderline/node/calls/KeyedCallService.java
+++ b/node/src/main/java/dev/lavenderline/node/calls/KeyedCallService.java
@@ -22,16 +22,20 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Claims idempotency keys on the stream {@code calls}.
  *
- * <p>Invariant: {@link KeyedCalls.Run} is given at most once for each claim record, only to the node that wrote it, and
- * only after the record was folded as the current claim of its key. A claim whose acknowledgement came too late is
- * released as not run and never followed by a send. Not thread-safe; confined to the node's event loop.
+ * <p>Invariants: {@link KeyedCalls.Run} is given at most once for each claim record, only to the node that wrote it, and
+ * only after the record was folded as the current claim of its key. A node has at most one undecided claim of a key, so
+ * that its holder identifies the claim; the offset in an acknowledgement may belong to a copy that readers drop. A claim
+ * whose acknowledgement came too late is released as not run and never followed by a send. Not thread-safe; confined to
+ * the node's event loop.
  */
 public final class KeyedCallService implements KeyedCalls {
     /** Age of the last tail read above which a claim is refused at once instead of waiting for the log. */
@@ -47,6 +51,8 @@
     private final Timers timers;
     private final Ticker ticker;
     private final Map<String, List<UniEmitter<? super Void>>> waiting = new HashMap<>();
+    private final Set<String> undecided = new HashSet<>();
+    private final Set<Long> granted = new HashSet<>();
 
     /**
      * Creates the service; the owner passes the ledger's events to {@link #onEvent}.
@@ -66,6 +72,7 @@
     /** Takes an event of the ledger. */
     public void onEvent(CallEvent event) {
         if (event instanceof CallEvent.Finished finished) {
+            granted.remove(finished.claim());
             wake(waiting.remove(mapKey(finished.workspace(), finished.key())));
         } else if (event instanceof CallEvent.Restored) {
             List<List<UniEmitter<? super Void>>> all = List.copyOf(waiting.values());
@@ -85,6 +92,9 @@
         if (!calls.isFresh(TAIL_LIMIT)) {
             return error(notRun("the platform's log cannot be reached"));
         }
+        if (!undecided.add(mapKey(workspace, key))) {
+            return error(notRun("another request with this idempotency key is being recorded; try again"));
+        }
         return write(claim);
     }
 
@@ -121,33 +131,33 @@
                         .setExpiresMs(expires.toEpochMilli()))
                 .build();
         boolean[] abandoned = new boolean[1];
-        Uni<Either<LogError, Long>> folded = calls.writer().write(entry).chain(result -> {
-            if (result.isLeft()) {
-                return Uni.createFrom().item(result);
-            }
-            return calls.reached(result.get())
-                    .invoke(() -> releaseIf(abandoned[0], claim, result.get()))
-                    .replaceWith(result);
-        });
+        Uni<Either<LogError, Long>> folded = calls.writer()
+                .write(entry)
+                .chain(result -> result.isLeft()
+                        ? Uni.createFrom().item(result)
+                        : calls.reached(result.get()).replaceWith(result))
+                .invoke(() -> decidedAt(abandoned[0], claim));
         return Timeouts.within(folded, timers, logTimeout, () -> {
                     abandoned[0] = true;
                     return Either.left(new LogError.TimedOut("no acknowledgement of the claim"));
                 })
                 .chain(result -> result.isLeft()
                         ? error(notRun("the claim of the idempotency key could not be recorded"))
-                        : decided(claim, result.get()));
+                        : decided(claim));
     }
 
-    /** Frees the key of a claim that was acknowledged after its request had been refused. */
-    private void releaseIf(boolean abandoned, Claim claim, long offset) {
-        if (abandoned && isOwn(claim, offset)) {
-            notRun(new Run(claim.workspace, claim.key, offset)).subscribe().with(released -> {});
+    /** Ends the claim's recording and frees the key if its request had been refused meanwhile. */
+    private void decidedAt(boolean abandoned, Claim claim) {
+        undecided.remove(mapKey(claim.workspace, claim.key));
+        if (abandoned) {
+            own(claim).ifPresent(run -> notRun(run).subscribe().with(released -> {}));
         }
     }
 
-    private Uni<Either<ApiError, Permit>> decided(Claim claim, long offset) {
-        if (isOwn(claim, offset)) {
-            return Uni.createFrom().item(Either.right(new Run(claim.workspace, claim.key, offset)));
+    private Uni<Either<ApiError, Permit>> decided(Claim claim) {
+        Optional<Run> own = own(claim);
+        if (own.isPresent()) {
+            return Uni.createFrom().item(Either.right(own.get()));
         }
         Optional<KeyedCall> winner = calls.ledger().call(claim.workspace, claim.key);
         if (winner.isEmpty() || isFree(winner.get())) {
@@ -156,13 +166,13 @@
         return existing(claim, winner.get());
     }
 
-    private boolean isOwn(Claim claim, long offset) {
+    /** Returns the permission for a claim that this node won and that was not used yet. */
+    private Optional<Run> own(Claim claim) {
         return calls.ledger()
                 .call(claim.workspace, claim.key)
-                .filter(call -> call.claim() == offset
-                        && call.holder().equals(holder)
-                        && call.finished().isEmpty())
-                .isPresent();
+                .filter(call -> call.holder().equals(holder) && call.finished().isEmpty())
+                .filter(call -> granted.add(call.claim()))
+                .map(call -> new Run(claim.workspace, claim.key, call.claim()));
     }
 
     private Uni<Either<ApiError, Permit>> existing(Claim claim, KeyedCall call) {
