Continue preempted batch items; keep nodes ready while the log answers nobody

Cause: a preempted item lost its tokens, and an outage of the log for all nodes made every node unready after 17 s although repeatable requests need no record. An item now continues from the text generated so far. A stale node is unready only if a peer is ahead of it or it is isolated.

--- a/node/src/main/java/dev/lavenderline/node/Node.java
+++ b/node/src/main/java/dev/lavenderline/node/Node.java
@@ -158,7 +158,7 @@
                     metrics,
                     guarded(onFailure),
                     ticker);
-            parts.relay = new ConfigRelay(parts.cluster, parts.streams.log(), parts.streams.config(), ticker);
+            parts.relay = new ConfigRelay(parts.cluster, parts.streams.config(), ticker);
             parts.cluster.attach(parts.relay);
             return parts.cluster;
         });
@@ -197,7 +197,7 @@
     }
 
     private boolean isReady() {
-        return started && !draining && parts.relay.isFresh(STALE_CONFIG);
+        return started && !draining && parts.relay.isInForce(STALE_CONFIG);
     }
 
     private Map<String, Object> state() {
--- a/node/src/main/java/dev/lavenderline/node/Streams.java
+++ b/node/src/main/java/dev/lavenderline/node/Streams.java
@@ -13,6 +13,7 @@
 import dev.lavenderline.node.supervisor.Component;
 import dev.lavenderline.node.supervisor.GuardedTimers;
 import dev.lavenderline.platform.AppendBudget;
+import dev.lavenderline.platform.Futures;
 import dev.lavenderline.platform.HttpLogService;
 import dev.lavenderline.platform.LogFollower;
 import dev.lavenderline.platform.LogService;
@@ -43,6 +44,7 @@
     private static final long READER_CACHE_BYTES = 24L << 20;
     private static final int READ_AHEAD_BYTES = 2 << 20;
 
+    private final Vertx vertx;
     private final HttpLogService log;
     private final RecordReader reader;
     private final GuardedTimers timers;
@@ -71,6 +73,7 @@
             GuardedTimers timers,
             Ticker ticker,
             Consumer<Throwable> onFailure) {
+        this.vertx = vertx;
         this.settings = settings;
         this.incarnation = incarnation;
         this.timers = timers;
@@ -118,7 +121,8 @@
                 timers,
                 ticker,
                 settings.platform().logRetention(),
-                () -> isSnapshotWriter.test(name)));
+                () -> isSnapshotWriter.test(name),
+                task -> Futures.callBlocking(vertx, task)));
         return stream;
     }
 
--- a/node/src/main/java/dev/lavenderline/node/cluster/Cluster.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/Cluster.java
@@ -33,6 +33,12 @@
     /** Returns the name of a connected node with a higher configuration revision, if there is one. */
     Optional<String> peerAhead(long revision);
 
+    /** Returns the names of the connected nodes. */
+    Set<String> connected();
+
+    /** Returns whether other nodes are known and none of them is connected. */
+    boolean isIsolated();
+
     /** Returns the members for the state dump. */
     Map<String, Object> state();
 }
--- a/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
@@ -280,6 +280,16 @@
                 .findFirst();
     }
 
+    @Override
+    public Set<String> connected() {
+        return mesh.connected();
+    }
+
+    @Override
+    public boolean isIsolated() {
+        return members.all().size() > 1 && mesh.connected().isEmpty();
+    }
+
     @Override
     public Map<String, Object> state() {
         Map<String, Object> state = new LinkedHashMap<>();
--- a/node/src/main/java/dev/lavenderline/node/cluster/SlotExchange.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/SlotExchange.java
@@ -100,6 +100,12 @@
     public void peerLoads(String node, UpstreamLoads message) {
         loads.peerLoads(node, message.getLoadsList());
         controller.loads(node, message.getLoadsList());
+        for (UpstreamLoad load : message.getLoadsList()) {
+            Upstream engine = config.get().upstreams().get(load.getUpstream());
+            if (engine != null && engine.kind() == Upstream.Kind.ENGINE) {
+                onlineChanged(engine);
+            }
+        }
         sendGrants();
     }
 
@@ -164,9 +170,7 @@
             forRegion.put(load.getUpstream(), load);
             Upstream engine = config.get().upstreams().get(load.getUpstream());
             if (engine != null && engine.kind() == Upstream.Kind.ENGINE) {
-                if (fixedGrant.apply(engine).isEmpty()) {
-                    scheduler.onlineChanged(load.getUpstream(), load.getOnlineInFlight());
-                }
+                onlineChanged(engine);
                 byController
                         .computeIfAbsent(cluster.controllerOf(engine), node -> new ArrayList<>())
                         .add(load);
@@ -176,6 +180,13 @@
         sendToRegion();
     }
 
+    /** Lets this node's own items give way at once, before the controller's next grant. */
+    private void onlineChanged(Upstream engine) {
+        if (fixedGrant.apply(engine).isEmpty()) {
+            scheduler.onlineChanged(engine.name(), loads.onlineInFlight(engine.name()));
+        }
+    }
+
     private void sendToRegion() {
         boolean isDue = ticker.nanos() - regionSentNanos >= REGION_PERIOD.toNanos();
         if (forRegion.isEmpty() || !isDue) {
--- a/node/src/main/java/dev/lavenderline/node/jobs/ItemExecutor.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/ItemExecutor.java
@@ -80,18 +80,53 @@
                 .build();
     }
 
-    /** Sends an item. */
-    UpstreamClient.Exchange run(
+    /**
+     * What an engine generated before an item had to give way; the next attempt continues there.
+     *
+     * @param text text so far
+     * @param tokens number of tokens so far
+     */
+    record Partial(String text, int tokens) {
+        static final Partial NONE = new Partial("", 0);
+    }
+
+    /** A run in progress. */
+    static final class Run {
+        private final UpstreamClient.Exchange exchange;
+        private final Gatherer gatherer;
+
+        private Run(UpstreamClient.Exchange exchange, Gatherer gatherer) {
+            this.exchange = exchange;
+            this.gatherer = gatherer;
+        }
+
+        /** Stops the engine's work and returns what it generated. */
+        Partial cancel() {
+            exchange.cancel();
+            return gatherer.partial();
+        }
+    }
+
+    /** Sends an item, or the rest of it. */
+    Run run(
             Upstream upstream,
             String requestId,
             int index,
             String customId,
             ModelRequest request,
+            Partial partial,
             boolean newConnection,
             Listener listener) {
         StreamRequest stream = new StreamRequest(
-                requestId, request.path(), request.body(), TrafficClass.BATCH, firstToken, stall, newConnection);
-        return client.stream(upstream, stream, new Gatherer(index, customId, requestId, request, listener));
+                requestId,
+                request.path(),
+                request.continuation(partial.text(), partial.tokens()),
+                TrafficClass.BATCH,
+                firstToken,
+                stall,
+                newConnection);
+        Gatherer gatherer = new Gatherer(index, customId, requestId, request, partial, listener);
+        return new Run(client.stream(upstream, stream, gatherer), gatherer);
     }
 
     private static final class Gatherer implements StreamListener {
@@ -102,20 +137,35 @@
         private final Listener listener;
         private final StringBuilder text = new StringBuilder();
         private int tokens;
-
-        private Gatherer(int index, String customId, String requestId, ModelRequest request, Listener listener) {
+        private boolean hasFirstToken;
+
+        private Gatherer(
+                int index,
+                String customId,
+                String requestId,
+                ModelRequest request,
+                Partial partial,
+                Listener listener) {
             this.index = index;
             this.customId = customId;
             this.requestId = requestId;
             this.request = request;
             this.listener = listener;
+            this.text.append(partial.text());
+            this.tokens = partial.tokens();
+        }
+
+        /** Returns what can be continued; nothing if only the end of the answer is missing. */
+        private Partial partial() {
+            return tokens < request.maxTokens() ? new Partial(text.toString(), tokens) : Partial.NONE;
         }
 
         @Override
         public void token(Token token) {
             text.append(token.text());
             tokens++;
-            if (tokens == 1) {
+            if (!hasFirstToken) {
+                hasFirstToken = true;
                 listener.firstToken();
             }
         }
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -14,7 +14,6 @@
 import dev.lavenderline.core.ledger.WorkEvent;
 import dev.lavenderline.core.ledger.WorkLedger;
 import dev.lavenderline.http.ModelRequest;
-import dev.lavenderline.http.UpstreamClient;
 import dev.lavenderline.node.log.LoggedStream;
 import dev.lavenderline.platform.LogError;
 import dev.lavenderline.proto.log.Entry;
@@ -55,6 +54,9 @@
     private final Settings settings;
     private final Ticker ticker;
     private final Map<ItemRef, Running> running = new HashMap<>();
+    /** Answers of items that gave way to online requests; few, because such items start again first. */
+    private final Map<ItemRef, ItemExecutor.Partial> partials = new HashMap<>();
+
     private final Map<String, Integer> inFlight = new HashMap<>();
     private final Map<String, Long> closing = new HashMap<>();
     private final Set<String> opened = new HashSet<>();
@@ -147,6 +149,7 @@
             scheduler.close(jobId);
             results.discard(jobId);
             closing.remove(jobId);
+            partials.keySet().removeIf(item -> item.jobId().equals(jobId));
         }
     }
 
@@ -252,18 +255,20 @@
             return;
         }
         String requestId = item.jobId() + "-" + item.index() + "-" + settings.incarnation() + "-" + started++;
-        run.exchange = executor.run(
+        run.execution = executor.run(
                 upstream,
                 requestId,
                 item.index(),
                 parsed.get().customId(),
                 request.get(),
+                partials.getOrDefault(item, ItemExecutor.Partial.NONE),
                 attempt > 1,
                 new ItemListener(item, run));
     }
 
     private void complete(ItemRef item, Running run, ItemResult result) {
         end(item, run);
+        partials.remove(item);
         if (scheduler.finished(item)) {
             results.add(item.jobId(), result);
         }
@@ -274,8 +279,11 @@
         if (run == null) {
             return;
         }
-        if (run.exchange != null) {
-            run.exchange.cancel();
+        if (run.execution != null) {
+            ItemExecutor.Partial partial = run.execution.cancel();
+            if (partial.tokens() > 0 && opened.contains(item.jobId())) {
+                partials.put(item, partial);
+            }
         }
         end(item, run);
         scheduler.failed(item, ItemOutcome.CANCELLED);
@@ -301,7 +309,7 @@
 
     private static final class Running {
         private final String upstream;
-        private UpstreamClient.Exchange exchange;
+        private ItemExecutor.Run execution;
 
         private Running(String upstream) {
             this.upstream = upstream;
@@ -330,6 +338,7 @@
         @Override
         public void failed(ItemOutcome outcome, ItemResult asResult) {
             end(item, run);
+            partials.remove(item);
             ItemResolution resolution = scheduler.failed(item, outcome);
             boolean isFinal = resolution == ItemResolution.REFUSED || resolution == ItemResolution.ATTEMPTS_EXHAUSTED;
             if (isFinal) {
