Claim jobs in the region that accepted them

Cause: jobs were claimed in rendezvous order over all nodes. A node that held all jobs used only the engines of its own region, and engines elsewhere stayed idle.

--- a/node/src/main/java/dev/lavenderline/node/cluster/Cluster.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/Cluster.java
@@ -21,6 +21,9 @@
     /** Returns the position of this node in the rendezvous order of the live nodes for a key, 0 for the first. */
     int rank(String key);
 
+    /** As {@link #rank(String)}, with the nodes of a region before all others. */
+    int rank(String key, String preferredRegion);
+
     /** Returns the name of the node that controls the batch slots of an engine. */
     String controllerOf(Upstream engine);
 
--- a/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
@@ -250,6 +250,14 @@
         return rank < 0 ? live.size() : rank;
     }
 
+    @Override
+    public int rank(String key, String preferredRegion) {
+        List<String> preferred =
+                members.inRegion(preferredRegion).stream().map(Member::node).toList();
+        int rank = Rendezvous.order(key, preferred).indexOf(identity.node());
+        return rank < 0 ? preferred.size() + rank(key) : rank;
+    }
+
     @Override
     public String controllerOf(Upstream engine) {
         return controllers.computeIfAbsent(engine.name(), name -> {
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobClaims.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobClaims.java
@@ -33,7 +33,7 @@
     private final LoggedStream<WorkLedger> work;
     private final String holder;
     private final Predicate<String> isLive;
-    private final ToIntFunction<String> rank;
+    private final ToIntFunction<Job> rank;
     private final Duration logTimeout;
     private final Ticker ticker;
     private final Map<String, Long> missingSince = new HashMap<>();
@@ -46,13 +46,13 @@
      *
      * @param holder incarnation of this node
      * @param isLive whether an incarnation sends heartbeats
-     * @param rank position of this node in the rendezvous order of the live nodes for a job, 0 for the first
+     * @param rank position of this node in the order in which live nodes claim a job, 0 for the first
      */
     JobClaims(
             LoggedStream<WorkLedger> work,
             String holder,
             Predicate<String> isLive,
-            ToIntFunction<String> rank,
+            ToIntFunction<Job> rank,
             Duration logTimeout,
             Ticker ticker) {
         this.work = work;
@@ -103,7 +103,7 @@
     }
 
     private Duration delay(Job job) {
-        Duration turn = RANK_DELAY.multipliedBy(rank.applyAsInt(job.id()));
+        Duration turn = RANK_DELAY.multipliedBy(rank.applyAsInt(job));
         // Membership needs 3 s to miss a holder; the rest of the limit has to pass here.
         return job.holder().isEmpty() ? turn : turn.plus(GONE_LIMIT.minusSeconds(3));
     }
--- a/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
@@ -90,7 +90,13 @@
                 timers,
                 ticker);
         this.claims = new JobClaims(
-                work, options.incarnation(), cluster::isLive, cluster::rank, options.logTimeout(), ticker);
+                work,
+                options.incarnation(),
+                cluster::isLive,
+                // A holder uses the engines of its own region first, so jobs stay where they were accepted.
+                job -> cluster.rank(job.id(), job.region()),
+                options.logTimeout(),
+                ticker);
         this.runner = new JobRunner(
                 work,
                 content,
