--- a/bench/src/main/java/dev/lavenderline/bench/load/Experiment.java
+++ b/bench/src/main/java/dev/lavenderline/bench/load/Experiment.java
@@ -93,12 +93,12 @@
         long start = System.nanoTime();
         LoadResult mixed = runLoad(usual, false);
         double seconds = (System.nanoTime() - start) / 1e9;
-        int items2 = batch.done() - before;
+        int done = batch.done() - before;
         record("harm_ratio", mixed.firstTokenMillis(99) / alone.firstTokenMillis(99));
         record("harm_interval_ratio", mixed.intervalMillis(99) / alone.intervalMillis(99));
         double left = EngineModel.STANDARD.tokensPerSecond(scale.engineCount()) - mixed.tokens() / seconds;
-        record("batch_share", items2 * BATCH_TOKENS / seconds / left);
-        record("batch_items_per_second", items2 / seconds);
+        record("batch_share", done * BATCH_TOKENS / seconds / left);
+        record("batch_items_per_second", done / seconds);
         LoadResult burstMixed = runLoad(burst, false);
         record("yield_ms", Math.max(0, burstMixed.slowestFirstTokenMillis() - burstAlone.slowestFirstTokenMillis()));
         batch.stop();
@@ -138,7 +138,7 @@
                 .filter(upstream -> upstream.name().startsWith("engine"))
                 .forEach(upstream -> engines.local().fault(upstream.port(), fault));
         long before = upstreamRequests();
-        LoadResult result = runLoad(usual, false);
+        LoadResult result = send(usual, false);
         record("storm_whole_ratio", (double) result.wholeCount() / result.sentCount());
         ObjectNode end = new ObjectMapper().createObjectNode();
         end.put("reject", 0);
@@ -177,6 +177,11 @@
         return result;
     }
 
+    private LoadResult send(LoadPlan plan, boolean stopLong) {
+        List<String> urls = fleet.nodes().stream().map(LocalNode::callersUrl).toList();
+        return load.run(plan, () -> urls, stopLong);
+    }
+
     /** Waits until no engine has work, so that one phase does not change the next. */
     private void settle() {
         Poll.until(
--- a/core/src/main/java/dev/lavenderline/core/routing/DispatcherOptions.java
+++ b/core/src/main/java/dev/lavenderline/core/routing/DispatcherOptions.java
@@ -24,7 +24,7 @@
         boolean hedging,
         int candidates) {
     private static final DispatcherOptions DEFAULTS =
-            new DispatcherOptions(0.1, 1, 20, Duration.ofMillis(150), 1000, true, 32);
+            new DispatcherOptions(0.1, 1, 5, Duration.ofMillis(150), 1000, true, 32);
 
     public DispatcherOptions {
         checkArgument(retryRatio >= 0 && retryRatio <= 1, "retryRatio is not between 0 and 1: %s", retryRatio);
--- a/node/src/main/java/dev/lavenderline/node/Node.java
+++ b/node/src/main/java/dev/lavenderline/node/Node.java
@@ -40,6 +40,7 @@
     static final int EXIT_INTERNAL = 70;
 
     private static final Duration STALE_CONFIG = Duration.ofSeconds(17);
+    private static final Duration READINESS_PERIOD = Duration.ofSeconds(1);
 
     private final Settings settings;
     private final Ticker ticker;
@@ -55,6 +56,7 @@
     private Parts parts;
     private boolean started;
     private boolean draining;
+    private boolean reportedReady;
 
     private Node(Settings settings, Ticker ticker, IntConsumer onExit) {
         this.settings = settings;
@@ -190,12 +192,30 @@
                 listening.callers(),
                 listening.operators(),
                 listening.peers());
-        NodeEvent.READY.log(
-                parts.streams.config().ledger().revision(),
-                Duration.ofNanos(ticker.nanos() - createdNanos).toMillis());
+        NodeEvent.READY.log(parts.streams.config().ledger().revision(), runningMillis());
+        reportedReady = true;
+        timers.every(READINESS_PERIOD, this::reportReadiness);
         return listening;
     }
 
+    private void reportReadiness() {
+        boolean isReady = isReady();
+        if (isReady == reportedReady || draining) {
+            return;
+        }
+        reportedReady = isReady;
+        if (isReady) {
+            NodeEvent.READY.log(parts.streams.config().ledger().revision(), runningMillis());
+        } else {
+            NodeEvent.UNREADY.log("the configuration was not read from the log or a peer for "
+                    + parts.streams.config().age());
+        }
+    }
+
+    private long runningMillis() {
+        return Duration.ofNanos(ticker.nanos() - createdNanos).toMillis();
+    }
+
     private boolean isReady() {
         return started && !draining && parts.relay.isInForce(STALE_CONFIG);
     }
--- a/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
+++ b/node/src/main/java/dev/lavenderline/node/cluster/ClusterComponent.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.core.membership.Members;
 import dev.lavenderline.core.membership.Rendezvous;
 import dev.lavenderline.node.Identity;
+import dev.lavenderline.node.NodeEvent;
 import dev.lavenderline.node.Settings;
 import dev.lavenderline.node.supervisor.Component;
 import dev.lavenderline.node.supervisor.GuardedTimers;
@@ -209,6 +210,7 @@
             return;
         }
         live.stream().filter(node -> !nowLive.contains(node)).forEach(this::gone);
+        nowLive.stream().filter(node -> !live.contains(node)).forEach(node -> NodeEvent.MEMBER_JOINED.log(node));
         live = nowLive;
         nowRegion.remove(identity.node());
         region = nowRegion;
@@ -224,6 +226,7 @@
     }
 
     private void gone(String node) {
+        NodeEvent.MEMBER_GONE.log(node);
         exchange.ifPresent(slots -> slots.peerGone(node));
     }
 
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -14,6 +14,7 @@
 import dev.lavenderline.core.ledger.WorkEvent;
 import dev.lavenderline.core.ledger.WorkLedger;
 import dev.lavenderline.http.ModelRequest;
+import dev.lavenderline.node.NodeEvent;
 import dev.lavenderline.node.log.LoggedStream;
 import dev.lavenderline.platform.LogError;
 import dev.lavenderline.proto.log.Entry;
@@ -105,6 +106,7 @@
         } else if (event instanceof WorkEvent.JobCancelled cancelled) {
             closeJob(cancelled.jobId());
         } else if (event instanceof WorkEvent.JobEnded ended) {
+            logEnd(ended);
             closeJob(ended.jobId());
             claims.ended(ended.jobId());
         } else if (event instanceof WorkEvent.ItemsDone done) {
@@ -126,7 +128,26 @@
         }
     }
 
+    /** Logs the end of a job on the node that held it last. */
+    private void logEnd(WorkEvent.JobEnded ended) {
+        Optional<Job> found = work.ledger().job(ended.jobId());
+        if (found.isEmpty() || !found.get().holder().equals(settings.incarnation())) {
+            return;
+        }
+        Job job = found.get();
+        int left = job.items() - job.done();
+        switch (ended.state()) {
+            case COMPLETED -> NodeEvent.JOB_COMPLETED.log(job.id(), job.items(), job.failed());
+            case CANCELLED -> NodeEvent.JOB_CANCELLED.log(job.id(), left, job.items());
+            case EXPIRED -> NodeEvent.JOB_CLOSED.log(job.id(), job.closedReason(), left, job.items());
+            case IN_PROGRESS -> {}
+        }
+    }
+
     private void claimChanged(WorkEvent.JobClaimChanged changed) {
+        if (opened.contains(changed.jobId()) && !changed.holder().isEmpty()) {
+            NodeEvent.JOB_CLAIM_LOST.log(changed.jobId(), changed.holder(), changed.claim());
+        }
         closeJob(changed.jobId());
         if (changed.holder().equals(settings.incarnation())) {
             work.ledger().job(changed.jobId()).filter(Job::isOpen).ifPresent(this::openJob);
@@ -134,6 +155,7 @@
     }
 
     private void openJob(Job job) {
+        NodeEvent.JOB_CLAIMED.log(job.id(), job.claim(), job.items() - job.done(), job.items());
         BitSet done = new BitSet(job.items());
         for (int item = 0; item < job.items(); item++) {
             if (job.isDone(item)) {
@@ -302,6 +324,7 @@
 
     /** Runs items again whose results could not be buffered or recorded. */
     private void dropped(String jobId, ItemResult result) {
+        NodeEvent.RESULT_DROPPED.log(result.getIndex(), jobId);
         if (opened.contains(jobId)) {
             scheduler.reopen(new ItemRef(jobId, result.getIndex()));
         }
