Give the JSON output of lavenderctl a fixed order of keys

Cause: the winner of a race was printed from a map without order, so the order of its keys differed between runs and the golden file matched only sometimes.

--- a/ctl/src/main/java/dev/lavenderline/ctl/ConfigCommands.java
+++ b/ctl/src/main/java/dev/lavenderline/ctl/ConfigCommands.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.ctl;
 
+import com.google.common.collect.ImmutableMap;
 import dev.lavenderline.core.config.ConfigDiff;
 import dev.lavenderline.core.config.ConfigFault;
 import dev.lavenderline.core.config.ConfigLedger;
@@ -149,7 +150,7 @@
         json.put("base", base);
         json.put(
                 "winner",
-                Map.of(
+                ImmutableMap.of(
                         "revision",
                         winner.get().revision(),
                         "author",
--- a/node/src/main/java/dev/lavenderline/node/supervisor/Supervisor.java
+++ b/node/src/main/java/dev/lavenderline/node/supervisor/Supervisor.java
@@ -97,7 +97,10 @@
             }
             childStates.put(child.name, state);
         }
-        return Map.of("name", name, "children", childStates);
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("name", name);
+        state.put("children", childStates);
+        return state;
     }
 
     private Uni<Void> startFrom(int index) {
