--- a/node/src/main/java/dev/lavenderline/node/Upstreams.java
+++ b/node/src/main/java/dev/lavenderline/node/Upstreams.java
@@ -30,7 +30,10 @@
  */
 final class Upstreams implements Component {
     private static final Duration EXCHANGE_PERIOD = Duration.ofMillis(5);
-    private static final Duration DISPATCH_PERIOD = Duration.ofMillis(10);
+    /** Periods between exchanges while the node holds no jobs; keeps an idle node's processor time low. */
+    private static final int IDLE_PERIODS = 4;
+
+    private static final Duration DISPATCH_PERIOD = Duration.ofMillis(20);
     private static final Duration REASSIGN_PERIOD = Duration.ofMillis(500);
 
     private final UpstreamClient client;
@@ -40,6 +43,7 @@
     private final SlotExchange exchange;
     private final Node.Parts parts;
     private final GuardedTimers timers;
+    private long periods;
 
     Upstreams(
             Vertx vertx, Settings settings, Identity identity, Node.Parts parts, GuardedTimers timers, Ticker ticker) {
@@ -143,8 +147,13 @@
     }
 
     private void exchangeAndSchedule() {
+        periods++;
+        boolean isActive = parts.jobs != null && parts.jobs.isActive();
+        if (!isActive && periods % IDLE_PERIODS != 0) {
+            return;
+        }
         exchange.tick();
-        if (parts.jobs != null) {
+        if (isActive) {
             parts.jobs.schedule();
         }
     }
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -220,6 +220,10 @@
         draining = true;
     }
 
+    boolean isActive() {
+        return !opened.isEmpty() || !running.isEmpty();
+    }
+
     /** Returns the number of items on engines and of results that are not acknowledged. */
     int unfinished() {
         return running.size() + results.pending();
--- a/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
@@ -31,7 +31,6 @@
  * <p>Not thread-safe; confined to the node's event loop.
  */
 public final class Jobs implements Component {
-    private static final Duration TICK = Duration.ofMillis(5);
     private static final Duration FLUSH = Duration.ofMillis(50);
     private static final Duration CLAIM_CHECK = Duration.ofMillis(200);
     private static final Duration DEADLINE_CHECK = Duration.ofSeconds(1);
@@ -129,7 +128,12 @@
         runner.onEvent(event);
     }
 
-    /** Starts and cancels items now; called when online load or grants changed. */
+    /** Returns whether this node holds jobs or has items in flight. */
+    public boolean isActive() {
+        return runner.isActive();
+    }
+
+    /** Starts and cancels items now; call about every 5 ms while active. */
     public void schedule() {
         runner.tick();
     }
@@ -137,7 +141,6 @@
     @Override
     public Uni<Void> start() {
         runner.start();
-        timers.every(TICK, runner::tick);
         timers.every(FLUSH, runner::flush);
         timers.every(CLAIM_CHECK, claims::check);
         timers.every(DEADLINE_CHECK, runner::closeExpired);
