--- a/node/src/main/java/dev/lavenderline/node/jobs/InputFile.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/InputFile.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -177,7 +178,7 @@
                 }
                 start = end + 1;
             }
-            return java.util.Arrays.copyOf(copy, length);
+            return Arrays.copyOf(copy, length);
         }
 
         private int endOfLine(int start) {
--- a/node/src/main/java/dev/lavenderline/node/jobs/ItemExecutor.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/ItemExecutor.java
@@ -1,10 +1,11 @@
 package dev.lavenderline.node.jobs;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
+import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.admission.ItemOutcome;
 import dev.lavenderline.core.config.Upstream;
+import dev.lavenderline.http.AnswerBody;
 import dev.lavenderline.http.ApiError;
 import dev.lavenderline.http.ModelRequest;
 import dev.lavenderline.http.StreamListener;
@@ -23,12 +24,12 @@
  * <p>Not thread-safe; confined to the node's event loop.
  */
 final class ItemExecutor {
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int DEFAULT_MAX_TOKENS = 512;
 
     private final UpstreamClient client;
     private final Duration firstToken;
     private final Duration stall;
+    private final Ticker ticker;
 
     /**
      * Creates an executor.
@@ -36,10 +37,11 @@
      * @param firstToken longest time until the first token
      * @param stall longest time between tokens
      */
-    ItemExecutor(UpstreamClient client, Duration firstToken, Duration stall) {
+    ItemExecutor(UpstreamClient client, Duration firstToken, Duration stall, Ticker ticker) {
         this.client = client;
         this.firstToken = firstToken;
         this.stall = stall;
+        this.ticker = ticker;
     }
 
     /** Receives the end of a run; exactly one of {@code done} and {@code failed} is called unless it was cancelled. */
@@ -125,7 +127,8 @@
                 firstToken,
                 stall,
                 newConnection);
-        Gatherer gatherer = new Gatherer(index, customId, requestId, request, partial, listener);
+        Gatherer gatherer = new Gatherer(
+                index, customId, requestId, request, partial, ticker.now().getEpochSecond(), listener);
         return new Run(client.stream(upstream, stream, gatherer), gatherer);
     }
 
@@ -135,6 +138,8 @@
         private final String requestId;
         private final ModelRequest request;
         private final Listener listener;
+        private final long createdSeconds;
+        private final int continuedFrom;
         private final StringBuilder text = new StringBuilder();
         private int tokens;
         private boolean hasFirstToken;
@@ -145,12 +150,15 @@
                 String requestId,
                 ModelRequest request,
                 Partial partial,
+                long createdSeconds,
                 Listener listener) {
             this.index = index;
             this.customId = customId;
             this.requestId = requestId;
             this.request = request;
             this.listener = listener;
+            this.createdSeconds = createdSeconds;
+            this.continuedFrom = partial.tokens();
             this.text.append(partial.text());
             this.tokens = partial.tokens();
         }
@@ -182,22 +190,10 @@
         }
 
         private ObjectNode body(End end) {
-            ObjectNode body = JSON.createObjectNode();
-            body.put("id", requestId);
-            body.put("object", request.chat() ? "chat.completion" : "text_completion");
-            body.put("model", request.deployment());
-            ObjectNode choice = body.putArray("choices").addObject().put("index", 0);
-            if (request.chat()) {
-                choice.putObject("message").put("role", "assistant").put("content", text.toString());
-            } else {
-                choice.put("text", text.toString());
-            }
-            choice.put("finish_reason", end.finishReason());
-            body.putObject("usage")
-                    .put("prompt_tokens", end.promptTokens())
-                    .put("completion_tokens", tokens)
-                    .put("total_tokens", end.promptTokens() + tokens);
-            return body;
+            // The engine counts a continued answer's first part as prompt.
+            int promptTokens = Math.max(0, end.promptTokens() - continuedFrom);
+            return new AnswerBody(request, requestId, createdSeconds)
+                    .whole(text.toString(), tokens, end.finishReason(), promptTokens);
         }
 
         @Override
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobService.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobService.java
@@ -12,6 +12,7 @@
 import dev.lavenderline.http.ApiError;
 import dev.lavenderline.http.BatchApi;
 import dev.lavenderline.node.log.LoggedStream;
+import dev.lavenderline.platform.Futures;
 import dev.lavenderline.platform.LogError;
 import dev.lavenderline.proto.log.Entry;
 import dev.lavenderline.proto.log.FileChunk;
@@ -88,8 +89,7 @@
             return Uni.createFrom().item(Either.left(logDown()));
         }
         byte[] bytes = body.getBytes();
-        return dev.lavenderline.platform.Futures.toUni(
-                        vertx.executeBlocking(() -> InputFile.parse(workspace, bytes), false))
+        return Futures.toUni(vertx.executeBlocking(() -> InputFile.parse(workspace, bytes), false))
                 .chain(parsed -> parsed.isLeft()
                         ? Uni.createFrom().item(Either.left(parsed.getLeft()))
                         : store(workspace, name, parsed.get()));
--- a/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/Jobs.java
@@ -100,7 +100,7 @@
                 work,
                 content,
                 scheduler,
-                new ItemExecutor(client, options.firstToken(), options.stall()),
+                new ItemExecutor(client, options.firstToken(), options.stall(), ticker),
                 claims,
                 config,
                 inFlightListener,
