--- a/ctl/src/main/java/dev/lavenderline/ctl/ConfigCommands.java
+++ b/ctl/src/main/java/dev/lavenderline/ctl/ConfigCommands.java
@@ -6,7 +6,7 @@
 import dev.lavenderline.core.config.ConfigLedger;
 import dev.lavenderline.core.config.ConfigParser;
 import dev.lavenderline.core.config.FleetConfig;
-import dev.lavenderline.platform.LogWriter;
+import dev.lavenderline.log.LogWriter;
 import dev.lavenderline.proto.log.ConfigChange;
 import dev.lavenderline.proto.log.Entry;
 import io.vavr.control.Either;
--- a/ctl/src/test/java/dev/lavenderline/ctl/TestLog.java
+++ b/ctl/src/test/java/dev/lavenderline/ctl/TestLog.java
@@ -1,6 +1,6 @@
 package dev.lavenderline.ctl;
 
-import dev.lavenderline.platform.LogWriter;
+import dev.lavenderline.log.LogWriter;
 import dev.lavenderline.proto.log.Entry;
 import dev.lavenderline.proto.log.RecordBatch;
 import dev.lavenderline.standins.log.LogStandin;
--- a/platform/src/main/java/dev/lavenderline/platform/Futures.java
+++ b/log/src/main/java/dev/lavenderline/log/Futures.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Future;
--- a/platform/src/main/java/dev/lavenderline/platform/HttpCalls.java
+++ b/log/src/main/java/dev/lavenderline/log/HttpCalls.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
--- a/platform/src/main/java/dev/lavenderline/platform/HttpHostList.java
+++ b/log/src/main/java/dev/lavenderline/log/HttpHostList.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/platform/src/main/java/dev/lavenderline/platform/LogWriter.java
+++ b/log/src/main/java/dev/lavenderline/log/LogWriter.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
--- a/platform/src/main/java/dev/lavenderline/platform/PlatformError.java
+++ b/log/src/main/java/dev/lavenderline/log/PlatformError.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 /**
  * Why a call to the host list or the weight store failed.
--- a/platform/src/main/java/dev/lavenderline/platform/RecordReader.java
+++ b/log/src/main/java/dev/lavenderline/log/RecordReader.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
--- a/platform/src/main/java/dev/lavenderline/platform/SnapshotAssembler.java
+++ b/log/src/main/java/dev/lavenderline/log/SnapshotAssembler.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import com.google.protobuf.ByteString;
 import dev.lavenderline.proto.log.SnapshotPart;
--- a/platform/src/main/java/dev/lavenderline/platform/VertxTimers.java
+++ b/log/src/main/java/dev/lavenderline/log/VertxTimers.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import dev.lavenderline.core.Timers;
 import io.vertx.core.Vertx;
--- a/platform/src/test/java/dev/lavenderline/platform/FaultyLog.java
+++ b/log/src/test/java/dev/lavenderline/log/FaultyLog.java
@@ -1,4 +1,4 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import dev.lavenderline.proto.log.Entry;
--- a/platform/src/test/java/dev/lavenderline/platform/HttpPlatformTest.java
+++ b/log/src/test/java/dev/lavenderline/log/HttpPlatformTest.java
@@ -1,10 +1,10 @@
-package dev.lavenderline.platform;
+package dev.lavenderline.log;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dev.lavenderline.platform.HostList.HostEntry;
-import dev.lavenderline.platform.HostList.HostState;
+import dev.lavenderline.log.HostList.HostEntry;
+import dev.lavenderline.log.HostList.HostState;
 import dev.lavenderline.standins.hosts.HostListStandin;
 import dev.lavenderline.standins.weights.WeightStoreStandin;
 import io.vavr.control.Either;
--- a/node/src/main/java/dev/lavenderline/node/jobs/ResultWriter.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/ResultWriter.java
@@ -1,6 +1,6 @@
 package dev.lavenderline.node.jobs;
 
-import dev.lavenderline.platform.LogWriter;
+import dev.lavenderline.log.LogWriter;
 import dev.lavenderline.proto.log.Entry;
 import dev.lavenderline.proto.log.ItemResult;
 import dev.lavenderline.proto.log.ItemsCompleted;
--- a/node/src/test/java/dev/lavenderline/node/DocsTest.java
+++ b/node/src/test/java/dev/lavenderline/node/DocsTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.lavenderline.http.HttpEvent;
-import dev.lavenderline.platform.PlatformEvent;
+import dev.lavenderline.log.PlatformEvent;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -84,7 +84,7 @@
     @Test
     void everyEventEnumOfTheModulesIsListed() throws IOException {
         Set<String> found = new TreeSet<>();
-        for (String module : List.of("core", "platform", "peer", "http", "node")) {
+        for (String module : List.of("core", "log", "peer", "http", "node")) {
             try (Stream<Path> sources = Files.walk(Path.of("..", module, "src", "main", "java"))) {
                 sources.map(path -> path.getFileName().toString())
                         .filter(name -> name.matches("(Node|Platform|Http|Peer)Event\\.java"))
