--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -0,0 +1,69 @@
+package dev.lavenderline.serving.jobs;
+
+import dev.lavenderline.proto.jobs.ItemFailures;
+import dev.lavenderline.proto.jobs.ItemResult;
+import dev.lavenderline.proto.jobs.JobEnded;
+import dev.lavenderline.proto.jobs.JobItem;
+import dev.lavenderline.proto.jobs.JobPart;
+import dev.lavenderline.proto.jobs.JobRecord;
+import dev.lavenderline.serving.store.KeyedRecord;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Keys and values of the job topic. Stateless and thread-safe. */
+final class JobRecords {
+    private JobRecords() {}
+
+    /** Returns the records of a job, each below a size limit in bytes. */
+    static List<KeyedRecord> job(JobPart head, List<JobItem> items, int recordBytes) {
+        List<List<JobItem>> groups = new ArrayList<>();
+        List<JobItem> group = new ArrayList<>();
+        int size = 0;
+        for (JobItem item : items) {
+            if (!group.isEmpty() && size + item.getSerializedSize() > recordBytes / 2) {
+                groups.add(group);
+                group = new ArrayList<>();
+                size = 0;
+            }
+            group.add(item);
+            size += item.getSerializedSize();
+        }
+        groups.add(group);
+        List<KeyedRecord> records = new ArrayList<>();
+        int first = 0;
+        for (List<JobItem> some : groups) {
+            JobPart part = head.toBuilder()
+                    .setPart(records.size())
+                    .setParts(groups.size())
+                    .setItemsTotal(items.size())
+                    .setFirstItem(first)
+                    .addAllItems(some)
+                    .build();
+            first += some.size();
+            records.add(record(
+                    "job/" + head.getJob() + "/" + part.getPart(),
+                    JobRecord.newBuilder().setPart(part)));
+        }
+        return records;
+    }
+
+    static KeyedRecord result(ItemResult result) {
+        return record(
+                "result/" + result.getJob() + "/" + result.getItem(),
+                JobRecord.newBuilder().setResult(result));
+    }
+
+    static KeyedRecord failures(ItemFailures failures) {
+        return record(
+                "failures/" + failures.getJob() + "/" + failures.getItem(),
+                JobRecord.newBuilder().setFailures(failures));
+    }
+
+    static KeyedRecord ended(String job) {
+        return record("end/" + job, JobRecord.newBuilder().setEnded(JobEnded.newBuilder().setJob(job)));
+    }
+
+    private static KeyedRecord record(String key, JobRecord.Builder value) {
+        return new KeyedRecord(key, value.build().toByteArray());
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -0,0 +1,216 @@
+package dev.lavenderline.serving.jobs;
+
+import com.google.common.hash.Hashing;
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import dev.lavenderline.proto.jobs.ItemFailures;
+import dev.lavenderline.proto.jobs.ItemResult;
+import dev.lavenderline.proto.jobs.JobPart;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.routes.Route;
+import dev.lavenderline.serving.slots.ItemRef;
+import dev.lavenderline.serving.store.ConditionalWriter;
+import dev.lavenderline.serving.store.KeyedListener;
+import dev.lavenderline.serving.store.KeyedRecord;
+import dev.lavenderline.serving.store.MetadataStore;
+import dev.lavenderline.serving.store.Partition;
+import dev.lavenderline.serving.store.PartitionFollower;
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Writes and reads the job topic. All records of a job are in one partition, and every append states the offset up to
+ * which that partition was read.
+ *
+ * <p>Not thread-safe; confined to the event loop.
+ */
+public final class JobStore {
+    /** Name of the topic. */
+    static final String TOPIC = "keyed.jobs";
+
+    /** Long polls of the job topic; an idle partition is confirmed this often. */
+    private static final Duration POLL = Duration.ofSeconds(1);
+
+    /** A result waits this long for a store that is away; the item runs again elsewhere if its node is lost. */
+    private static final Duration RESULT_LIMIT = Duration.ofMinutes(2);
+
+    private final Ticker ticker;
+    private final JobLedger ledger;
+    private final int recordBytes;
+    private final List<PartitionFollower> followers = new ArrayList<>();
+    private final List<ConditionalWriter> writers = new ArrayList<>();
+
+    /** How an attempt to accept a job ended. */
+    public enum Acceptance {
+        ACCEPTED,
+        /** The tokens that wait on the route leave no room; the job does not run. */
+        OVER_LIMIT,
+        /** The store did not answer in time; the job does not run. */
+        NOT_APPENDED,
+        /** The store did not answer in time; the job may run. */
+        UNKNOWN
+    }
+
+    /**
+     * Creates the store of jobs.
+     *
+     * @param partitions partitions to use; all nodes have to use the same number
+     * @param recordBytes largest record
+     * @param pause time between two polls of a partition
+     */
+    public JobStore(
+            MetadataStore store,
+            JobLedger ledger,
+            Ticker ticker,
+            Timers timers,
+            EventLog log,
+            int partitions,
+            int recordBytes,
+            Supplier<Duration> pause) {
+        this.ticker = ticker;
+        this.ledger = ledger;
+        this.recordBytes = recordBytes;
+        KeyedListener listener = new KeyedListener() {
+            @Override
+            public void reset(List<KeyedRecord> current) {
+                current.forEach(ledger::apply);
+            }
+
+            @Override
+            public void record(KeyedRecord newer) {
+                ledger.apply(newer);
+            }
+        };
+        for (int i = 0; i < partitions; i++) {
+            Partition partition = new Partition(TOPIC, i);
+            PartitionFollower follower =
+                    new PartitionFollower(store, partition, listener, ticker, timers, log, POLL, pause);
+            followers.add(follower);
+            writers.add(new ConditionalWriter(store, partition, follower, ticker, timers));
+        }
+    }
+
+    /** Starts reading all partitions. */
+    public void start() {
+        followers.forEach(PartitionFollower::start);
+    }
+
+    /** Returns whether the partition of a job has been read. */
+    public boolean loaded(String job) {
+        return followers.get(partition(job)).next() >= 0;
+    }
+
+    /** Returns the number of changes that have not reached the store. */
+    public int unwritten() {
+        return writers.stream().mapToInt(ConditionalWriter::waiting).sum();
+    }
+
+    private int partition(String job) {
+        int hash = Hashing.murmur3_32_fixed()
+                .hashString(job, StandardCharsets.UTF_8)
+                .asInt();
+        return Math.floorMod(hash, followers.size());
+    }
+
+    private ConditionalWriter writer(String job) {
+        return writers.get(partition(job));
+    }
+
+    /** Reads the partition of a job up to its current end. */
+    public Future<Void> refresh(String job) {
+        return followers.get(partition(job)).refresh();
+    }
+
+    /** Accepts a job if it is new and fits, within a time limit. */
+    public Future<Acceptance> accept(JobSubmission submission, Route route, String host, Duration limit) {
+        JobPart head = JobPart.newBuilder()
+                .setJob(submission.id())
+                .setRoute(route.name())
+                .setHost(host)
+                .setAcceptedUnixMs(ticker.now().toEpochMilli())
+                .setCompletionTargetMs((int) route.completionTarget().toMillis())
+                .setRetentionMs((int) route.retention().toMillis())
+                .setAttempts(route.attempts())
+                .build();
+        boolean[] overLimit = new boolean[1];
+        ConditionalWriter.Change change = reservations -> {
+            if (ledger.find(submission.id()).isPresent()) {
+                overLimit[0] = false;
+                return Optional.of(List.of());
+            }
+            if (reservations.take("job/" + submission.id()) > 0) {
+                return Optional.empty();
+            }
+            overLimit[0] = route.maxWaitingTokens() > 0
+                    && ledger.waitingTokens(route.name()) + submission.tokens() > route.maxWaitingTokens();
+            return overLimit[0]
+                    ? Optional.of(List.of())
+                    : Optional.of(JobRecords.job(head, submission.items(), recordBytes));
+        };
+        return writer(submission.id()).submit(change, limit).map(result -> switch (result) {
+            case DONE -> overLimit[0] ? Acceptance.OVER_LIMIT : Acceptance.ACCEPTED;
+            case NOT_APPENDED -> Acceptance.NOT_APPENDED;
+            case UNKNOWN -> Acceptance.UNKNOWN;
+        });
+    }
+
+    /** Ends a job; true if it is ended or was never accepted. */
+    public Future<Boolean> end(String job, Duration limit) {
+        return writer(job)
+                .submit(
+                        reservations -> {
+                            boolean ended = ledger.find(job).map(Job::ended).orElse(true);
+                            return Optional.of(ended ? List.of() : List.of(JobRecords.ended(job)));
+                        },
+                        limit)
+                .map(result -> result == ConditionalWriter.Result.DONE);
+    }
+
+    /** Lists the result of an item unless it has one. */
+    public Future<Boolean> addResult(ItemRef item, boolean completed, String output) {
+        ConditionalWriter.Change change = reservations -> {
+            Optional<Job> job = ledger.find(item.job());
+            if (job.isEmpty() || job.get().hasResult(item.index()) || job.get().ended()) {
+                return Optional.of(List.of());
+            }
+            if (reservations.take("result/" + item) > 0) {
+                return Optional.empty();
+            }
+            int position = job.get().resultCount() + reservations.take("results/" + item.job());
+            return Optional.of(List.of(JobRecords.result(ItemResult.newBuilder()
+                    .setJob(item.job())
+                    .setItem(item.index())
+                    .setPosition(position)
+                    .setCompleted(completed)
+                    .setOutput(output)
+                    .build())));
+        };
+        return writer(item.job())
+                .submit(change, RESULT_LIMIT)
+                .map(result -> result == ConditionalWriter.Result.DONE);
+    }
+
+    /** Counts a failed run of an item. */
+    public Future<Boolean> addFailure(ItemRef item) {
+        int wanted = ledger.find(item.job()).map(job -> job.failures(item.index())).orElse(0) + 1;
+        ConditionalWriter.Change change = reservations -> {
+            Optional<Job> job = ledger.find(item.job());
+            if (job.isEmpty() || job.get().hasResult(item.index()) || job.get().failures(item.index()) >= wanted) {
+                return Optional.of(List.of());
+            }
+            return Optional.of(List.of(JobRecords.failures(ItemFailures.newBuilder()
+                    .setJob(item.job())
+                    .setItem(item.index())
+                    .setFailures(wanted)
+                    .build())));
+        };
+        return writer(item.job())
+                .submit(change, RESULT_LIMIT)
+                .map(result -> result == ConditionalWriter.Result.DONE);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ConfigFollower.java
@@ -0,0 +1,53 @@
+package dev.lavenderline.serving.node;
+
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.routes.FleetConfig;
+import dev.lavenderline.serving.store.KeyedListener;
+import dev.lavenderline.serving.store.KeyedRecord;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Keeps the newest configuration. Versions only increase; one that can't be read leaves the last in force.
+ *
+ * <p>Not thread-safe; confined to the event loop.
+ */
+final class ConfigFollower implements KeyedListener {
+    private final ControlRecords records;
+    private final EventLog log;
+    private Optional<FleetConfig> current = Optional.empty();
+
+    ConfigFollower(ControlRecords records, EventLog log) {
+        this.records = records;
+        this.log = log;
+    }
+
+    Optional<FleetConfig> current() {
+        return current;
+    }
+
+    @Override
+    public void reset(List<KeyedRecord> newest) {
+        newest.forEach(this::record);
+    }
+
+    @Override
+    public void record(KeyedRecord record) {
+        if (!record.key().equals(records.configKey()) || record.deletion()) {
+            return;
+        }
+        Either<String, FleetConfig> read = records.config(record.value());
+        if (read.isLeft()) {
+            log.event(ServingEvent.CONFIG_MALFORMED, "message", read.getLeft());
+            return;
+        }
+        FleetConfig config = read.get();
+        if (current.isPresent() && config.version() <= current.get().version()) {
+            return;
+        }
+        current = Optional.of(config);
+        log.event(ServingEvent.CONFIG_IN_FORCE, "version", config.version(), "routes", config.routeCount());
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
@@ -0,0 +1,47 @@
+package dev.lavenderline.serving.node;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.serving.jobs.Job;
+import dev.lavenderline.serving.jobs.JobLedger;
+import dev.lavenderline.serving.jobs.JobStore;
+import dev.lavenderline.serving.slots.ItemRef;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Gives up items whose time has passed. Runs on the node whose scheduler is in use.
+ *
+ * <p>Not thread-safe; confined to the event loop.
+ */
+final class JobCleaner {
+    /** Time beyond the limit, since this node may have learnt of the job before other clocks say that it was sent. */
+    private static final Duration MARGIN = Duration.ofSeconds(2);
+
+    private final JobLedger ledger;
+    private final JobStore store;
+    private final Ticker ticker;
+    private final Set<ItemRef> abandoned = new HashSet<>();
+
+    JobCleaner(JobLedger ledger, JobStore store, Ticker ticker) {
+        this.ledger = ledger;
+        this.store = store;
+        this.ticker = ticker;
+    }
+
+    void run() {
+        long now = ticker.nanos();
+        for (Job job : List.copyOf(ledger.openByDueTime())) {
+            if (now - job.abandonNanos() < MARGIN.toNanos()) {
+                continue;
+            }
+            for (int i = 0; i < job.total(); i++) {
+                ItemRef item = new ItemRef(job.id(), i);
+                if (!job.hasResult(i) && abandoned.add(item)) {
+                    store.addResult(item, false, "").onComplete(done -> abandoned.remove(item));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallContext.java
@@ -0,0 +1,27 @@
+package dev.lavenderline.serving.online;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.slots.LocalPlacement;
+import dev.lavenderline.serving.slots.SlotClient;
+import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import java.util.function.IntUnaryOperator;
+
+/**
+ * What requests and items need of the process. Immutable.
+ *
+ * @param random returns a number from 0 to its argument, exclusive
+ */
+public record CallContext(
+        String node,
+        WireFormat wire,
+        UpstreamConnections connections,
+        UpstreamDirectory directory,
+        SlotClient slots,
+        LocalPlacement placement,
+        Ticker ticker,
+        Timers timers,
+        EventLog log,
+        ServingMetrics metrics,
+        IntUnaryOperator random) {}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/online/ServingMetrics.java
@@ -0,0 +1,42 @@
+package dev.lavenderline.serving.online;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Counters and latency histograms of the process. Thread-safe. */
+public final class ServingMetrics {
+    private final MetricRegistry registry = new MetricRegistry();
+
+    /** Counts an event. */
+    public void count(String name) {
+        registry.counter(name).inc();
+    }
+
+    /** Records a duration in nanoseconds. */
+    public void time(String name, long nanos) {
+        registry.timer(name).update(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Returns all counters and histograms as text in the form of Prometheus; durations are in seconds. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        registry.getCounters().forEach((name, counter) ->
+                text.append(name).append("_total ").append(counter.getCount()).append('\n'));
+        for (Map.Entry<String, Timer> entry : registry.getTimers().entrySet()) {
+            Snapshot snapshot = entry.getValue().getSnapshot();
+            quantile(text, entry.getKey(), 0.5, snapshot.getMedian());
+            quantile(text, entry.getKey(), 0.95, snapshot.get95thPercentile());
+            quantile(text, entry.getKey(), 0.99, snapshot.get99thPercentile());
+            text.append(entry.getKey()).append("_count ").append(entry.getValue().getCount()).append('\n');
+        }
+        return text.toString();
+    }
+
+    private static void quantile(StringBuilder text, String name, double quantile, double nanos) {
+        text.append(String.format(Locale.ROOT, "%s{quantile=\"%.2f\"} %.6f%n", name, quantile, nanos / 1e9));
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -0,0 +1,90 @@
+package dev.lavenderline.serving.routes;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A version of the operators' configuration with an index of its routes. Immutable and thread-safe.
+ *
+ * <p>Invariant: the routes of a host are ordered by the length of their prefix, longest first, so that the first match
+ * is the longest.
+ */
+public final class FleetConfig {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, Route> routesByName = new HashMap<>();
+    private final Map<String, ServiceInfo> services = new HashMap<>();
+    private final CallerLimits limits;
+
+    public FleetConfig(
+            long version, Collection<Route> routes, Collection<ServiceInfo> services, CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        services.forEach(service -> this.services.put(service.name(), service));
+        for (Route route : routes) {
+            routesByName.put(route.name(), route);
+            routesByHost.merge(route.host(), List.of(route), FleetConfig::longestFirst);
+        }
+    }
+
+    private static List<Route> longestFirst(List<Route> some, List<Route> more) {
+        return java.util.stream.Stream.concat(some.stream(), more.stream())
+                .sorted((a, b) -> Integer.compare(
+                        b.pathPrefix().length(), a.pathPrefix().length()))
+                .toList();
+    }
+
+    /** Returns the version, which only increases. */
+    public long version() {
+        return version;
+    }
+
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the number of routes. */
+    public int routeCount() {
+        return routesByName.size();
+    }
+
+    /** Returns the route with the longest prefix of a path, if any. The host may have a port, which is ignored. */
+    public Optional<Route> route(String host, String path) {
+        for (Route route : routesOf(host)) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether a host has any route. */
+    public boolean knowsHost(String host) {
+        return !routesOf(host).isEmpty();
+    }
+
+    private List<Route> routesOf(String host) {
+        return routesByHost.getOrDefault(hostName(host), List.of());
+    }
+
+    /** Returns the route with a name, if it is still there. */
+    public Optional<Route> routeNamed(String name) {
+        return Optional.ofNullable(routesByName.get(name));
+    }
+
+    /** Returns whether the upstreams of a service are model engines. */
+    public boolean modelEngines(String service) {
+        ServiceInfo info = services.get(service);
+        return info != null && info.modelEngines();
+    }
+
+    private static String hostName(String host) {
+        int colon = host.indexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
@@ -0,0 +1,129 @@
+package dev.lavenderline.serving.slots;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import dev.lavenderline.proto.slots.NodeRecord;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.store.KeyedListener;
+import dev.lavenderline.serving.store.KeyedRecord;
+import dev.lavenderline.serving.store.MetadataStore;
+import dev.lavenderline.serving.store.Partition;
+import dev.lavenderline.serving.store.PartitionFollower;
+import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Registers this node in the store and follows the registrations of the others. Whether a node lives is found out by
+ * using it, not from its registration.
+ *
+ * <p>Not thread-safe; confined to the event loop.
+ */
+public final class NodeRegistry implements KeyedListener {
+    private static final Partition PARTITION = new Partition("keyed.nodes", 0);
+    private static final Duration POLL = Duration.ofSeconds(5);
+    private static final Duration PAUSE = Duration.ofMillis(500);
+    private static final Duration RETRY = Duration.ofMillis(500);
+
+    private final MetadataStore store;
+    private final NodeEntry self;
+    private final Timers timers;
+    private final EventLog log;
+    private final Consumer<Collection<NodeEntry>> listener;
+    private final PartitionFollower follower;
+    private final Map<String, NodeEntry> nodes = new HashMap<>();
+    private boolean stopped;
+
+    public NodeRegistry(
+            MetadataStore store,
+            NodeEntry self,
+            Ticker ticker,
+            Timers timers,
+            EventLog log,
+            Consumer<Collection<NodeEntry>> listener) {
+        this.store = store;
+        this.self = self;
+        this.timers = timers;
+        this.log = log;
+        this.listener = listener;
+        this.follower = new PartitionFollower(store, PARTITION, this, ticker, timers, log, POLL, () -> PAUSE);
+        nodes.put(self.name(), self);
+    }
+
+    /** Registers this node and starts following the others. */
+    public void start() {
+        follower.start();
+        register();
+    }
+
+    private void register() {
+        if (stopped) {
+            return;
+        }
+        byte[] value = NodeRecord.newBuilder()
+                .setName(self.name())
+                .setHost(self.host())
+                .setPort(self.port())
+                .setZone(self.failureDomain())
+                .setCapacityMilli((int) Math.round(self.capacity() * 1000))
+                .build()
+                .toByteArray();
+        store.append(PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(self.name(), value)))
+                .onFailure(failure -> timers.after(RETRY, this::register));
+    }
+
+    /** Removes this node's registration. */
+    public Future<Long> leave() {
+        stopped = true;
+        follower.stop();
+        return store.append(
+                PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(self.name(), new byte[0])));
+    }
+
+    @Override
+    public void reset(List<KeyedRecord> current) {
+        nodes.clear();
+        nodes.put(self.name(), self);
+        current.forEach(this::apply);
+        listener.accept(nodes.values());
+    }
+
+    @Override
+    public void record(KeyedRecord newer) {
+        apply(newer);
+        listener.accept(nodes.values());
+    }
+
+    private void apply(KeyedRecord record) {
+        if (record.key().equals(self.name())) {
+            // A late removal by an earlier process of this node must not hide it.
+            if (record.deletion()) {
+                register();
+            }
+            return;
+        }
+        if (record.deletion()) {
+            nodes.remove(record.key());
+            return;
+        }
+        try {
+            NodeRecord entry = NodeRecord.parseFrom(record.value());
+            nodes.put(
+                    record.key(),
+                    new NodeEntry(
+                            entry.getName(),
+                            entry.getHost(),
+                            entry.getPort(),
+                            entry.getZone(),
+                            entry.getCapacityMilli() / 1000.0));
+        } catch (InvalidProtocolBufferException e) {
+            log.event(ServingEvent.RECORD_MALFORMED, "key", record.key(), "message", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -0,0 +1,163 @@
+package dev.lavenderline.serving.slots;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import dev.lavenderline.proto.slots.SlotFrame;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Serves this node's scheduler to other nodes over TCP and to the node itself.
+ *
+ * <p>Invariant: a node has at most one connection that counts, the one of its latest hello. Not thread-safe; confined
+ * to the event loop.
+ */
+public final class SlotServer implements SlotOutput {
+    /** A connection without a frame for this long is closed; nodes ping several times a second. */
+    private static final Duration SILENCE = Duration.ofMillis(2500);
+
+    private final Vertx vertx;
+    private final Ticker ticker;
+    private final EventLog log;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private SlotScheduler scheduler;
+    private String self = "";
+    private SlotOutput local;
+    private NetServer server;
+
+    private final class Peer {
+        final NetSocket socket;
+        String node = "";
+        long heardNanos = ticker.nanos();
+
+        Peer(NetSocket socket) {
+            this.socket = socket;
+            socket.handler(new SlotFrames.Reader(this::frame, problem -> {
+                log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", problem);
+                socket.close();
+            }));
+            socket.closeHandler(closed -> leave(this, "connection closed"));
+            socket.exceptionHandler(failure -> leave(this, failure.getMessage()));
+        }
+
+        void frame(SlotFrame frame) {
+            heardNanos = ticker.nanos();
+            switch (frame.getBodyCase()) {
+                case HELLO -> join(this, frame);
+                case PING -> socket.write(SlotFrames.pong(frame.getPing().getSequence()));
+                case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire()));
+                case RELEASE ->
+                    scheduler.released(
+                            node,
+                            frame.getRelease().getLease(),
+                            SlotFrames.leaseEnd(frame.getRelease().getOutcome()),
+                            frame.getRelease().getEvents());
+                case SUSPECT -> scheduler.suspected(frame.getSuspect().getUpstream());
+                default -> log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", frame.getBodyCase());
+            }
+        }
+    }
+
+    public SlotServer(Vertx vertx, Ticker ticker, EventLog log) {
+        this.vertx = vertx;
+        this.ticker = ticker;
+        this.log = log;
+    }
+
+    /** Connects the scheduler and the receiver of decisions for the node itself; call it before {@link #listen}. */
+    void attach(SlotScheduler served, String selfName, SlotOutput localOutput) {
+        scheduler = served;
+        self = selfName;
+        local = localOutput;
+    }
+
+    /** Starts to accept connections. */
+    Future<Integer> listen(String host, int port, Timers timers) {
+        server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
+        server.connectHandler(Peer::new);
+        timers.every(Duration.ofMillis(500), this::closeSilent);
+        return server.listen(port, host).map(NetServer::actualPort);
+    }
+
+    private void closeSilent() {
+        long now = ticker.nanos();
+        for (Peer peer : List.copyOf(peers.values())) {
+            if (now - peer.heardNanos > SILENCE.toNanos()) {
+                leave(peer, "silent");
+                peer.socket.close();
+            }
+        }
+    }
+
+    private void join(Peer peer, SlotFrame frame) {
+        peer.node = frame.getHello().getNode();
+        Peer before = peers.put(peer.node, peer);
+        if (before != null && before != peer) {
+            before.socket.close();
+        }
+        List<Holding> holdings = SlotFrames.holdings(frame.getHello());
+        scheduler.joined(
+                peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
+        log.event(ServingEvent.NODE_JOINED, "peer", peer.node, "holdings", holdings.size());
+    }
+
+    private void leave(Peer peer, String reason) {
+        if (peers.remove(peer.node, peer)) {
+            scheduler.left(peer.node);
+            log.event(ServingEvent.NODE_LEFT, "peer", peer.node, "reason", reason);
+        }
+    }
+
+    private void send(String node, Buffer frame) {
+        Peer peer = peers.get(node);
+        if (peer != null) {
+            peer.socket.write(frame);
+        }
+    }
+
+    @Override
+    public void granted(String node, long lease, String upstream) {
+        if (node.equals(self)) {
+            local.granted(node, lease, upstream);
+        } else {
+            send(node, SlotFrames.granted(lease, upstream));
+        }
+    }
+
+    @Override
+    public void rejected(String node, long lease, Duration retryAfter) {
+        if (node.equals(self)) {
+            local.rejected(node, lease, retryAfter);
+        } else {
+            send(node, SlotFrames.rejected(lease, retryAfter));
+        }
+    }
+
+    @Override
+    public void run(String node, long lease, String upstream, ItemRef item) {
+        if (node.equals(self)) {
+            local.run(node, lease, upstream, item);
+        } else {
+            send(node, SlotFrames.run(lease, upstream, item));
+        }
+    }
+
+    @Override
+    public void preempt(String node, long lease) {
+        if (node.equals(self)) {
+            local.preempt(node, lease);
+        } else {
+            send(node, SlotFrames.preempt(lease));
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/store/KeyedRecord.java
@@ -0,0 +1,21 @@
+package dev.lavenderline.serving.store;
+
+import java.util.Objects;
+
+/**
+ * A record of a keyed topic. The value is not copied and must not be changed.
+ *
+ * @param key key, at most 255 bytes in UTF-8
+ * @param value value; empty if the key is deleted
+ */
+public record KeyedRecord(String key, byte[] value) {
+    public KeyedRecord {
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(value, "value");
+    }
+
+    /** Returns whether the record deletes its key. */
+    public boolean deletion() {
+        return value.length == 0;
+    }
+}
