--- a/log/src/main/java/dev/lavenderline/log/VertxTimers.java
+++ b/core/src/main/java/dev/lavenderline/core/VertxTimers.java
@@ -1,6 +1,5 @@
-package dev.lavenderline.log;
+package dev.lavenderline.core;
 
-import dev.lavenderline.core.Timers;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.Objects;
--- a/ctl/src/main/java/dev/lavenderline/ctl/LogSession.java
+++ b/ctl/src/main/java/dev/lavenderline/ctl/LogSession.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.ctl;
 
 import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.VertxTimers;
 import dev.lavenderline.core.config.Quantities;
 import dev.lavenderline.core.ledger.Ledger;
 import dev.lavenderline.log.HttpLogService;
@@ -9,7 +10,6 @@
 import dev.lavenderline.log.LogService;
 import dev.lavenderline.log.LogSlice;
 import dev.lavenderline.log.LogWriter;
-import dev.lavenderline.log.VertxTimers;
 import dev.lavenderline.proto.log.Entry;
 import io.smallrye.mutiny.Uni;
 import io.vavr.control.Either;
--- a/log/src/test/java/dev/lavenderline/log/LogThroughputMeasurement.java
+++ b/log/src/test/java/dev/lavenderline/log/LogThroughputMeasurement.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.log;
 
 import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.VertxTimers;
 import dev.lavenderline.core.ledger.Ledger;
 import dev.lavenderline.proto.log.RecordBatch;
 import dev.lavenderline.standins.log.LogStandin;
--- a/log/src/test/java/dev/lavenderline/log/StandinFaultsTest.java
+++ b/log/src/test/java/dev/lavenderline/log/StandinFaultsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.VertxTimers;
 import dev.lavenderline.standins.log.LogStandin;
 import io.vavr.control.Either;
 import io.vertx.core.Context;
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
@@ -71,13 +71,12 @@
             addPart(record.getPart());
             return;
         }
-        String id =
-                switch (record.getBodyCase()) {
-                    case RESULT -> record.getResult().getJob();
-                    case FAILURES -> record.getFailures().getJob();
-                    case ENDED -> record.getEnded().getJob();
-                    default -> "";
-                };
+        String id = switch (record.getBodyCase()) {
+            case RESULT -> record.getResult().getJob();
+            case FAILURES -> record.getFailures().getJob();
+            case ENDED -> record.getEnded().getJob();
+            default -> "";
+        };
         Job job = jobs.get(id);
         if (job == null) {
             // Keys are read in their own order after a start, so that results can come before their job.
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -60,7 +60,9 @@
     }
 
     static KeyedRecord ended(String job) {
-        return record("end/" + job, JobRecord.newBuilder().setEnded(JobEnded.newBuilder().setJob(job)));
+        return record(
+                "end/" + job,
+                JobRecord.newBuilder().setEnded(JobEnded.newBuilder().setJob(job)));
     }
 
     private static KeyedRecord record(String key, JobRecord.Builder value) {
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -190,14 +190,13 @@
                     .setOutput(output)
                     .build())));
         };
-        return writer(item.job())
-                .submit(change, RESULT_LIMIT)
-                .map(result -> result == ConditionalWriter.Result.DONE);
+        return writer(item.job()).submit(change, RESULT_LIMIT).map(result -> result == ConditionalWriter.Result.DONE);
     }
 
     /** Counts a failed run of an item. */
     public Future<Boolean> addFailure(ItemRef item) {
-        int wanted = ledger.find(item.job()).map(job -> job.failures(item.index())).orElse(0) + 1;
+        int wanted =
+                ledger.find(item.job()).map(job -> job.failures(item.index())).orElse(0) + 1;
         ConditionalWriter.Change change = reservations -> {
             Optional<Job> job = ledger.find(item.job());
             if (job.isEmpty() || job.get().hasResult(item.index()) || job.get().failures(item.index()) >= wanted) {
@@ -209,8 +208,6 @@
                     .setFailures(wanted)
                     .build())));
         };
-        return writer(item.job())
-                .submit(change, RESULT_LIMIT)
-                .map(result -> result == ConditionalWriter.Result.DONE);
+        return writer(item.job()).submit(change, RESULT_LIMIT).map(result -> result == ConditionalWriter.Result.DONE);
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -100,8 +100,7 @@
         this.log = log;
         this.config = new ConfigFollower(records, log);
         this.directory = new UpstreamDirectory(ticker);
-        this.configReader =
-                new PartitionFollower(store, CONFIG, config, ticker, timers, log, POLL, () -> CONFIG_PAUSE);
+        this.configReader = new PartitionFollower(store, CONFIG, config, ticker, timers, log, POLL, () -> CONFIG_PAUSE);
         this.upstreamReader = new PartitionFollower(
                 store,
                 UPSTREAMS,
@@ -115,8 +114,8 @@
         this.jobs = new JobStore(
                 store, ledger, ticker, timers, log, settings.jobPartitions(), settings.recordBytes(), this::jobsPause);
         UpstreamHealth plainHealth = new UpstreamHealth(ticker);
-        LocalPlacement placement = new LocalPlacement(
-                directory, plainHealth, settings.self().failureDomain(), random::nextDouble);
+        LocalPlacement placement =
+                new LocalPlacement(directory, plainHealth, settings.self().failureDomain(), random::nextDouble);
         this.slots = new SlotService(
                 vertx,
                 settings.self(),
@@ -165,8 +164,7 @@
         timers.every(SCHEDULE, this::schedule);
         timers.every(HOUSEKEEPING, this::housekeeping);
         return Future.all(List.of(
-                        slots.listen(
-                                settings.self().host(), settings.self().port()),
+                        slots.listen(settings.self().host(), settings.self().port()),
                         callers.listen(
                                 settings.callers().host(), settings.callers().port()),
                         status.listenReadiness(
@@ -186,7 +184,8 @@
         }
         if (!wasReady && ready()) {
             wasReady = true;
-            log.event(ServingEvent.READY, "config", config.current().orElseThrow().version());
+            log.event(
+                    ServingEvent.READY, "config", config.current().orElseThrow().version());
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/node/StatusServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/StatusServer.java
@@ -26,8 +26,7 @@
     }
 
     Future<Integer> listenReadiness(String host, int port) {
-        return server()
-                .requestHandler(request -> request.response()
+        return server().requestHandler(request -> request.response()
                         .setStatusCode(ready.getAsBoolean() ? 200 : 503)
                         .end())
                 .listen(port, host)
@@ -35,8 +34,7 @@
     }
 
     Future<Integer> listenMetrics(String host, int port) {
-        return server()
-                .requestHandler(request -> request.response()
+        return server().requestHandler(request -> request.response()
                         .putHeader("Content-Type", "text/plain; version=0.0.4")
                         .end(metrics.get()))
                 .listen(port, host)
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -103,13 +103,15 @@
     }
 
     private Duration targetLeft() {
-        return Duration.ofNanos(
-                arrivedNanos + route.latencyTarget().toNanos() - context.ticker().nanos());
+        return Duration.ofNanos(arrivedNanos
+                + route.latencyTarget().toNanos()
+                - context.ticker().nanos());
     }
 
     private boolean returning() {
         return info.deadline()
-                .map(deadline -> deadline.toMillis() < RETURNING_SHARE * route.timeout().toMillis())
+                .map(deadline ->
+                        deadline.toMillis() < RETURNING_SHARE * route.timeout().toMillis())
                 .orElse(false);
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/ServingMetrics.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/ServingMetrics.java
@@ -24,14 +24,20 @@
     /** Returns all counters and histograms as text in the form of Prometheus; durations are in seconds. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        registry.getCounters().forEach((name, counter) ->
-                text.append(name).append("_total ").append(counter.getCount()).append('\n'));
+        registry.getCounters()
+                .forEach((name, counter) -> text.append(name)
+                        .append("_total ")
+                        .append(counter.getCount())
+                        .append('\n'));
         for (Map.Entry<String, Timer> entry : registry.getTimers().entrySet()) {
             Snapshot snapshot = entry.getValue().getSnapshot();
             quantile(text, entry.getKey(), 0.5, snapshot.getMedian());
             quantile(text, entry.getKey(), 0.95, snapshot.get95thPercentile());
             quantile(text, entry.getKey(), 0.99, snapshot.get99thPercentile());
-            text.append(entry.getKey()).append("_count ").append(entry.getValue().getCount()).append('\n');
+            text.append(entry.getKey())
+                    .append("_count ")
+                    .append(entry.getValue().getCount())
+                    .append('\n');
         }
         return text.toString();
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -65,8 +65,7 @@
             candidate.connection().close();
         }
         opened++;
-        return agent.connect(
-                new HttpConnectOptions().setHost(upstream.host()).setPort(upstream.port()));
+        return agent.connect(new HttpConnectOptions().setHost(upstream.host()).setPort(upstream.port()));
     }
 
     /** Keeps a connection for later requests. */
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -71,7 +71,8 @@
             return;
         }
         call.headers().forEach((name, value) -> request.headers().add(name, value));
-        request.headers().set(HttpHeaders.CONTENT_LENGTH, Integer.toString(call.body().length()));
+        request.headers()
+                .set(HttpHeaders.CONTENT_LENGTH, Integer.toString(call.body().length()));
         request.exceptionHandler(failure -> fail(failureNow(), failure.getMessage()));
         request.response().onSuccess(this::head).onFailure(failure -> fail(failureNow(), failure.getMessage()));
         sent = true;
--- a/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -20,8 +20,7 @@
     private final Map<String, ServiceInfo> services = new HashMap<>();
     private final CallerLimits limits;
 
-    public FleetConfig(
-            long version, Collection<Route> routes, Collection<ServiceInfo> services, CallerLimits limits) {
+    public FleetConfig(long version, Collection<Route> routes, Collection<ServiceInfo> services, CallerLimits limits) {
         this.version = version;
         this.limits = limits;
         services.forEach(service -> this.services.put(service.name(), service));
@@ -33,8 +32,8 @@
 
     private static List<Route> longestFirst(List<Route> some, List<Route> more) {
         return java.util.stream.Stream.concat(some.stream(), more.stream())
-                .sorted((a, b) -> Integer.compare(
-                        b.pathPrefix().length(), a.pathPrefix().length()))
+                .sorted((a, b) ->
+                        Integer.compare(b.pathPrefix().length(), a.pathPrefix().length()))
                 .toList();
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/routes/WeightedService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/WeightedService.java
@@ -9,7 +9,8 @@
 public record WeightedService(String service, int weight) {
     public WeightedService {
         if (weight < 0) {
-            throw new IllegalArgumentException("weight of service " + service + " is " + weight + ", must not be negative");
+            throw new IllegalArgumentException(
+                    "weight of service " + service + " is " + weight + ", must not be negative");
         }
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
@@ -82,8 +82,7 @@
     public Future<Long> leave() {
         stopped = true;
         follower.stop();
-        return store.append(
-                PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(self.name(), new byte[0])));
+        return store.append(PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(self.name(), new byte[0])));
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
@@ -144,7 +144,10 @@
             switch (frame.getBodyCase()) {
                 case PONG -> ready();
                 case GRANTED ->
-                    granted(self.name(), frame.getGranted().getLease(), frame.getGranted().getUpstream());
+                    granted(
+                            self.name(),
+                            frame.getGranted().getLease(),
+                            frame.getGranted().getUpstream());
                 case REJECTED ->
                     rejected(
                             self.name(),
@@ -155,7 +158,9 @@
                             self.name(),
                             frame.getRunItem().getLease(),
                             frame.getRunItem().getUpstream(),
-                            new ItemRef(frame.getRunItem().getJob(), frame.getRunItem().getItem()));
+                            new ItemRef(
+                                    frame.getRunItem().getJob(),
+                                    frame.getRunItem().getItem()));
                 case PREEMPT -> preempt(self.name(), frame.getPreempt().getLease());
                 default ->
                     log.event(ServingEvent.FRAME_MALFORMED, "peer", target.name(), "message", frame.getBodyCase());
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -39,9 +39,8 @@
                 .setZone(self.failureDomain())
                 .setCapacityMilli((int) Math.round(self.capacity() * 1000));
         for (Holding holding : holdings) {
-            dev.lavenderline.proto.slots.Holding.Builder entry = hello.addHoldingsBuilder()
-                    .setLease(holding.lease())
-                    .setUpstream(holding.upstream());
+            dev.lavenderline.proto.slots.Holding.Builder entry =
+                    hello.addHoldingsBuilder().setLease(holding.lease()).setUpstream(holding.upstream());
             holding.item().ifPresent(item -> entry.setJob(item.job()).setItem(item.index()));
         }
         return frame(SlotFrame.newBuilder().setHello(hello));
@@ -64,7 +63,8 @@
                         .setLease(request.lease())
                         .setService(request.service())
                         .setTargetLeftMs((int) request.targetLeft().toMillis())
-                        .setDeadlineLeftMs((int) Math.max(0, request.deadlineLeft().toMillis()))
+                        .setDeadlineLeftMs(
+                                (int) Math.max(0, request.deadlineLeft().toMillis()))
                         .addAllExcluded(request.excluded())
                         .setPrefix(request.prefix())
                         .setReturning(request.returning())));
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -107,13 +107,7 @@
         final long dueNanos;
         boolean preempted;
 
-        Lease(
-                NodeState node,
-                long number,
-                String upstream,
-                Optional<ItemRef> item,
-                long startNanos,
-                long dueNanos) {
+        Lease(NodeState node, long number, String upstream, Optional<ItemRef> item, long startNanos, long dueNanos) {
             this.node = node;
             this.number = number;
             this.upstream = upstream;
@@ -166,8 +160,7 @@
         node.capacity = Math.max(0.01, capacity);
         nodes.put(name, node);
         for (Holding holding : holdings) {
-            add(new Lease(
-                    node, holding.lease(), holding.upstream(), holding.item(), ticker.nanos(), Long.MAX_VALUE));
+            add(new Lease(node, holding.lease(), holding.upstream(), holding.item(), ticker.nanos(), Long.MAX_VALUE));
         }
     }
 
@@ -313,8 +306,7 @@
     }
 
     private void grant(SlotRequest request, NodeState node, Upstream upstream) {
-        add(new Lease(
-                node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE));
+        add(new Lease(node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE));
         health.sent(upstream.id());
         if (request.prefix() != 0) {
             prefixes.record(request.prefix(), upstream.id());
@@ -401,7 +393,8 @@
         }
         switch (end) {
             case COMPLETED ->
-                settling.put(item, new Settling(node, now + options.settleLimit().toNanos()));
+                settling.put(
+                        item, new Settling(node, now + options.settleLimit().toNanos()));
             case CANCELLED, NODE_DECLINED -> notBefore.remove(item);
             default -> notBefore.put(item, now + options.itemRetry().toNanos());
         }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -106,8 +106,7 @@
             before.socket.close();
         }
         List<Holding> holdings = SlotFrames.holdings(frame.getHello());
-        scheduler.joined(
-                peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
+        scheduler.joined(peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
         log.event(ServingEvent.NODE_JOINED, "peer", peer.node, "holdings", holdings.size());
     }
 
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/ManualTime.java
@@ -0,0 +1,82 @@
+package dev.lavenderline.serving;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.Timers;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Clock and timers that a test moves by hand. Not thread-safe. */
+public final class ManualTime implements Ticker, Timers {
+    private static final Instant START = Instant.parse("2026-12-03T00:00:00Z");
+
+    private final List<Task> tasks = new ArrayList<>();
+    private long nanos;
+    private long sequence;
+
+    private static final class Task {
+        final Runnable action;
+        final long periodNanos;
+        final long number;
+        long atNanos;
+        boolean cancelled;
+
+        Task(Runnable action, long atNanos, long periodNanos, long number) {
+            this.action = action;
+            this.atNanos = atNanos;
+            this.periodNanos = periodNanos;
+            this.number = number;
+        }
+    }
+
+    @Override
+    public Instant now() {
+        return START.plusNanos(nanos);
+    }
+
+    @Override
+    public long nanos() {
+        return nanos;
+    }
+
+    @Override
+    public Timer after(Duration delay, Runnable task) {
+        return add(task, delay.toNanos(), 0);
+    }
+
+    @Override
+    public Timer every(Duration period, Runnable task) {
+        return add(task, period.toNanos(), period.toNanos());
+    }
+
+    private Timer add(Runnable action, long delay, long period) {
+        Task task = new Task(action, nanos + delay, period, sequence++);
+        tasks.add(task);
+        return () -> task.cancelled = true;
+    }
+
+    /** Moves the clock and runs what is due, in the order of the times. */
+    public void advance(Duration by) {
+        long end = nanos + by.toNanos();
+        while (true) {
+            tasks.removeIf(task -> task.cancelled);
+            Task next = tasks.stream()
+                    .filter(task -> task.atNanos <= end)
+                    .min(Comparator.comparingLong((Task task) -> task.atNanos).thenComparingLong(task -> task.number))
+                    .orElse(null);
+            if (next == null) {
+                break;
+            }
+            nanos = Math.max(nanos, next.atNanos);
+            if (next.periodNanos > 0) {
+                next.atNanos += next.periodNanos;
+            } else {
+                next.cancelled = true;
+            }
+            next.action.run();
+        }
+        nanos = end;
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -0,0 +1,216 @@
+package dev.lavenderline.serving.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import dev.lavenderline.proto.jobs.ItemResult;
+import dev.lavenderline.proto.jobs.JobItem;
+import dev.lavenderline.serving.ManualTime;
+import dev.lavenderline.serving.jobs.JobStore.Acceptance;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.routes.Route;
+import dev.lavenderline.serving.routes.RouteKind;
+import dev.lavenderline.serving.routes.WeightedService;
+import dev.lavenderline.serving.slots.ItemRef;
+import dev.lavenderline.serving.store.FakeStore;
+import dev.lavenderline.serving.store.FakeStore.Fate;
+import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards the ledger of jobs against stores that lose, delay or refuse appends, and against concurrent writers. */
+class JobStoreTest {
+    private static final Duration LIMIT = Duration.ofSeconds(2);
+    private static final int ITEM_TOKENS = 100;
+
+    private final ManualTime time = new ManualTime();
+    private final FakeStore store = new FakeStore();
+    private final JobLedger ledger = new JobLedger(time, EventLog.NONE);
+    private final JobStore jobs = node(ledger);
+
+    private JobStore node(JobLedger own) {
+        JobStore created =
+                new JobStore(store, own, time, time, EventLog.NONE, 2, 100_000, () -> Duration.ofMillis(100));
+        created.start();
+        return created;
+    }
+
+    private static Route route(long limit) {
+        return new Route(
+                "batch",
+                "host",
+                "/b/",
+                RouteKind.BATCH,
+                Duration.ofSeconds(15),
+                Duration.ofMillis(400),
+                2,
+                List.of(new WeightedService("s", 1)),
+                3,
+                true,
+                Duration.ZERO,
+                Duration.ofSeconds(18),
+                Duration.ofSeconds(60),
+                limit);
+    }
+
+    private static JobSubmission submission(String id, int items) {
+        List<JobItem> list = new ArrayList<>();
+        for (int i = 0; i < items; i++) {
+            list.add(JobItem.newBuilder()
+                    .setId(id + "-" + i)
+                    .setPath("/b/" + i)
+                    .setBody(ByteString.copyFromUtf8("body " + i))
+                    .setTokens(ITEM_TOKENS)
+                    .build());
+        }
+        return new JobSubmission(id, list);
+    }
+
+    private Future<Acceptance> accept(JobStore by, String id, int items, long limit) {
+        return by.accept(submission(id, items), route(limit), "host", LIMIT);
+    }
+
+    private static List<String> outputs(JobLedger of, String job) {
+        return of.find(job).orElseThrow().resultsFrom(0).stream()
+                .map(ItemResult::getOutput)
+                .toList();
+    }
+
+    @Test
+    void acceptsJobOnceAtTwoNodes() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        JobStore other = node(otherLedger);
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "j", 3, 0).result());
+        int before = store.appends();
+        assertEquals(Acceptance.ACCEPTED, accept(other, "j", 3, 0).result());
+        assertEquals(before + 1, store.appends(), "the second node's append conflicts and is not repeated");
+        assertEquals(3, otherLedger.find("j").orElseThrow().total());
+    }
+
+    @Test
+    void findsItsOwnRecordAfterLostAnswer() {
+        store.next(Fate.ANSWER_LOST);
+        Future<Acceptance> accepted = accept(jobs, "j", 3, 0);
+        assertFalse(accepted.isComplete());
+        time.advance(Duration.ofMillis(500));
+        assertEquals(Acceptance.ACCEPTED, accepted.result());
+        assertEquals(3, ledger.find("j").orElseThrow().total());
+    }
+
+    @Test
+    void lateAppendHasNoSecondEffect() {
+        accept(jobs, "j", 2, 0);
+        store.next(Fate.LATE);
+        jobs.addResult(new ItemRef("j", 0), true, "first");
+        time.advance(Duration.ofMillis(500));
+        store.runLate();
+        jobs.addResult(new ItemRef("j", 1), true, "second");
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("first", "second"), outputs(ledger, "j"));
+        JobLedger fresh = new JobLedger(time, EventLog.NONE);
+        node(fresh);
+        assertEquals(List.of("first", "second"), outputs(fresh, "j"));
+    }
+
+    @Test
+    void saysUnknownWhenTheAppendMayHaveBeenExecuted() {
+        store.next(Fate.LATE);
+        Future<Acceptance> accepted = accept(jobs, "j", 1, 0);
+        store.down(true);
+        time.advance(LIMIT.plusMillis(200));
+        assertEquals(Acceptance.UNKNOWN, accepted.result());
+    }
+
+    @Test
+    void saysNotAppendedWhenTheStoreRefuses() {
+        store.next(Fate.REJECTED, Fate.REJECTED, Fate.REJECTED, Fate.REJECTED, Fate.REJECTED, Fate.REJECTED);
+        Future<Acceptance> accepted = jobs.accept(submission("j", 1), route(0), "host", Duration.ofMillis(400));
+        time.advance(Duration.ofMillis(400));
+        assertEquals(Acceptance.NOT_APPENDED, accepted.result());
+        time.advance(Duration.ofSeconds(2));
+        assertTrue(ledger.find("j").isEmpty());
+    }
+
+    @Test
+    void refusesJobBeyondTheTokensThatMayWait() {
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 3, 400).result());
+        assertEquals(Acceptance.OVER_LIMIT, accept(jobs, "b", 2, 400).result());
+        jobs.addResult(new ItemRef("a", 0), true, "");
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "b", 2, 400).result());
+    }
+
+    @Test
+    void acceptsResentJobAlthoughNothingMoreFits() {
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 4, 400).result());
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 4, 400).result());
+    }
+
+    @Test
+    void resultsOfOneAppendHaveTheirOwnPositions() {
+        accept(jobs, "j", 3, 0);
+        store.down(true);
+        jobs.addResult(new ItemRef("j", 2), true, "c");
+        jobs.addResult(new ItemRef("j", 0), true, "a");
+        jobs.addResult(new ItemRef("j", 1), false, "");
+        time.advance(Duration.ofSeconds(1));
+        store.down(false);
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(3, ledger.find("j").orElseThrow().resultsFrom(0).size());
+        JobLedger fresh = new JobLedger(time, EventLog.NONE);
+        node(fresh);
+        assertEquals(outputs(ledger, "j"), outputs(fresh, "j"));
+    }
+
+    @Test
+    void secondResultOfAnItemIsDropped() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        accept(jobs, "j", 2, 0);
+        JobStore other = node(otherLedger);
+        jobs.addResult(new ItemRef("j", 0), true, "one");
+        other.addResult(new ItemRef("j", 0), true, "two");
+        other.addResult(new ItemRef("j", 1), true, "three");
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("one", "three"), outputs(otherLedger, "j"));
+    }
+
+    @Test
+    void endedJobGetsNoFurtherResults() {
+        accept(jobs, "j", 2, 0);
+        assertTrue(jobs.end("j", LIMIT).result());
+        assertTrue(jobs.end("j", LIMIT).result());
+        jobs.addResult(new ItemRef("j", 0), true, "late");
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of(), outputs(ledger, "j"));
+        assertFalse(ledger.find("j").orElseThrow().open());
+    }
+
+    @Test
+    void failuresAreCountedOncePerRun() {
+        accept(jobs, "j", 1, 0);
+        store.next(Fate.ANSWER_LOST);
+        jobs.addFailure(new ItemRef("j", 0));
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(1, ledger.find("j").orElseThrow().failures(0));
+    }
+
+    @Test
+    void largeJobIsSplitIntoRecordsAndReadBackWhole() {
+        List<JobItem> items = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            items.add(JobItem.newBuilder()
+                    .setId("i" + i)
+                    .setBody(ByteString.copyFrom(new byte[9_000]))
+                    .build());
+        }
+        jobs.accept(new JobSubmission("big", items), route(0), "host", LIMIT);
+        JobLedger fresh = new JobLedger(time, EventLog.NONE);
+        node(fresh);
+        Job job = fresh.find("big").orElseThrow();
+        assertEquals(40, job.total());
+        assertEquals("i39", job.item(39).orElseThrow().getId());
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -0,0 +1,122 @@
+package dev.lavenderline.serving.store;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Store in memory with conditional appends and keyed topics. Reads answer at once. A test decides what happens to each
+ * append. Not thread-safe.
+ */
+public final class FakeStore implements MetadataStore {
+    /** What happens to an append. */
+    public enum Fate {
+        NORMAL,
+        /** Done, but its answer is lost. */
+        ANSWER_LOST,
+        /** Nothing is done and the store says so. */
+        REJECTED,
+        /** No answer; done when the test says so, if the condition holds then. */
+        LATE
+    }
+
+    private final Map<Partition, List<KeyedRecord>> logs = new HashMap<>();
+    private final Deque<Fate> fates = new ArrayDeque<>();
+    private final List<Runnable> late = new ArrayList<>();
+    private boolean down;
+    private int appends;
+
+    /** Sets what happens to the next appends; later ones are normal. */
+    public void next(Fate... some) {
+        fates.addAll(List.of(some));
+    }
+
+    /** Lets no call through, or again all. */
+    public void down(boolean value) {
+        down = value;
+    }
+
+    /** Executes the appends that were late. */
+    public void runLate() {
+        late.forEach(Runnable::run);
+        late.clear();
+    }
+
+    /** Returns the number of appends that arrived. */
+    public int appends() {
+        return appends;
+    }
+
+    /** Returns all records of a partition. */
+    public List<KeyedRecord> log(Partition partition) {
+        return logs.computeIfAbsent(partition, key -> new ArrayList<>());
+    }
+
+    @Override
+    public Future<LogSlice> read(Partition partition, long from, Duration wait) {
+        if (down) {
+            return unanswered();
+        }
+        List<KeyedRecord> log = log(partition);
+        if (from >= log.size() && !wait.isZero()) {
+            return Promise.<LogSlice>promise().future();
+        }
+        int first = (int) Math.min(from, log.size());
+        return Future.succeededFuture(new LogSlice(first, log.subList(first, log.size()), log.size()));
+    }
+
+    @Override
+    public Future<KeyedState> newest(Partition partition) {
+        if (down) {
+            return unanswered();
+        }
+        Map<String, KeyedRecord> newest = new TreeMap<>();
+        for (KeyedRecord record : log(partition)) {
+            if (record.deletion()) {
+                newest.remove(record.key());
+            } else {
+                newest.put(record.key(), record);
+            }
+        }
+        return Future.succeededFuture(
+                new KeyedState(List.copyOf(newest.values()), log(partition).size()));
+    }
+
+    @Override
+    public Future<Long> append(Partition partition, long expectedEnd, List<KeyedRecord> records) {
+        appends++;
+        if (down) {
+            return unanswered();
+        }
+        Fate fate = fates.isEmpty() ? Fate.NORMAL : fates.poll();
+        if (fate == Fate.REJECTED) {
+            return Future.failedFuture(new StoreException(StoreException.Reason.REJECTED, "busy"));
+        }
+        if (fate == Fate.LATE) {
+            late.add(() -> execute(partition, expectedEnd, records));
+            return unanswered();
+        }
+        Future<Long> answer = execute(partition, expectedEnd, records);
+        return fate == Fate.ANSWER_LOST ? unanswered() : answer;
+    }
+
+    private Future<Long> execute(Partition partition, long expectedEnd, List<KeyedRecord> records) {
+        List<KeyedRecord> log = log(partition);
+        if (expectedEnd != ANY_END && expectedEnd != log.size()) {
+            return Future.failedFuture(new StoreException(StoreException.Reason.CONFLICT, "ends at " + log.size()));
+        }
+        log.addAll(records);
+        return Future.succeededFuture((long) log.size());
+    }
+
+    private static <T> Future<T> unanswered() {
+        return Future.failedFuture(new StoreException(StoreException.Reason.UNKNOWN, "no answer"));
+    }
+}
