--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
@@ -0,0 +1,77 @@
+package dev.lavenderline.serving.upstreams;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.serving.ManualTime;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against upstreams lost with an outage of the store, and against upstreams kept although they are gone. */
+class UpstreamDirectoryTest {
+    private final ManualTime time = new ManualTime();
+    private final UpstreamDirectory directory = new UpstreamDirectory(time);
+
+    private static Upstream upstream(String id) {
+        return new Upstream(id, "s", "10.0.0.1", 80, "a", 8, false);
+    }
+
+    private void calmSeconds(int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            directory.storeAnswered();
+            directory.expire();
+            time.advance(Duration.ofSeconds(1));
+        }
+    }
+
+    @Test
+    void removalIsInForceAtOnceOnCalmDays() {
+        calmSeconds(3);
+        directory.put(upstream("e"));
+        directory.remove("e");
+        assertTrue(directory.open("s").isEmpty());
+    }
+
+    @Test
+    void removalAfterAnOutageWaitsForRenewal() {
+        calmSeconds(3);
+        directory.put(upstream("e"));
+        time.advance(Duration.ofSeconds(5));
+        directory.storeAnswered();
+        directory.remove("e");
+        assertEquals(1, directory.open("s").size());
+        calmSeconds(1);
+        directory.put(upstream("e"));
+        calmSeconds(5);
+        assertEquals(1, directory.open("s").size());
+    }
+
+    @Test
+    void upstreamThatIsNotRenewedAfterAnOutageIsGone() {
+        calmSeconds(3);
+        directory.put(upstream("e"));
+        time.advance(Duration.ofSeconds(5));
+        directory.storeAnswered();
+        directory.remove("e");
+        calmSeconds(4);
+        assertFalse(directory.find("e").isPresent());
+    }
+
+    @Test
+    void drainingUpstreamIsNotOpen() {
+        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true));
+        assertTrue(directory.open("s").isEmpty());
+        assertTrue(directory.find("e").isPresent());
+    }
+
+    @Test
+    void completeListReplacesTheOldOne() {
+        calmSeconds(3);
+        directory.put(upstream("old"));
+        directory.replaceAll(List.of(upstream("new")));
+        assertTrue(directory.find("old").isEmpty());
+        assertTrue(directory.find("new").isPresent());
+    }
+}
