--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -35,6 +35,7 @@
 public final class ItemRunner implements ItemExecutor {
     private static final int UNPROCESSABLE = 422;
     private static final int SUCCESS = 200;
+    private static final int FAILED = 500;
 
     /** Silence after which a run is given up: far above the pause between events, 25 ms, and a wait for a slot. */
     private static final Duration SILENCE = Duration.ofMillis(1500);
@@ -243,8 +244,10 @@
             if (status == UNPROCESSABLE) {
                 store.addResult(item, false, "");
                 finish(LeaseEnd.COMPLETED, false, "can't be done");
-            } else if (status != SUCCESS) {
+            } else if (status == FAILED) {
                 failed();
+            } else if (status != SUCCESS) {
+                finish(LeaseEnd.ANSWER_LOST, true, "status " + status);
             } else if (parser.partial()) {
                 finish(LeaseEnd.ANSWER_LOST, true, "stream ends within an event");
             } else {
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -223,6 +223,7 @@
         runner.stopAll();
         registry.leave();
         long started = ticker.nanos();
+        timers.after(SHORTEST_DRAIN, callers::refuse);
         timers.every(DRAIN_CHECK, () -> {
             long drained = ticker.nanos() - started;
             boolean quiet = callers.active() == 0 && jobs.unwritten() == 0;
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -35,6 +35,10 @@
     private static final Duration CONNECTION_IDLE = Duration.ofSeconds(60);
 
     private static final Duration NOT_READY = Duration.ofMillis(500);
+
+    /** Time after which a caller that this node refuses while it stops may come back; another node serves it. */
+    private static final Duration LEAVING = Duration.ofMillis(50);
+
     private static final int LARGEST_HEAD = 64 * 1024;
 
     private final Vertx vertx;
@@ -44,7 +48,9 @@
     private final Map<HttpConnection, Set<OnlineCall>> calls = new HashMap<>();
     private HttpServer server;
     private final Set<HttpServerResponse> unanswered = new HashSet<>();
+    private final Map<HttpConnection, Integer> openRequests = new HashMap<>();
     private boolean draining;
+    private boolean refusing;
 
     public CallerServer(
             Vertx vertx,
@@ -70,6 +76,7 @@
                 .setAcceptBacklog(1024));
         server.connectionHandler(connection -> {
             calls.put(connection, new HashSet<>());
+            openRequests.put(connection, 0);
             connection.closeHandler(closed -> connectionClosed(connection));
         });
         server.requestHandler(this::handle);
@@ -78,6 +85,7 @@
 
     private void connectionClosed(HttpConnection connection) {
         Set<OnlineCall> open = calls.remove(connection);
+        openRequests.remove(connection);
         if (open != null) {
             List.copyOf(open).forEach(OnlineCall::callerLeft);
         }
@@ -88,6 +96,16 @@
         draining = true;
     }
 
+    /** Refuses further requests, which other nodes can serve, and closes connections without a request. */
+    public void refuse() {
+        refusing = true;
+        for (Map.Entry<HttpConnection, Integer> entry : Map.copyOf(openRequests).entrySet()) {
+            if (entry.getValue() == 0) {
+                entry.getKey().close();
+            }
+        }
+    }
+
     /** Returns the number of requests in progress. */
     public int active() {
         return unanswered.size();
@@ -100,6 +118,7 @@
 
     private void handle(HttpServerRequest request) {
         long arrived = context.ticker().nanos();
+        openRequests.computeIfPresent(request.connection(), (connection, count) -> count + 1);
         CallerAnswer answer = new CallerAnswer(request, context.wire());
         if (draining) {
             answer.closeAfter();
@@ -118,10 +137,15 @@
         });
         request.endHandler(end -> {
             if (tooLarge[0]) {
+                track(request);
                 answer.own(413, "the body has more than " + largest + " bytes");
                 return;
             }
             track(request);
+            if (refusing) {
+                answer.own(503, "not run: this node is leaving", LEAVING);
+                return;
+            }
             try {
                 route(request, body, answer, arrived);
             } catch (RuntimeException e) {
@@ -137,6 +161,7 @@
         response.closeHandler(closed -> unanswered.remove(response));
         response.endHandler(end -> {
             unanswered.remove(response);
+            openRequests.computeIfPresent(request.connection(), (connection, count) -> count - 1);
             if (draining) {
                 request.connection().close();
             }
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -86,11 +86,12 @@
         response = received;
         response.exceptionHandler(failure -> fail(failureNow(), failure.getMessage()));
         AnswerInfo info = wire.answer(response.statusCode(), response.headers());
-        if (info.requestId().isPresent() && !info.requestId().get().equals(call.requestId())) {
-            fail(SendFailure.LOST, "answer to request " + info.requestId().get());
+        reuse = info.reuse();
+        boolean sameId = info.requestId().orElse("").equals(call.requestId());
+        if (!sameId && (info.requestId().isPresent() || !info.notExecuted())) {
+            fail(SendFailure.LOST, "answer to request " + info.requestId().orElse("without id"));
             return;
         }
-        reuse = info.reuse();
         if (info.otherInstance() || info.notExecuted()) {
             SendFailure failure = info.otherInstance() ? SendFailure.OTHER_INSTANCE : SendFailure.NOT_EXECUTED;
             drain(failure, "status " + response.statusCode());
