--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -56,7 +56,7 @@
     private static final Duration HOUSEKEEPING = Duration.ofSeconds(1);
 
     /** Shortest drain: the platform sends new callers until it has missed two answers, one a second. */
-    private static final Duration SHORTEST_DRAIN = Duration.ofMillis(2600);
+    static final Duration SHORTEST_DRAIN = Duration.ofMillis(2600);
 
     /** Part of the grace period that is kept for closing. */
     private static final Duration DRAIN_MARGIN = Duration.ofMillis(600);
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -39,6 +39,9 @@
     /** Time after which a caller that this node refuses while it stops may come back; another node serves it. */
     private static final Duration LEAVING = Duration.ofMillis(50);
 
+    /** Time between the end of an answer and the close of its connection while the node stops. */
+    private static final Duration CLOSE_DELAY = Duration.ofMillis(200);
+
     private static final int LARGEST_HEAD = 64 * 1024;
 
     private final Vertx vertx;
@@ -99,10 +102,12 @@
     /** Refuses further requests, which other nodes can serve, and closes connections without a request. */
     public void refuse() {
         refusing = true;
-        for (Map.Entry<HttpConnection, Integer> entry : Map.copyOf(openRequests).entrySet()) {
-            if (entry.getValue() == 0) {
-                entry.getKey().close();
-            }
+        List.copyOf(openRequests.keySet()).forEach(this::closeIdle);
+    }
+
+    private void closeIdle(HttpConnection connection) {
+        if (openRequests.getOrDefault(connection, 0) == 0) {
+            connection.close();
         }
     }
 
@@ -163,7 +168,8 @@
             unanswered.remove(response);
             openRequests.computeIfPresent(request.connection(), (connection, count) -> count - 1);
             if (draining) {
-                request.connection().close();
+                // The last bytes are written after this handler.
+                context.timers().after(CLOSE_DELAY, () -> closeIdle(request.connection()));
             }
         });
     }
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWire.java
@@ -0,0 +1,124 @@
+package dev.lavenderline.serving;
+
+import com.google.protobuf.ByteString;
+import dev.lavenderline.proto.jobs.JobItem;
+import dev.lavenderline.serving.jobs.Job;
+import dev.lavenderline.serving.jobs.JobSubmission;
+import dev.lavenderline.serving.online.AnswerInfo;
+import dev.lavenderline.serving.online.BadRequestException;
+import dev.lavenderline.serving.online.BatchCall;
+import dev.lavenderline.serving.online.RequestInfo;
+import dev.lavenderline.serving.online.WireFormat;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * A plain wire format for tests. Headers: id, left (milliseconds), after (event), instance, not-run, retry. A job's body
+ * is the ids of its items, separated by commas. Stateless and thread-safe.
+ */
+public final class TestWire implements WireFormat {
+    private static OptionalLong number(String text) {
+        return text == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text));
+    }
+
+    @Override
+    public RequestInfo request(MultiMap headers) {
+        OptionalLong left = number(headers.get("left"));
+        return new RequestInfo(
+                Optional.ofNullable(headers.get("id")).orElse(""),
+                left.isPresent() ? Optional.of(Duration.ofMillis(left.getAsLong())) : Optional.empty(),
+                number(headers.get("after")),
+                0,
+                Duration.ZERO);
+    }
+
+    @Override
+    public Optional<BatchCall> batchCall(HttpMethod method, String uri) {
+        String[] words = uri.split("/", -1);
+        if (words.length < 3 || !words[1].equals("jobs")) {
+            return Optional.empty();
+        }
+        if (method.equals(HttpMethod.DELETE)) {
+            return Optional.of(new BatchCall.End(words[2]));
+        }
+        return Optional.of(
+                words.length > 3 ? new BatchCall.ReadBody(words[2], words[3]) : new BatchCall.ReadResults(words[2], 0));
+    }
+
+    @Override
+    public JobSubmission submission(String jobId, Buffer body) {
+        if (body.length() == 0) {
+            throw new BadRequestException("no items");
+        }
+        List<JobItem> items = new ArrayList<>();
+        for (String id : body.toString().split(",", -1)) {
+            items.add(JobItem.newBuilder()
+                    .setId(id)
+                    .setPath("/batch/" + id)
+                    .setBody(ByteString.copyFromUtf8("body of " + id))
+                    .setTokens(100)
+                    .build());
+        }
+        return new JobSubmission(jobId, items);
+    }
+
+    @Override
+    public Buffer results(Job job, int after) {
+        StringBuilder text = new StringBuilder();
+        job.resultsFrom(after)
+                .forEach(result -> text.append(
+                                job.item(result.getItem()).orElseThrow().getId())
+                        .append(result.getCompleted() ? "=" : "!")
+                        .append(result.getOutput().replace('\n', '|'))
+                        .append('\n'));
+        return Buffer.buffer(text.toString());
+    }
+
+    @Override
+    public MultiMap upstreamHeaders(
+            MultiMap callerHeaders, String instance, Optional<Duration> left, OptionalLong lastEvent) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+        headers.add("id", String.valueOf(callerHeaders.get("id")));
+        headers.add("instance", instance);
+        left.ifPresent(time -> headers.add("left", Long.toString(time.toMillis())));
+        lastEvent.ifPresent(event -> headers.add("after", Long.toString(event)));
+        return headers;
+    }
+
+    @Override
+    public MultiMap itemHeaders(JobItem item, String host, String instance, OptionalLong lastEvent) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+        headers.add("id", item.getId());
+        headers.add("instance", instance);
+        lastEvent.ifPresent(event -> headers.add("after", Long.toString(event)));
+        return headers;
+    }
+
+    @Override
+    public AnswerInfo answer(int status, MultiMap headers) {
+        String keepAlive = headers.get("keep-alive");
+        Duration reuse = keepAlive == null
+                ? Duration.ZERO
+                : Duration.ofSeconds(Long.parseLong(keepAlive.substring("timeout=".length())));
+        return new AnswerInfo(
+                Optional.ofNullable(headers.get("id")), headers.contains("Not-Run"), status == 421, reuse);
+    }
+
+    @Override
+    public MultiMap callerHeaders(MultiMap upstreamHeaders) {
+        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+        Optional.ofNullable(upstreamHeaders.get("stamp")).ifPresent(stamp -> headers.add("stamp", stamp));
+        return headers;
+    }
+
+    @Override
+    public void retryAfter(MultiMap headers, Duration delay) {
+        headers.set("retry", Long.toString(delay.toMillis()));
+    }
+}
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -84,6 +84,7 @@
     void acceptsJobOnceAtTwoNodes() {
         JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
         JobStore other = node(otherLedger);
+        store.holdPolls(true);
         assertEquals(Acceptance.ACCEPTED, accept(jobs, "j", 3, 0).result());
         int before = store.appends();
         assertEquals(Acceptance.ACCEPTED, accept(other, "j", 3, 0).result());
@@ -108,6 +109,7 @@
         jobs.addResult(new ItemRef("j", 0), true, "first");
         time.advance(Duration.ofMillis(500));
         store.runLate();
+        store.holdPolls(true);
         jobs.addResult(new ItemRef("j", 1), true, "second");
         time.advance(Duration.ofSeconds(1));
         assertEquals(List.of("first", "second"), outputs(ledger, "j"));
@@ -170,6 +172,7 @@
         JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
         accept(jobs, "j", 2, 0);
         JobStore other = node(otherLedger);
+        store.holdPolls(true);
         jobs.addResult(new ItemRef("j", 0), true, "one");
         other.addResult(new ItemRef("j", 0), true, "two");
         other.addResult(new ItemRef("j", 1), true, "three");
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ScriptedEngine.java
@@ -0,0 +1,65 @@
+package dev.lavenderline.serving.node;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+
+/** An upstream whose answers a test scripts. Thread-safe. */
+final class ScriptedEngine {
+    static final int EVENTS = 5;
+
+    final String id;
+    final int port;
+    final List<String> requests = new CopyOnWriteArrayList<>();
+    final List<String> cancelled = new CopyOnWriteArrayList<>();
+    volatile BiConsumer<HttpServerRequest, String> script;
+
+    ScriptedEngine(Vertx vertx, String id) {
+        this.id = id;
+        this.script = (request, body) -> stream(vertx, request, 10, EVENTS);
+        this.port = vertx.createHttpServer()
+                .requestHandler(request -> request.body().onSuccess(body -> {
+                    requests.add(request.uri() + " " + body);
+                    request.response().closeHandler(closed -> {
+                        if (!request.response().ended()) {
+                            cancelled.add(request.uri());
+                        }
+                    });
+                    request.response().putHeader("id", request.getHeader("id")).putHeader("stamp", id);
+                    request.response().putHeader("Keep-Alive", "timeout=5");
+                    script.accept(request, body.toString());
+                }))
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join()
+                .actualPort();
+    }
+
+    /** Sends the events after the one that the request names, then the end, or closes after {@code most} events. */
+    static void stream(Vertx vertx, HttpServerRequest request, long pauseMs, int most) {
+        String after = request.getHeader("after");
+        int first = after == null ? 1 : Integer.parseInt(after) + 1;
+        request.response().setChunked(true);
+        next(vertx, request, pauseMs, first, first + most - 1);
+    }
+
+    private static void next(Vertx vertx, HttpServerRequest request, long pauseMs, int event, int last) {
+        vertx.setTimer(pauseMs, now -> {
+            if (request.response().closed()) {
+                return;
+            }
+            if (event > EVENTS) {
+                request.response().end();
+            } else if (event > last) {
+                request.response().write("id: " + event + "\ndata: par");
+                vertx.setTimer(20, later -> request.connection().close());
+            } else {
+                request.response().write("id: " + event + "\ndata: text" + event + "\n\n");
+                next(vertx, request, pauseMs, event + 1, last);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -0,0 +1,369 @@
+package dev.lavenderline.serving.node;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.VertxTimers;
+import dev.lavenderline.serving.TestWire;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.node.ServingSettings.Address;
+import dev.lavenderline.serving.routes.CallerLimits;
+import dev.lavenderline.serving.routes.FleetConfig;
+import dev.lavenderline.serving.routes.Route;
+import dev.lavenderline.serving.routes.RouteKind;
+import dev.lavenderline.serving.routes.ServiceInfo;
+import dev.lavenderline.serving.routes.WeightedService;
+import dev.lavenderline.serving.slots.NodeEntry;
+import dev.lavenderline.serving.store.FakeStore;
+import dev.lavenderline.serving.store.KeyedRecord;
+import dev.lavenderline.serving.store.MetadataStore;
+import dev.lavenderline.serving.store.Partition;
+import dev.lavenderline.serving.upstreams.Upstream;
+import io.vavr.control.Either;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Runs nodes on one event loop against a store in memory and scripted upstreams, and asks them over HTTP. */
+class ServingNodeTest {
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+    private static final String LOOPBACK = "127.0.0.1";
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Context context = vertx.getOrCreateContext();
+    private final FakeStore store = new FakeStore();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<ServingNode> nodes = new ArrayList<>();
+    private final List<Integer> ports = new ArrayList<>();
+    private ScriptedEngine first;
+    private ScriptedEngine second;
+
+    /** Records whose value is the text that the test wrote; a configuration is its version. */
+    private static final class TextRecords implements ControlRecords {
+        @Override
+        public String configKey() {
+            return "config";
+        }
+
+        @Override
+        public Either<String, FleetConfig> config(byte[] value) {
+            long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+            return Either.right(new FleetConfig(
+                    version,
+                    List.of(
+                            route("safe", RouteKind.SAFE, "plain", false),
+                            route("unsafe", RouteKind.UNSAFE, "plain", false),
+                            route("stream", RouteKind.STREAMING, "engines", false),
+                            route("resumable", RouteKind.STREAMING, "engines", true),
+                            route("batch", RouteKind.BATCH, "engines", true)),
+                    List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
+                    CallerLimits.defaults()));
+        }
+
+        private static Route route(String name, RouteKind kind, String service, boolean resumable) {
+            return new Route(
+                    name,
+                    LOOPBACK,
+                    "/" + name + "/",
+                    kind,
+                    Duration.ofSeconds(4),
+                    Duration.ofMillis(300),
+                    0,
+                    List.of(new WeightedService(service, 1)),
+                    2,
+                    resumable,
+                    Duration.ofMillis(300),
+                    Duration.ofSeconds(18),
+                    Duration.ofSeconds(60),
+                    1_000);
+        }
+
+        @Override
+        public Either<String, Upstream> upstream(String id, byte[] value) {
+            String[] words = new String(value, StandardCharsets.UTF_8).split(" ");
+            return Either.right(
+                    new Upstream(id, words[0], LOOPBACK, Integer.parseInt(words[1]), "a", 2, words.length > 2));
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private void write(String topic, String key, String value) {
+        CompletableFuture<Void> written = new CompletableFuture<>();
+        context.runOnContext(now -> {
+            store.append(
+                    new Partition(topic, 0),
+                    MetadataStore.ANY_END,
+                    List.of(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8))));
+            written.complete(null);
+        });
+        written.join();
+    }
+
+    private ServingNode startNode(String name) throws IOException {
+        int callers = freePort();
+        ServingSettings settings = new ServingSettings(
+                new NodeEntry(name, LOOPBACK, freePort(), "a", 1),
+                new Address(LOOPBACK, callers),
+                new Address(LOOPBACK, 0),
+                new Address(LOOPBACK, 0),
+                2,
+                100_000,
+                Duration.ofSeconds(8));
+        CompletableFuture<ServingNode> started = new CompletableFuture<>();
+        context.runOnContext(now -> {
+            ServingNode node = new ServingNode(
+                    vertx,
+                    settings,
+                    store,
+                    new TextRecords(),
+                    new TestWire(),
+                    Ticker.system(),
+                    new VertxTimers(vertx),
+                    EventLog.NONE,
+                    RandomSource.SPLIT_MIX_64.create(7));
+            node.start().onSuccess(listening -> started.complete(node)).onFailure(started::completeExceptionally);
+        });
+        ServingNode node = started.join();
+        nodes.add(node);
+        ports.add(callers);
+        await().atMost(LIMIT).until(node::ready);
+        return node;
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        first = new ScriptedEngine(vertx, "e1");
+        second = new ScriptedEngine(vertx, "e2");
+        write("keyed.op", "config", "1");
+        write("keyed.servers", "e1", "engines " + first.port);
+        write("keyed.servers", "p1", "plain " + first.port);
+    }
+
+    @AfterEach
+    void stop() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private HttpRequest.Builder request(int node, String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + ports.get(node) + path))
+                .timeout(LIMIT)
+                .header("left", "4000");
+    }
+
+    private CompletableFuture<HttpResponse<String>> post(int node, String path, String id, String body) {
+        HttpRequest sent = request(node, path)
+                .header("id", id)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.sendAsync(sent, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private HttpResponse<String> get(int node, String path) throws Exception {
+        return client.send(request(node, path).GET().build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder text = new StringBuilder();
+        for (int i = from; i <= to; i++) {
+            text.append("id: ").append(i).append("\ndata: text").append(i).append("\n\n");
+        }
+        return text.toString();
+    }
+
+    @Test
+    void forwardsStreamUnchanged() throws IOException {
+        startNode("n1");
+        HttpResponse<String> answer =
+                post(0, "/stream/x?y=%20z", "r1", "prompt").join();
+        assertEquals(200, answer.statusCode());
+        assertEquals(events(1, ScriptedEngine.EVENTS), answer.body());
+        assertEquals("e1", answer.headers().firstValue("stamp").orElse(""));
+        assertEquals(List.of("/stream/x?y=%20z prompt"), first.requests);
+    }
+
+    @Test
+    void pathWithoutRouteIsNotFound() throws Exception {
+        startNode("n1");
+        assertEquals(404, get(0, "/other/").statusCode());
+    }
+
+    @Test
+    void resumableStreamContinuesOnAnotherUpstream() throws IOException {
+        write("keyed.servers", "e2", "engines " + second.port);
+        startNode("n1");
+        first.script = (request, body) -> ScriptedEngine.stream(vertx, request, 10, 3);
+        second.script = first.script;
+        HttpResponse<String> answer = post(0, "/resumable/x", "r1", "p").join();
+        assertEquals(events(1, ScriptedEngine.EVENTS), answer.body());
+        assertEquals(2, first.requests.size() + second.requests.size());
+    }
+
+    @Test
+    void streamThatCannotBeResumedEndsWithAClosedConnection() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> ScriptedEngine.stream(vertx, request, 10, 2);
+        CompletableFuture<HttpResponse<String>> answer = post(0, "/stream/x", "r1", "p");
+        assertTrue(answer.handle((response, failure) -> failure != null).join());
+        assertEquals(1, first.requests.size());
+    }
+
+    @Test
+    void safeRequestIsSentAgainAfterALostAnswer() throws IOException {
+        write("keyed.servers", "p2", "plain " + second.port);
+        startNode("n1");
+        AtomicInteger seen = new AtomicInteger();
+        first.script = (request, body) -> {
+            if (seen.getAndIncrement() == 0) {
+                request.connection().close();
+            } else {
+                request.response().end("done");
+            }
+        };
+        second.script = first.script;
+        assertEquals("done", post(0, "/safe/x", "r1", "").join().body());
+        assertEquals(2, seen.get());
+    }
+
+    @Test
+    void unsafeRequestIsNotSentAgainAndNotCalledNotRun() throws IOException {
+        write("keyed.servers", "p2", "plain " + second.port);
+        startNode("n1");
+        first.script = (request, body) -> request.connection().close();
+        second.script = first.script;
+        assertEquals(502, post(0, "/unsafe/x", "r1", "").join().statusCode());
+        assertEquals(1, first.requests.size() + second.requests.size());
+    }
+
+    @Test
+    void refusedRequestGoesToAnotherUpstream() throws IOException {
+        write("keyed.servers", "p2", "plain " + second.port);
+        startNode("n1");
+        first.script = (request, body) ->
+                request.response().setStatusCode(503).putHeader("Not-Run", "1").end();
+        second.script = (request, body) -> request.response().end("done");
+        for (int i = 0; i < 4; i++) {
+            assertEquals("done", post(0, "/unsafe/x", "r" + i, "").join().body());
+        }
+    }
+
+    @Test
+    void callerThatLeavesCancelsItsRequest() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> ScriptedEngine.stream(vertx, request, 500, 5);
+        CompletableFuture<HttpResponse<String>> answer = post(0, "/stream/x", "r1", "p");
+        await().atMost(LIMIT).until(() -> first.requests.size() == 1);
+        answer.cancel(true);
+        await().atMost(LIMIT).until(() -> first.cancelled.size() == 1);
+    }
+
+    @Test
+    void jobRunsAndIsReadAtAnotherNode() throws Exception {
+        startNode("n1");
+        startNode("n2");
+        assertEquals(202, post(0, "/batch/", "job", "a,b,c").join().statusCode());
+        assertEquals(202, post(1, "/batch/", "job", "a,b,c").join().statusCode());
+        await().atMost(LIMIT).until(() -> get(1, "/jobs/job").body().lines().count() == 3);
+        String results = get(1, "/jobs/job").body();
+        assertTrue(results.contains("a=text1|text2|text3|text4|text5"), results);
+        assertEquals(results, get(0, "/jobs/job").body());
+        assertEquals(3, first.requests.size());
+        assertEquals(404, get(1, "/jobs/none").statusCode());
+        assertEquals("body of a", get(1, "/jobs/job/a").body());
+    }
+
+    @Test
+    void jobBeyondTheLimitIsRefused() throws IOException {
+        startNode("n1");
+        assertEquals(
+                429, post(0, "/batch/", "job", "1,2,3,4,5,6,7,8,9,10,11").join().statusCode());
+        assertEquals(400, post(0, "/batch/", "job", "").join().statusCode());
+    }
+
+    @Test
+    void onlineBurstTakesTheSlotsOfItemsWhichAreResumed() throws IOException {
+        startNode("n1");
+        AtomicInteger slow = new AtomicInteger(400);
+        first.script = (request, body) -> ScriptedEngine.stream(vertx, request, slow.get(), 5);
+        assertEquals(202, post(0, "/batch/", "job", "a,b").join().statusCode());
+        await().atMost(LIMIT).until(() -> first.requests.size() == 2);
+        vertx.setTimer(600, later -> slow.set(10));
+        await().pollDelay(Duration.ofMillis(700)).atMost(LIMIT).until(() -> slow.get() == 10);
+        long started = System.nanoTime();
+        assertEquals(200, post(0, "/stream/x", "r1", "p").join().statusCode());
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+        assertTrue(millis < 1000, millis + " ms");
+        await().atMost(LIMIT).until(() -> get(0, "/jobs/job").body().lines().count() == 2);
+        assertFalse(first.cancelled.isEmpty());
+    }
+
+    @Test
+    void itemThatCannotBeDoneIsGivenUpAndFailedOnesAfterTheirAttempts() throws Exception {
+        startNode("n1");
+        first.script = (request, body) -> request.response()
+                .setStatusCode(request.uri().endsWith("poison") ? 422 : 500)
+                .end();
+        assertEquals(202, post(0, "/batch/", "job", "poison,failing").join().statusCode());
+        await().atMost(LIMIT).until(() -> get(0, "/jobs/job").body().lines().count() == 2);
+        assertTrue(get(0, "/jobs/job").body().contains("poison!"));
+        assertEquals(
+                1,
+                first.requests.stream()
+                        .filter(request -> request.contains("poison"))
+                        .count());
+        assertEquals(3, first.requests.size());
+    }
+
+    @Test
+    void endedJobStopsItsItems() throws Exception {
+        startNode("n1");
+        first.script = (request, body) -> ScriptedEngine.stream(vertx, request, 2000, 5);
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(LIMIT).until(() -> first.requests.size() == 1);
+        HttpRequest end = request(0, "/jobs/job").DELETE().build();
+        assertEquals(200, client.send(end, HttpResponse.BodyHandlers.ofString()).statusCode());
+        await().atMost(LIMIT).until(() -> first.cancelled.size() == 1);
+    }
+
+    @Test
+    void drainServesWhatIsUnderWayAndRefusesLateRequests() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> ScriptedEngine.stream(vertx, request, 560, 5);
+        CompletableFuture<HttpResponse<String>> early = post(0, "/stream/x", "r1", "p");
+        await().atMost(LIMIT).until(() -> first.requests.size() == 1);
+        CompletableFuture<Integer> stopped = new CompletableFuture<>();
+        context.runOnContext(now -> nodes.get(0).drain(stopped::complete));
+        await().atMost(LIMIT).until(() -> !nodes.get(0).ready());
+        await().pollDelay(ServingNode.SHORTEST_DRAIN.plusMillis(200))
+                .atMost(LIMIT)
+                .until(() -> true);
+        HttpResponse<String> late = post(0, "/stream/x", "r2", "p").join();
+        assertEquals(503, late.statusCode());
+        assertTrue(late.headers().firstValue("retry").isPresent());
+        assertEquals(200, early.join().statusCode());
+        assertEquals(0, stopped.join());
+    }
+}
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -12,8 +12,8 @@
 import java.util.TreeMap;
 
 /**
- * Store in memory with conditional appends and keyed topics. Reads answer at once. A test decides what happens to each
- * append. Not thread-safe.
+ * Store in memory with conditional appends and keyed topics. A poll
+ * ends with the next append. A test decides what happens to each append. Not thread-safe.
  */
 public final class FakeStore implements MetadataStore {
     /** What happens to an append. */
@@ -30,7 +30,9 @@
     private final Map<Partition, List<KeyedRecord>> logs = new HashMap<>();
     private final Deque<Fate> fates = new ArrayDeque<>();
     private final List<Runnable> late = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
     private boolean down;
+    private boolean pollsHeld;
     private int appends;
 
     /** Sets what happens to the next appends; later ones are normal. */
@@ -43,6 +45,11 @@
         down = value;
     }
 
+    /** Keeps polls waiting although records are there, or again not. */
+    public void holdPolls(boolean value) {
+        pollsHeld = value;
+    }
+
     /** Executes the appends that were late. */
     public void runLate() {
         late.forEach(Runnable::run);
@@ -65,8 +72,10 @@
             return unanswered();
         }
         List<KeyedRecord> log = log(partition);
-        if (from >= log.size() && !wait.isZero()) {
-            return Promise.<LogSlice>promise().future();
+        if ((pollsHeld || from >= log.size()) && !wait.isZero()) {
+            Promise<LogSlice> promise = Promise.promise();
+            waiting.add(() -> read(partition, from, Duration.ZERO).onComplete(promise));
+            return promise.future();
         }
         int first = (int) Math.min(from, log.size());
         return Future.succeededFuture(new LogSlice(first, log.subList(first, log.size()), log.size()));
@@ -113,6 +122,11 @@
             return Future.failedFuture(new StoreException(StoreException.Reason.CONFLICT, "ends at " + log.size()));
         }
         log.addAll(records);
+        if (!pollsHeld) {
+            List<Runnable> polls = List.copyOf(waiting);
+            waiting.clear();
+            polls.forEach(Runnable::run);
+        }
         return Future.succeededFuture((long) log.size());
     }
 
