--- a/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
@@ -97,6 +97,11 @@
         return partsSeen == head.getParts();
     }
 
+    /** Returns the number of records that hold its items. */
+    int parts() {
+        return head.getParts();
+    }
+
     /** Returns the largest number of failed runs of an item. */
     public int attempts() {
         return head.getAttempts();
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
@@ -28,6 +28,8 @@
     private final EventLog log;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, List<JobRecord>> early = new HashMap<>();
+    private List<Job> openOrder = List.of();
+    private boolean openOrderStale;
     private final List<Consumer<ItemResult>> resultListeners = new ArrayList<>();
     private final List<Consumer<Job>> endListeners = new ArrayList<>();
 
@@ -63,6 +65,8 @@
         String[] words = key.split("/", 3);
         if (words.length >= 2 && words[0].equals("job")) {
             jobs.remove(words[1]);
+            early.remove(words[1]);
+            openOrderStale = true;
         }
     }
 
@@ -89,6 +93,7 @@
     private void addPart(JobPart part) {
         Job job = jobs.computeIfAbsent(part.getJob(), id -> new Job(part, ticker.nanos()));
         job.addPart(part);
+        openOrderStale = true;
         List<JobRecord> waiting = early.remove(part.getJob());
         if (waiting != null) {
             waiting.forEach(record -> apply(job, record));
@@ -99,6 +104,7 @@
         switch (record.getBodyCase()) {
             case RESULT -> {
                 if (job.addResult(record.getResult())) {
+                    openOrderStale |= !job.open();
                     resultListeners.forEach(listener -> listener.accept(record.getResult()));
                 }
             }
@@ -108,6 +114,7 @@
             case ENDED -> {
                 if (!job.ended()) {
                     job.end();
+                    openOrderStale = true;
                     endListeners.forEach(listener -> listener.accept(job));
                 }
             }
@@ -127,10 +134,14 @@
 
     /** Returns the open jobs by due time. */
     public List<Job> openByDueTime() {
-        return jobs.values().stream()
-                .filter(job -> job.complete() && job.open())
-                .sorted(Comparator.comparingLong(Job::dueNanos).thenComparing(Job::id))
-                .toList();
+        if (openOrderStale) {
+            openOrderStale = false;
+            openOrder = jobs.values().stream()
+                    .filter(job -> job.complete() && job.open())
+                    .sorted(Comparator.comparingLong(Job::dueNanos).thenComparing(Job::id))
+                    .toList();
+        }
+        return openOrder;
     }
 
     /** Returns the tokens of the items of a route that have no result. */
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -65,6 +65,30 @@
                 JobRecord.newBuilder().setEnded(JobEnded.newBuilder().setJob(job)));
     }
 
+    /** Returns the deletions of all keys of a job; the job itself comes last, so that a cut list is repeated. */
+    static List<KeyedRecord> deletions(Job job) {
+        List<KeyedRecord> records = new ArrayList<>();
+        for (int i = 0; i < job.total(); i++) {
+            if (job.hasResult(i)) {
+                records.add(deletion("result/" + job.id() + "/" + i));
+            }
+            if (job.failures(i) > 0) {
+                records.add(deletion("failures/" + job.id() + "/" + i));
+            }
+        }
+        if (job.ended()) {
+            records.add(deletion("end/" + job.id()));
+        }
+        for (int i = 0; i < job.parts(); i++) {
+            records.add(deletion("job/" + job.id() + "/" + i));
+        }
+        return records;
+    }
+
+    private static KeyedRecord deletion(String key) {
+        return new KeyedRecord(key, new byte[0]);
+    }
+
     private static KeyedRecord record(String key, JobRecord.Builder value) {
         return new KeyedRecord(key, value.build().toByteArray());
     }
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -193,6 +193,16 @@
         return writer(item.job()).submit(change, RESULT_LIMIT).map(result -> result == ConditionalWriter.Result.DONE);
     }
 
+    /** Deletes all records of a job. */
+    public Future<Boolean> forget(String job) {
+        return writer(job)
+                .submit(
+                        reservations -> Optional.of(
+                                ledger.find(job).map(JobRecords::deletions).orElse(List.of())),
+                        RESULT_LIMIT)
+                .map(result -> result == ConditionalWriter.Result.DONE);
+    }
+
     /** Counts a failed run of an item. */
     public Future<Boolean> addFailure(ItemRef item) {
         int wanted =
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 
 /**
- * Gives up items whose time has passed. Runs on the node whose scheduler is in use.
+ * Gives up items whose time has passed and deletes jobs whose results need not be readable any more. Runs on the node whose scheduler is in use.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -22,15 +22,38 @@
     private final JobLedger ledger;
     private final JobStore store;
     private final Ticker ticker;
+    private final Duration readable;
     private final Set<ItemRef> abandoned = new HashSet<>();
+    private final Set<String> forgotten = new HashSet<>();
 
-    JobCleaner(JobLedger ledger, JobStore store, Ticker ticker) {
+    /**
+     * Creates a cleaner.
+     *
+     * @param readable time after its submission for which a closed job stays readable
+     */
+    JobCleaner(JobLedger ledger, JobStore store, Ticker ticker, Duration readable) {
+        this.readable = readable;
         this.ledger = ledger;
         this.store = store;
         this.ticker = ticker;
     }
 
     void run() {
+        giveUp();
+        forget();
+    }
+
+    private void forget() {
+        long now = ticker.nanos();
+        for (Job job : List.copyOf(ledger.all())) {
+            boolean old = now - job.seenNanos() > readable.multipliedBy(2).toNanos();
+            if (old && !job.open() && job.complete() && forgotten.add(job.id())) {
+                store.forget(job.id()).onComplete(done -> forgotten.remove(job.id()));
+            }
+        }
+    }
+
+    private void giveUp() {
         long now = ticker.nanos();
         for (Job job : List.copyOf(ledger.openByDueTime())) {
             if (now - job.abandonNanos() < MARGIN.toNanos()) {
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -144,7 +144,7 @@
         this.runner = new ItemRunner(context, ledger, jobs);
         this.callers = new CallerServer(vertx, context, config::current, ledger, jobs, timers);
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, link::nodes);
-        this.cleaner = new JobCleaner(ledger, jobs, ticker);
+        this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultsReadable());
         this.status = new StatusServer(vertx, this::ready, metrics::text);
         ledger.onResult(result -> slots.scheduler().settled(new ItemRef(result.getJob(), result.getItem())));
         ledger.onEnded(job -> slots.scheduler().jobEnded(job.id()));
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
@@ -12,6 +12,7 @@
  * @param metrics address of the metrics
  * @param jobPartitions partitions of the job topic, the same on all nodes
  * @param recordBytes largest record of the store
+ * @param resultsReadable time after its submission for which the results of a job have to be readable
  * @param grace time from the signal to stop until the process is killed
  */
 public record ServingSettings(
@@ -21,6 +22,7 @@
         Address metrics,
         int jobPartitions,
         int recordBytes,
+        Duration resultsReadable,
         Duration grace) {
     /** An address to listen on. */
     public record Address(String host, int port) {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -16,6 +16,7 @@
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.store.FakeStore;
 import dev.lavenderline.serving.store.FakeStore.Fate;
+import dev.lavenderline.serving.store.Partition;
 import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -191,6 +192,23 @@
         assertFalse(ledger.find("j").orElseThrow().open());
     }
 
+    @Test
+    void forgottenJobLeavesNoKeys() {
+        accept(jobs, "j", 2, 0);
+        jobs.addFailure(new ItemRef("j", 0));
+        jobs.addResult(new ItemRef("j", 0), true, "a");
+        jobs.addResult(new ItemRef("j", 1), true, "b");
+        jobs.end("j", LIMIT);
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(jobs.forget("j").result());
+        assertTrue(ledger.find("j").isEmpty());
+        for (int i = 0; i < 2; i++) {
+            assertEquals(
+                    List.of(),
+                    store.newest(new Partition(JobStore.TOPIC, i)).result().records());
+        }
+    }
+
     @Test
     void failuresAreCountedOncePerRun() {
         accept(jobs, "j", 1, 0);
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -132,6 +132,7 @@
                 new Address(LOOPBACK, 0),
                 2,
                 100_000,
+                Duration.ofSeconds(120),
                 Duration.ofSeconds(8));
         CompletableFuture<ServingNode> started = new CompletableFuture<>();
         context.runOnContext(now -> {
