Count the grace for removed upstreams from the return of the store

The period now ends 2 s after the return, and a draining upstream whose entry goes is dropped at once.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -179,6 +179,7 @@
     }
 
     private void schedule() {
+        directory.expire();
         if (slots.scheduler().nodeCount() > 0) {
             slots.scheduler().schedule();
         }
@@ -190,7 +191,6 @@
     }
 
     private void housekeeping() {
-        directory.expire();
         connections.closeExpired();
         if (slots.scheduler().nodeCount() > 0) {
             cleaner.run();
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -5,30 +5,31 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The upstreams that are known from the store.
  *
  * <p>A removed entry is dropped at once while the store was reachable all the time. After an outage of the store a
- * removal may only mean that the entry could not be renewed, so that the upstream stays for a grace period in which a
- * living upstream renews it.
+ * removal may only mean that the entry could not be renewed, so that the upstream stays until the end of a period, counted
+ * from the store's return, in which living upstreams renew their entries.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
 public final class UpstreamDirectory {
-    /** Entries of living upstreams are back within 2 s of the store's return; the rest is for the store's delay. */
-    static final Duration RENEWAL_GRACE = Duration.ofMillis(2500);
+    /** Time after the store's return in which living upstreams renew their entries. */
+    static final Duration RENEWAL_GRACE = Duration.ofSeconds(2);
 
     /** Silence of the store after which a removal may be due to an outage. Long polls answer at least every second. */
     static final Duration OUTAGE = Duration.ofMillis(2000);
 
     private final Ticker ticker;
     private final Map<String, Upstream> upstreams = new HashMap<>();
-    private final Map<String, Long> removals = new HashMap<>();
+    private final Set<String> removals = new HashSet<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private long lastAnswerNanos;
     private long outageEndNanos;
@@ -67,11 +68,12 @@
 
     /** Handles the removal of an entry. */
     public void remove(String id) {
-        if (!upstreams.containsKey(id)) {
+        Upstream known = upstreams.get(id);
+        if (known == null) {
             return;
         }
-        if (outageSeen && ticker.nanos() - outageEndNanos < RENEWAL_GRACE.toNanos()) {
-            removals.putIfAbsent(id, ticker.nanos());
+        if (renewing() && !known.draining()) {
+            removals.add(id);
             return;
         }
         upstreams.remove(id);
@@ -86,22 +88,18 @@
         current.forEach(this::put);
     }
 
-    /** Drops entries whose grace period has passed; call it about once a second. */
+    private boolean renewing() {
+        return outageSeen && ticker.nanos() - outageEndNanos < RENEWAL_GRACE.toNanos();
+    }
+
+    /** Drops entries that were not renewed; call it several times a second. */
     public void expire() {
-        long now = ticker.nanos();
-        boolean dropped = false;
-        Iterator<Map.Entry<String, Long>> each = removals.entrySet().iterator();
-        while (each.hasNext()) {
-            Map.Entry<String, Long> removal = each.next();
-            if (now - removal.getValue() >= RENEWAL_GRACE.toNanos()) {
-                upstreams.remove(removal.getKey());
-                each.remove();
-                dropped = true;
-            }
-        }
-        if (dropped) {
-            changed();
+        if (removals.isEmpty() || renewing()) {
+            return;
         }
+        upstreams.keySet().removeAll(removals);
+        removals.clear();
+        changed();
     }
 
     private void changed() {
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
@@ -59,6 +59,31 @@
         assertFalse(directory.find("e").isPresent());
     }
 
+    /** Replays trouble-1 of lavenderline-mic, where the wait began with the removal and ended too late. */
+    @Test
+    void graceIsCountedFromTheReturnOfTheStore() {
+        calmSeconds(3);
+        directory.put(upstream("e"));
+        time.advance(Duration.ofSeconds(5));
+        directory.storeAnswered();
+        time.advance(Duration.ofMillis(1700));
+        directory.storeAnswered();
+        directory.remove("e");
+        time.advance(Duration.ofMillis(400));
+        directory.expire();
+        assertTrue(directory.open("s").isEmpty());
+    }
+
+    @Test
+    void drainingUpstreamThatIsRemovedIsGoneAtOnce() {
+        calmSeconds(3);
+        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true));
+        time.advance(Duration.ofSeconds(5));
+        directory.storeAnswered();
+        directory.remove("e");
+        assertTrue(directory.find("e").isEmpty());
+    }
+
     @Test
     void drainingUpstreamIsNotOpen() {
         directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true));
