Hand the scheduler's duty to a node that hears from the store; stop items on nodes that are cut off

Also, a scheduler that only lost the store would miss all new jobs. Pongs now say whether a node hears from the store, and a scheduler without the store and without half of the nodes runs no items.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -105,6 +105,14 @@
         return followers.get(partition(job)).next() >= 0;
     }
 
+    /** Returns the time since the store last answered for the partition for which that is longest. */
+    public Duration age() {
+        return followers.stream()
+                .map(PartitionFollower::age)
+                .max(Duration::compareTo)
+                .orElse(Duration.ZERO);
+    }
+
     /** Returns the number of changes that have not reached the store. */
     public int unwritten() {
         return writers.stream().mapToInt(ConditionalWriter::waiting).sum();
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -52,6 +52,10 @@
     private static final Duration JOBS_PAUSE = Duration.ofMillis(100);
 
     private static final Duration LONGEST_JOBS_PAUSE = Duration.ofMillis(600);
+
+    /** Silence of the store after which a node schedules only if no other can; polls end every 1.7 s at most. */
+    private static final Duration STALE = Duration.ofMillis(2600);
+
     private static final Duration SCHEDULE = Duration.ofMillis(50);
     private static final Duration HOUSEKEEPING = Duration.ofSeconds(1);
 
@@ -126,6 +130,7 @@
                 timers,
                 log,
                 random::nextDouble,
+                () -> jobs.age().compareTo(STALE) > 0,
                 SlotScheduler.Options.defaults());
         this.link = slots.link();
         this.connections = new UpstreamConnections(vertx, ticker);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Connects this node to the scheduler that it uses and moves to another one when that does not answer. The first frame
@@ -49,6 +50,7 @@
     private final Ticker ticker;
     private final Timers timers;
     private final EventLog log;
+    private final BooleanSupplier stale;
     private final Context context;
     private final NetClient client;
     private final Map<Long, Pending> pending = new HashMap<>();
@@ -82,7 +84,7 @@
 
         void open() {
             if (local()) {
-                ready();
+                pong(stale.getAsBoolean());
                 return;
             }
             client.connect(target.port(), target.host())
@@ -140,9 +142,8 @@
 
         void frame(SlotFrame frame) {
             heardNanos = ticker.nanos();
-            choice.answered(target.name());
             switch (frame.getBodyCase()) {
-                case PONG -> ready();
+                case PONG -> pong(frame.getPong().getStale());
                 case GRANTED ->
                     granted(
                             self.name(),
@@ -167,7 +168,22 @@
             }
         }
 
+        /** Uses a node that answers, unless it does not hear from the store and another one may. */
+        void pong(boolean stale) {
+            choice.heard(target.name(), stale);
+            if (!stale || choice.best().filter(target::equals).isPresent()) {
+                ready();
+            } else if (candidate == this) {
+                close();
+                candidate = null;
+                SchedulerLink.this.check();
+            }
+        }
+
         void check() {
+            if (local() && joined) {
+                choice.heard(target.name(), stale.getAsBoolean());
+            }
             if (local() || socket == null) {
                 return;
             }
@@ -198,7 +214,9 @@
             LocalPlacement placement,
             Ticker ticker,
             Timers timers,
-            EventLog log) {
+            EventLog log,
+            BooleanSupplier stale) {
+        this.stale = stale;
         this.self = self;
         this.choice = new SchedulerChoice(ticker);
         this.scheduler = scheduler;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -98,8 +98,9 @@
         return frame(SlotFrame.newBuilder().setPing(Ping.newBuilder().setSequence(sequence)));
     }
 
-    static Buffer pong(long sequence) {
-        return frame(SlotFrame.newBuilder().setPong(Pong.newBuilder().setSequence(sequence)));
+    static Buffer pong(long sequence, boolean stale) {
+        return frame(SlotFrame.newBuilder()
+                .setPong(Pong.newBuilder().setSequence(sequence).setStale(stale)));
     }
 
     static Buffer granted(long lease, String upstream) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -47,6 +48,7 @@
     private final List<Waiting> waiting = new ArrayList<>();
     private final HoldEstimate holds;
     private final PrefixPlaces prefixes = new PrefixPlaces();
+    private BooleanSupplier itemsAllowed = () -> true;
     private long nextItemLease;
 
     /**
@@ -152,6 +154,11 @@
         this.nextItemLease = (1L << 62) | (ticker.nanos() & 0x0fff_ffff_ffff_ffffL);
     }
 
+    /** Sets a condition for running items; while it does not hold, running items are cancelled. */
+    void runItemsWhile(BooleanSupplier condition) {
+        itemsAllowed = condition;
+    }
+
     /** A node uses this scheduler; replaces everything that was known of it. */
     public void joined(String name, String failureDomain, double capacity, List<Holding> holdings) {
         left(name);
@@ -437,6 +444,12 @@
     /** Serves what waits. Call it after changes and every few tens of milliseconds. */
     public void schedule() {
         serveWaiting();
+        if (!itemsAllowed.getAsBoolean()) {
+            List.copyOf(running.values()).stream()
+                    .filter(lease -> !lease.preempted)
+                    .forEach(this::preempt);
+            return;
+        }
         if (waiting.isEmpty()) {
             runItems();
         }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 /**
  * Serves this node's scheduler to other nodes over TCP and to the node itself.
@@ -29,6 +30,7 @@
     private final Vertx vertx;
     private final Ticker ticker;
     private final EventLog log;
+    private final BooleanSupplier stale;
     private final Map<String, Peer> peers = new HashMap<>();
     private SlotScheduler scheduler;
     private String self = "";
@@ -54,7 +56,7 @@
             heardNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> join(this, frame);
-                case PING -> socket.write(SlotFrames.pong(frame.getPing().getSequence()));
+                case PING -> socket.write(SlotFrames.pong(frame.getPing().getSequence(), stale.getAsBoolean()));
                 case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire()));
                 case RELEASE ->
                     scheduler.released(
@@ -68,7 +70,13 @@
         }
     }
 
-    public SlotServer(Vertx vertx, Ticker ticker, EventLog log) {
+    /**
+     * Creates a server.
+     *
+     * @param stale tells whether this node has not heard from the store lately
+     */
+    public SlotServer(Vertx vertx, Ticker ticker, EventLog log, BooleanSupplier stale) {
+        this.stale = stale;
         this.vertx = vertx;
         this.ticker = ticker;
         this.log = log;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -30,12 +31,15 @@
             Timers timers,
             EventLog log,
             DoubleSupplier random,
+            BooleanSupplier stale,
             SlotScheduler.Options options) {
         this.timers = timers;
-        this.server = new SlotServer(vertx, ticker, log);
+        this.server = new SlotServer(vertx, ticker, log, stale);
         UpstreamHealth health = new UpstreamHealth(ticker);
         this.scheduler = new SlotScheduler(ticker, directory, health, backlog, server, log, random, options);
-        this.link = new SchedulerLink(vertx, self, scheduler, placement, ticker, timers, log);
+        this.link = new SchedulerLink(vertx, self, scheduler, placement, ticker, timers, log, stale);
+        // Alone and without the store, a node would run the same items as the others.
+        scheduler.runItemsWhile(() -> !stale.getAsBoolean() || 2 * scheduler.nodeCount() > link.nodeCount());
         server.attach(scheduler, self.name(), link);
         directory.onChange(scheduler::schedule);
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChoiceTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChoiceTest.java
@@ -47,7 +47,19 @@
         time.advance(SchedulerChoice.FIRST_PASS);
         assertEquals("small", choice.best().orElseThrow().name());
         time.advance(SchedulerChoice.LONGEST_PASS);
-        choice.answered("big");
+        choice.heard("big", false);
+        assertEquals("big", choice.best().orElseThrow().name());
+    }
+
+    /** Replays an outage of the store for the scheduler's node alone, in which it would miss all new jobs. */
+    @Test
+    void nodeThatDoesNotHearFromTheStoreComesLast() {
+        SchedulerChoice choice = choice(List.of(node("big", 2), node("small", 1)));
+        choice.heard("big", true);
+        assertEquals("small", choice.best().orElseThrow().name());
+        choice.heard("small", true);
+        assertEquals("big", choice.best().orElseThrow().name());
+        choice.heard("big", false);
         assertEquals("big", choice.best().orElseThrow().name());
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -285,6 +285,23 @@
         assertTrue(out.runs.isEmpty());
     }
 
+    /** Replays node_cut: a node that is cut from the store and the others must not run their items too. */
+    @Test
+    void itemsStopWhileTheyAreNotAllowed() {
+        items(3);
+        boolean[] allowed = {true};
+        scheduler.runItemsWhile(() -> allowed[0]);
+        scheduler.schedule();
+        allowed[0] = false;
+        scheduler.schedule();
+        assertEquals(3, out.preempted.size());
+        List.copyOf(out.runs).forEach(run -> scheduler.released(run.node(), run.lease(), LeaseEnd.CANCELLED, 1));
+        assertEquals(3, out.runs.size());
+        allowed[0] = true;
+        scheduler.schedule();
+        assertEquals(6, out.runs.size());
+    }
+
     @Test
     void endOfJobStopsItsRuns() {
         items(3);
