--- a/ctl/src/test/java/dev/lavenderline/ctl/DocsTest.java
+++ b/ctl/src/test/java/dev/lavenderline/ctl/DocsTest.java
@@ -9,13 +9,13 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against a command or flag that docs/operations.md does not describe.
+ * Guards against a command or flag that docs/OPERATIONS.md does not describe.
  *
  * <p>{@code mvn test -pl ctl -am -Dtest=DocsTest -Dsurefire.failIfNoSpecifiedTests=false -Ddocs.update=true} writes the
  * generated part of the page.
  */
 class DocsTest {
-    private static final Path PAGE = Path.of("..", "docs", "operations.md");
+    private static final Path PAGE = Path.of("..", "docs", "OPERATIONS.md");
     private static final String BEGIN = "<!-- generated: lavenderctl -->\n";
     private static final String END = "<!-- end of generated part -->\n";
 
--- a/node/src/main/java/dev/lavenderline/node/Settings.java
+++ b/node/src/main/java/dev/lavenderline/node/Settings.java
@@ -7,7 +7,7 @@
 
 /**
  * The settings of a node, valid and with defaults applied. Units, defaults and bounds are in {@link SettingsTable},
- * {@code lavenderline --help} and docs/operations.md.
+ * {@code lavenderline --help} and docs/OPERATIONS.md.
  *
  * @param identity who the node is
  * @param addresses where it listens
--- a/node/src/main/java/dev/lavenderline/node/SettingsTable.java
+++ b/node/src/main/java/dev/lavenderline/node/SettingsTable.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 
-/** All flags of a node. Drives parsing, help and the table in docs/operations.md. */
+/** All flags of a node. Drives parsing, help and the table in docs/OPERATIONS.md. */
 final class SettingsTable {
     static final Setting<String> NODE = Setting.name("node", "", "Name of the node, unique in the cluster.");
     static final Setting<String> CLUSTER =
@@ -130,7 +130,7 @@
 
     private SettingsTable() {}
 
-    /** Returns the table for docs/operations.md. */
+    /** Returns the table for docs/OPERATIONS.md. */
     static String markdown() {
         StringBuilder table = new StringBuilder("| flag | variable | unit | default | bounds | meaning |\n");
         table.append("| --- | --- | --- | --- | --- | --- |\n");
--- a/node/src/test/java/dev/lavenderline/node/DocsTest.java
+++ b/node/src/test/java/dev/lavenderline/node/DocsTest.java
@@ -58,7 +58,7 @@
 
     @Test
     void operationsPageHasTheSettingsTable() throws IOException {
-        check(DOCS.resolve("operations.md"), "settings", SettingsTable.markdown());
+        check(DOCS.resolve("OPERATIONS.md"), "settings", SettingsTable.markdown());
     }
 
     @Test
