--- /dev/null
+++ b/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
@@ -0,0 +1,234 @@
+package dev.lavenderline.standins.store;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Stand-in of the users' platform's store: a log with conditional appends and keyed topics over HTTP. Producers, groups
+ * and trims are left out, since no program of this repository uses them.
+ *
+ * <p>Thread-safe: all state is confined to the event loop on which the stand-in was created, and faults are set there.
+ */
+public final class StoreStandin {
+    private static final int PAGE = 500;
+    private static final long LATE_MS = 300;
+
+    private final Vertx vertx;
+    private final Map<String, Log> logs = new HashMap<>();
+    private final Deque<Fault> appendFaults = new ArrayDeque<>();
+    private volatile Fault outage = Fault.NONE;
+    private HttpServer server;
+
+    /** A fault of one append, or of all calls. */
+    public enum Fault {
+        NONE,
+        /** No answer and no effect. */
+        SILENT,
+        /** Refused with 503. */
+        BUSY,
+        /** The connection is reset. */
+        RESET,
+        /** Done, but the answer is lost. */
+        ANSWER_LOST,
+        /** Not answered, and done later if the condition holds then. */
+        LATE
+    }
+
+    private record Entry(String key, Buffer value) {}
+
+    private static final class Log {
+        final List<Entry> entries = new ArrayList<>();
+        final List<Runnable> polls = new ArrayList<>();
+        int first;
+    }
+
+    public StoreStandin(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    /** Starts to listen on a free port of the loopback address, or on the port of an earlier start. */
+    public Future<Integer> start(int port) {
+        server = vertx.createHttpServer()
+                .requestHandler(request -> request.body().onSuccess(body -> {
+                    switch (outage) {
+                        case SILENT -> {}
+                        case BUSY -> request.response().setStatusCode(503).end();
+                        case RESET -> request.connection().close();
+                        default -> route(request, body);
+                    }
+                }));
+        return server.listen(port, "127.0.0.1").map(HttpServer::actualPort);
+    }
+
+    /** Sets a fault of all calls, {@link Fault#NONE} to end it. */
+    public void outage(Fault fault) {
+        outage = fault;
+    }
+
+    /** Sets the faults of the next appends. */
+    public void nextAppends(Fault... faults) {
+        vertx.runOnContext(now -> appendFaults.addAll(List.of(faults)));
+    }
+
+    /** Drops all records of a topic's partition; in a keyed topic the newest of each key stay readable as such. */
+    public void expire(String topic, int partition) {
+        vertx.runOnContext(now -> {
+            Log log = log(topic, partition);
+            log.first = log.entries.size();
+        });
+    }
+
+    /** Writes a record as operators and upstreams do; without a value the key is deleted. */
+    public void put(String topic, String key, Buffer value) {
+        vertx.runOnContext(now -> {
+            Log log = log(topic, 0);
+            log.entries.add(new Entry(key, value));
+            wake(log);
+        });
+    }
+
+    private Log log(String topic, int partition) {
+        return logs.computeIfAbsent(topic + "/" + partition, name -> new Log());
+    }
+
+    private void route(HttpServerRequest request, Buffer body) {
+        Log log = log(request.getParam("Topic"), Integer.parseInt(request.getParam("part")));
+        switch (request.path()) {
+            case "/v1/log-append" -> append(request, log, body);
+            case "/v1/log-read" -> read(request, log);
+            case "/v1/log-newest" -> newest(request, log);
+            default -> request.response().setStatusCode(404).end();
+        }
+    }
+
+    private void append(HttpServerRequest request, Log log, Buffer body) {
+        Fault fault = appendFaults.isEmpty() ? Fault.NONE : appendFaults.poll();
+        switch (fault) {
+            case SILENT -> {}
+            case BUSY -> request.response().setStatusCode(503).end();
+            case RESET -> request.connection().close();
+            case LATE -> vertx.setTimer(LATE_MS, later -> execute(request, log, body));
+            case ANSWER_LOST -> {
+                execute(request, log, body);
+                request.connection().close();
+            }
+            default -> {
+                boolean done = execute(request, log, body);
+                request.response()
+                        .setStatusCode(done ? 200 : 412)
+                        .end(new JsonObject()
+                                .put("Offset", log.entries.size())
+                                .put("End", log.entries.size())
+                                .toBuffer());
+            }
+        }
+    }
+
+    private boolean execute(HttpServerRequest request, Log log, Buffer body) {
+        String at = request.getParam("At");
+        if (at != null && Long.parseLong(at) != log.entries.size()) {
+            return false;
+        }
+        int position = 0;
+        while (position < body.length()) {
+            int length = body.getInt(position);
+            int start = position + 4;
+            int keyLength = body.getUnsignedByte(start);
+            String key = body.getString(start + 1, start + 1 + keyLength);
+            log.entries.add(new Entry(key, body.getBuffer(start + 1 + keyLength, start + length)));
+            position = start + length;
+        }
+        wake(log);
+        return true;
+    }
+
+    private static void wake(Log log) {
+        List<Runnable> polls = List.copyOf(log.polls);
+        log.polls.clear();
+        polls.forEach(Runnable::run);
+    }
+
+    private void read(HttpServerRequest request, Log log) {
+        long from = Long.parseLong(request.getParam("From"));
+        String wait = request.getParam("WaitMs");
+        if (from < log.first) {
+            request.response()
+                    .setStatusCode(410)
+                    .end(new JsonObject().put("First", log.first).toBuffer());
+        } else if (from >= log.entries.size() && wait != null && !wait.equals("0")) {
+            Runnable[] poll = new Runnable[1];
+            long timer = vertx.setTimer(Long.parseLong(wait), over -> {
+                log.polls.remove(poll[0]);
+                answer(request, log, from);
+            });
+            poll[0] = () -> {
+                vertx.cancelTimer(timer);
+                answer(request, log, from);
+            };
+            log.polls.add(poll[0]);
+        } else {
+            answer(request, log, from);
+        }
+    }
+
+    private static void answer(HttpServerRequest request, Log log, long from) {
+        Buffer body = Buffer.buffer().appendLong(log.entries.size()).appendLong(log.first);
+        for (int i = (int) from; i < log.entries.size(); i++) {
+            Entry entry = log.entries.get(i);
+            byte[] key = entry.key().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            body.appendInt(1 + key.length + entry.value().length())
+                    .appendUnsignedByte((short) key.length)
+                    .appendBytes(key)
+                    .appendBuffer(entry.value());
+        }
+        request.response().end(body);
+    }
+
+    private static void newest(HttpServerRequest request, Log log) {
+        Map<String, Buffer> newest = new TreeMap<>();
+        for (Entry entry : log.entries) {
+            if (entry.value().length() == 0) {
+                newest.remove(entry.key());
+            } else {
+                newest.put(entry.key(), entry.value());
+            }
+        }
+        String after = request.getParam("After");
+        JsonArray items = new JsonArray();
+        boolean more = false;
+        for (Map.Entry<String, Buffer> entry : newest.entrySet()) {
+            if (after != null && entry.getKey().compareTo(after) <= 0) {
+                continue;
+            }
+            if (items.size() == PAGE) {
+                more = true;
+                break;
+            }
+            items.add(new JsonObject()
+                    .put("Key", entry.getKey())
+                    .put(
+                            "Value",
+                            Base64.getEncoder().encodeToString(entry.getValue().getBytes()))
+                    .put("Offset", 0));
+        }
+        request.response()
+                .end(new JsonObject()
+                        .put("Items", items)
+                        .put("HasMore", more)
+                        .put("End", log.entries.size())
+                        .toBuffer());
+    }
+}
