Keep one scheduler through outages of the whole store; don't eject full engines

Each took its own moment to call the scheduler stale, so that nodes changed schedulers about ten times, and schedulers that did not know of each other overfilled the engines. Silence of full engines then ejected them one after the other. A stopping node lets its items run until it refuses requests.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -53,9 +53,6 @@
 
     private static final Duration LONGEST_JOBS_PAUSE = Duration.ofMillis(600);
 
-    /** Silence of the store after which a node schedules only if no other can; polls end every 1.7 s at most. */
-    private static final Duration STALE = Duration.ofMillis(2600);
-
     private static final Duration SCHEDULE = Duration.ofMillis(50);
     private static final Duration HOUSEKEEPING = Duration.ofSeconds(1);
 
@@ -130,7 +127,7 @@
                 timers,
                 log,
                 random::nextDouble,
-                () -> jobs.age().compareTo(STALE) > 0,
+                () -> jobs.age(),
                 SlotScheduler.Options.defaults());
         this.link = slots.link();
         this.connections = new UpstreamConnections(vertx, ticker);
@@ -225,10 +222,12 @@
         log.event(ServingEvent.STOPPING, "requests", callers.active(), "items", runner.running());
         callers.drain();
         link.leave();
-        runner.stopAll();
         registry.leave();
         long started = ticker.nanos();
-        timers.after(SHORTEST_DRAIN, callers::refuse);
+        timers.after(SHORTEST_DRAIN, () -> {
+            callers.refuse();
+            runner.stopAll();
+        });
         timers.every(DRAIN_CHECK, () -> {
             long drained = ticker.nanos() - started;
             boolean quiet = callers.active() == 0 && jobs.unwritten() == 0;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerChoice.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerChoice.java
@@ -13,8 +13,8 @@
 
 /**
  * Chooses the node whose scheduler is used. All nodes order the registered nodes in the same way and use the first that
- * they can reach, so that they agree whenever they reach the same nodes. A node that does not hear from the store comes
- * after those that do.
+ * they can reach, so that they agree whenever they reach the same nodes. A node whose state is old, because it does not
+ * hear from the store, is replaced by one whose state is fresh; if all are old, nothing changes.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -25,10 +25,16 @@
     /** Longest time for which a node that does not answer is passed over. */
     static final Duration LONGEST_PASS = Duration.ofSeconds(16);
 
-    /** Time for which a node that does not hear from the store is used only if there is no other. */
-    static final Duration STALE = Duration.ofSeconds(3);
+    /** Age of a node's state above which another node is looked for; above most outages of a whole store. */
+    static final Duration STALE_AGE = Duration.ofSeconds(5);
 
-    /** Nodes that are tried before a stale one is used; bounds the connections while the store is down for all. */
+    /** Age of a node's state below which it may take over: a poll takes up to 1.7 s on a calm day. */
+    static final Duration FRESH_AGE = Duration.ofMillis(2200);
+
+    /** Time for which a stale node is not asked again. */
+    static final Duration STALE_PASS = Duration.ofSeconds(3);
+
+    /** Nodes that are asked before the search for a fresh one ends; bounds connections while the store is down. */
     static final int CANDIDATES = 5;
 
     private final Ticker ticker;
@@ -57,33 +63,54 @@
         return Hashing.murmur3_128().hashString(name, StandardCharsets.UTF_8).asLong();
     }
 
-    /** Returns the node to use, none if none is registered or all are passed over. */
-    Optional<NodeEntry> best() {
+    /** Returns the first node that answers and is not known to be stale, none if there is none. */
+    Optional<NodeEntry> fresh() {
+        long now = ticker.nanos();
+        return answering().stream()
+                .filter(node -> {
+                    Long until = staleUntil.get(node.name());
+                    return until == null || now - until >= 0;
+                })
+                .findFirst();
+    }
+
+    /** Returns the first node that answers, none if all are passed over. */
+    Optional<NodeEntry> any() {
+        return answering().stream().findFirst();
+    }
+
+    private List<NodeEntry> answering() {
         long now = ticker.nanos();
-        List<NodeEntry> answering = order.stream()
+        return order.stream()
                 .filter(node -> {
                     Pass pass = passed.get(node.name());
                     return pass == null || now - pass.untilNanos() >= 0;
                 })
                 .limit(CANDIDATES)
                 .toList();
-        return answering.stream()
-                .filter(node -> {
-                    Long until = staleUntil.get(node.name());
-                    return until == null || now - until >= 0;
-                })
-                .findFirst()
-                .or(() -> answering.stream().findFirst());
     }
 
-    /** Records whether a node that answers hears from the store. */
-    void heard(String node, boolean stale) {
+    /** Records an answer of the node in use. */
+    void heard(String node, Duration age) {
+        passed.remove(node);
+        if (age.compareTo(STALE_AGE) > 0) {
+            stale(node);
+        }
+    }
+
+    /** Returns whether a node that has answered may replace the one in use; if not, it is not asked for a while. */
+    boolean mayTakeOver(String node, Duration age) {
         passed.remove(node);
-        if (stale) {
-            staleUntil.put(node, ticker.nanos() + STALE.toNanos());
-        } else {
+        if (age.compareTo(FRESH_AGE) < 0) {
             staleUntil.remove(node);
+            return true;
         }
+        stale(node);
+        return false;
+    }
+
+    private void stale(String node) {
+        staleUntil.put(node, ticker.nanos() + STALE_PASS.toNanos());
     }
 
     /** Passes over a node for a while because it does not answer. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
@@ -18,7 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Connects this node to the scheduler that it uses and moves to another one when that does not answer. The first frame
@@ -50,7 +50,7 @@
     private final Ticker ticker;
     private final Timers timers;
     private final EventLog log;
-    private final BooleanSupplier stale;
+    private final Supplier<Duration> storeAge;
     private final Context context;
     private final NetClient client;
     private final Map<Long, Pending> pending = new HashMap<>();
@@ -61,6 +61,7 @@
     private Connection current;
     private Connection candidate;
     private boolean leaving;
+    private List<NodeEntry> known = List.of();
     private int nodeCount = 1;
     private long nextLease;
 
@@ -84,7 +85,7 @@
 
         void open() {
             if (local()) {
-                pong(stale.getAsBoolean());
+                pong(storeAge.get());
                 return;
             }
             client.connect(target.port(), target.host())
@@ -143,7 +144,7 @@
         void frame(SlotFrame frame) {
             heardNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
-                case PONG -> pong(frame.getPong().getStale());
+                case PONG -> pong(Duration.ofMillis(frame.getPong().getStoreAgeMs()));
                 case GRANTED ->
                     granted(
                             self.name(),
@@ -168,21 +169,21 @@
             }
         }
 
-        /** Uses a node that answers, unless it does not hear from the store and another one may. */
-        void pong(boolean stale) {
-            choice.heard(target.name(), stale);
-            if (!stale || choice.best().filter(target::equals).isPresent()) {
+        /** Handles an answer: the first one makes the node the scheduler, unless its state is too old for that. */
+        void pong(Duration age) {
+            if (joined) {
+                choice.heard(target.name(), age);
+            } else if (choice.mayTakeOver(target.name(), age) || current == null) {
                 ready();
-            } else if (candidate == this) {
+            } else {
                 close();
                 candidate = null;
-                SchedulerLink.this.check();
             }
         }
 
         void check() {
             if (local() && joined) {
-                choice.heard(target.name(), stale.getAsBoolean());
+                choice.heard(target.name(), storeAge.get());
             }
             if (local() || socket == null) {
                 return;
@@ -215,8 +216,8 @@
             Ticker ticker,
             Timers timers,
             EventLog log,
-            BooleanSupplier stale) {
-        this.stale = stale;
+            Supplier<Duration> storeAge) {
+        this.storeAge = storeAge;
         this.self = self;
         this.choice = new SchedulerChoice(ticker);
         this.scheduler = scheduler;
@@ -243,11 +244,16 @@
 
     /** Replaces the registered nodes. */
     public void nodes(java.util.Collection<NodeEntry> registered) {
+        known = List.copyOf(registered);
         nodeCount = Math.max(1, registered.size());
-        choice.nodes(registered);
+        choice.nodes(leaving ? others() : known);
         check();
     }
 
+    private List<NodeEntry> others() {
+        return known.stream().filter(node -> !node.name().equals(self.name())).toList();
+    }
+
     /** Returns the number of registered nodes, at least one. */
     public int nodeCount() {
         return nodeCount;
@@ -265,10 +271,10 @@
         if (candidate != null) {
             candidate.check();
         }
-        if (leaving) {
-            return;
+        Optional<NodeEntry> best = choice.fresh();
+        if (best.isEmpty() && current == null) {
+            best = choice.any();
         }
-        Optional<NodeEntry> best = choice.best();
         if (best.isEmpty() || uses(current, best.get()) || uses(candidate, best.get())) {
             return;
         }
@@ -309,9 +315,14 @@
         }
     }
 
-    /** Leaves the scheduler because the process stops; requests in progress stay as they are. */
+    /**
+     * Takes no further items because the process stops, and uses another node's scheduler if this node's was in use;
+     * what is in progress stays as it is.
+     */
     public void leave() {
         leaving = true;
+        choice.nodes(others());
+        check();
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -98,9 +98,10 @@
         return frame(SlotFrame.newBuilder().setPing(Ping.newBuilder().setSequence(sequence)));
     }
 
-    static Buffer pong(long sequence, boolean stale) {
+    static Buffer pong(long sequence, Duration storeAge) {
         return frame(SlotFrame.newBuilder()
-                .setPong(Pong.newBuilder().setSequence(sequence).setStale(stale)));
+                .setPong(Pong.newBuilder().setSequence(sequence).setStoreAgeMs((int)
+                        Math.min(Integer.MAX_VALUE, storeAge.toMillis()))));
     }
 
     static Buffer granted(long lease, String upstream) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -76,7 +76,9 @@
     private final HoldEstimate holds = new HoldEstimate(ONLINE_SECONDS);
     private final HoldEstimate itemHolds = new HoldEstimate(ITEM_SECONDS);
     private final PrefixPlaces prefixes = new PrefixPlaces();
-    private BooleanSupplier itemsAllowed = () -> true;
+    private BooleanSupplier startItems = () -> true;
+    private BooleanSupplier stopItems = () -> false;
+    private long activeSinceNanos;
     private long nextItemLease;
 
     /**
@@ -136,14 +138,27 @@
         this.nextItemLease = (1L << 62) | (ticker.nanos() & 0x0fff_ffff_ffff_ffffL);
     }
 
-    /** Sets a condition for running items; while it does not hold, running items are cancelled. */
-    void runItemsWhile(BooleanSupplier condition) {
-        itemsAllowed = condition;
+    /** Sets a condition for starting items. */
+    void startItemsWhile(BooleanSupplier condition) {
+        startItems = condition;
+    }
+
+    /** Sets a condition in which running items are cancelled. */
+    void stopItemsWhile(BooleanSupplier condition) {
+        stopItems = condition;
+    }
+
+    /** Returns the time since the first of the nodes that use this scheduler joined. */
+    Duration activeFor() {
+        return Duration.ofNanos(ticker.nanos() - activeSinceNanos);
     }
 
     /** A node uses this scheduler; replaces everything that was known of it. */
     public void joined(String name, String failureDomain, double capacity, List<Holding> holdings) {
         left(name);
+        if (nodeCount() == 0) {
+            activeSinceNanos = ticker.nanos();
+        }
         NodeState node = leases.join(name, failureDomain, capacity);
         for (Holding holding : holdings) {
             leases.add(new Lease(
@@ -343,7 +358,7 @@
         switch (end) {
             case COMPLETED -> health.succeeded(upstream);
             case ANSWER_LOST -> ejection = health.answerLost(upstream);
-            case UPSTREAM_UNREACHABLE, UPSTREAM_GONE -> ejection = Optional.of(health.unreachable(upstream));
+            case UPSTREAM_UNREACHABLE, UPSTREAM_GONE -> ejection = health.unreachable(upstream);
             default -> health.unknown(upstream);
         }
         ejection.ifPresent(
@@ -352,8 +367,12 @@
 
     /** A node reports that an upstream is silent while a request is still open there. */
     public void suspected(String upstream) {
-        Duration delay = health.unreachable(upstream);
-        log.event(ServingEvent.UPSTREAM_EJECTED, "upstream", upstream, "cause", "silent", "ms", delay);
+        if (health.suspected(upstream)) {
+            return;
+        }
+        health.unreachable(upstream)
+                .ifPresent(delay ->
+                        log.event(ServingEvent.UPSTREAM_EJECTED, "upstream", upstream, "cause", "silent", "ms", delay));
     }
 
     /** An item has a result. */
@@ -371,9 +390,12 @@
     /** Serves what waits. Call it after changes and every few tens of milliseconds. */
     public void schedule() {
         serveWaiting();
-        if (!itemsAllowed.getAsBoolean()) {
+        if (nodeCount() == 0) {
+            return;
+        }
+        if (stopItems.getAsBoolean()) {
             leases.items().forEach(this::preempt);
-        } else if (waiting.isEmpty() && nodeCount() > 0) {
+        } else if (waiting.isEmpty() && startItems.getAsBoolean()) {
             runItems();
         }
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -15,7 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Serves this node's scheduler to other nodes over TCP and to the node itself.
@@ -30,7 +30,7 @@
     private final Vertx vertx;
     private final Ticker ticker;
     private final EventLog log;
-    private final BooleanSupplier stale;
+    private final Supplier<Duration> storeAge;
     private final Map<String, Peer> peers = new HashMap<>();
     private SlotScheduler scheduler;
     private String self = "";
@@ -56,7 +56,7 @@
             heardNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> join(this, frame);
-                case PING -> socket.write(SlotFrames.pong(frame.getPing().getSequence(), stale.getAsBoolean()));
+                case PING -> socket.write(SlotFrames.pong(frame.getPing().getSequence(), storeAge.get()));
                 case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire()));
                 case RELEASE ->
                     scheduler.released(
@@ -73,10 +73,10 @@
     /**
      * Creates a server.
      *
-     * @param stale tells whether this node has not heard from the store lately
+     * @param storeAge tells the time since this node last read all jobs from the store
      */
-    public SlotServer(Vertx vertx, Ticker ticker, EventLog log, BooleanSupplier stale) {
-        this.stale = stale;
+    public SlotServer(Vertx vertx, Ticker ticker, EventLog log, Supplier<Duration> storeAge) {
+        this.storeAge = storeAge;
         this.vertx = vertx;
         this.ticker = ticker;
         this.log = log;
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -17,7 +17,7 @@
  */
 public final class PartitionFollower {
     private static final Duration FIRST_RETRY = Duration.ofMillis(100);
-    private static final Duration LONGEST_RETRY = Duration.ofSeconds(1);
+    private static final Duration LONGEST_RETRY = Duration.ofMillis(500);
 
     private final MetadataStore store;
     private final Partition partition;
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
@@ -28,7 +28,11 @@
     /** Lost answers in a row that eject an upstream; at 5% lost answers this happens once in 8,000 requests. */
     static final int LOST_ANSWERS = 3;
 
+    /** Time for which an answer shows that an upstream works; a busy engine ends a request about every 0.1 s. */
+    static final Duration ANSWERED = Duration.ofMillis(900);
+
     private final Ticker ticker;
+    private final Map<String, Long> answeredNanos = new HashMap<>();
     private final Map<String, Ejection> ejections = new HashMap<>();
     private final Map<String, Integer> lostAnswers = new HashMap<>();
 
@@ -62,6 +66,7 @@
     public void succeeded(String upstream) {
         ejections.remove(upstream);
         lostAnswers.remove(upstream);
+        answeredNanos.put(upstream, ticker.nanos());
     }
 
     /** Records that a request's end says nothing about the upstream. */
@@ -75,11 +80,22 @@
         if (inRow < LOST_ANSWERS && !suspected(upstream)) {
             return Optional.empty();
         }
-        return Optional.of(unreachable(upstream));
+        return Optional.of(eject(upstream));
+    }
+
+    /**
+     * Records that no connection could be made or that a request met silence; returns the delay if the upstream is
+     * ejected for it. While the upstream answers others, it is full rather than down.
+     */
+    public Optional<Duration> unreachable(String upstream) {
+        Long answered = answeredNanos.get(upstream);
+        if (answered != null && ticker.nanos() - answered < ANSWERED.toNanos()) {
+            return answerLost(upstream);
+        }
+        return Optional.of(eject(upstream));
     }
 
-    /** Records that no connection could be made or that an upstream is silent; returns the delay. */
-    public Duration unreachable(String upstream) {
+    private Duration eject(String upstream) {
         long now = ticker.nanos();
         Ejection before = ejections.get(upstream);
         long delay = FIRST_EJECTION.toNanos();
@@ -97,5 +113,6 @@
     public void retain(java.util.Collection<String> upstreams) {
         ejections.keySet().retainAll(upstreams);
         lostAnswers.keySet().retainAll(upstreams);
+        answeredNanos.keySet().retainAll(upstreams);
     }
 }
