--- a/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
@@ -114,7 +114,7 @@
 
     /** Returns the time at which the results are due, on the ticker's scale. */
     public long dueNanos() {
-        return acceptedNanos + head.getCompletionTargetMs() * 1_000_000L;
+        return acceptedNanos + head.getDueInMs() * 1_000_000L;
     }
 
     /** Returns the time at which unfinished items may be abandoned, on the ticker's scale. */
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -31,7 +31,7 @@
  */
 public final class JobStore {
     /** Name of the topic. */
-    static final String TOPIC = "keyed.jobs";
+    static final String TOPIC = "jobs";
 
     /** Long polls of the job topic; an idle partition is confirmed this often. */
     private static final Duration POLL = Duration.ofSeconds(1);
@@ -141,7 +141,7 @@
                 .setRoute(route.name())
                 .setHost(host)
                 .setAcceptedUnixMs(ticker.now().toEpochMilli())
-                .setCompletionTargetMs((int) route.completionTarget().toMillis())
+                .setDueInMs((int) route.completionTarget().toMillis())
                 .setRetentionMs((int) route.retention().toMillis())
                 .setAttempts(route.attempts())
                 .build();
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -36,8 +36,8 @@
  * <p>Not thread-safe; confined to the event loop on which it is created, but for {@link #metrics}.
  */
 public final class ServingNode {
-    private static final Partition CONFIG = new Partition("keyed.op", 0);
-    private static final Partition UPSTREAMS = new Partition("keyed.servers", 0);
+    private static final Partition CONFIG = new Partition("config", 0);
+    private static final Partition UPSTREAMS = new Partition("upstreams", 0);
 
     /** Long polls; a silent connection is noticed within this time and the store's call limit. */
     private static final Duration POLL = Duration.ofSeconds(1);
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -14,6 +14,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -210,7 +211,7 @@
         endExchange(end);
         failures += (failures.isEmpty() ? "" : "; ") + upstream.id() + " " + failure + " " + message;
         excluded.add(upstream.id());
-        context.metrics().count("lavenderline_upstream_" + failure.name().toLowerCase(java.util.Locale.ROOT));
+        context.metrics().count("lavenderline_upstream_" + failure.name().toLowerCase(Locale.ROOT));
         boolean again;
         if (failure.maybeRun()) {
             again = route.repeatable() && attemptsLeft() && (!answer.started() || route.resumable());
--- a/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * A version of the operators' configuration with an index of its routes. Immutable and thread-safe.
@@ -31,7 +32,7 @@
     }
 
     private static List<Route> longestFirst(List<Route> some, List<Route> more) {
-        return java.util.stream.Stream.concat(some.stream(), more.stream())
+        return Stream.concat(some.stream(), more.stream())
                 .sorted((a, b) ->
                         Integer.compare(b.pathPrefix().length(), a.pathPrefix().length()))
                 .toList();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
@@ -26,7 +26,7 @@
  * <p>Not thread-safe; confined to the event loop.
  */
 public final class NodeRegistry implements KeyedListener {
-    private static final Partition PARTITION = new Partition("keyed.nodes", 0);
+    private static final Partition PARTITION = new Partition("nodes", 0);
     private static final Duration POLL = Duration.ofSeconds(5);
     private static final Duration PAUSE = Duration.ofMillis(500);
     private static final Duration RETRY = Duration.ofMillis(500);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
@@ -14,6 +14,7 @@
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -243,7 +244,7 @@
     }
 
     /** Replaces the registered nodes. */
-    public void nodes(java.util.Collection<NodeEntry> registered) {
+    public void nodes(Collection<NodeEntry> registered) {
         known = List.copyOf(registered);
         nodeCount = Math.max(1, registered.size());
         choice.nodes(leaving ? others() : known);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
@@ -1,5 +1,7 @@
 package dev.lavenderline.serving.slots;
 
+import java.time.Duration;
+
 /** What a node's requests and items ask of the scheduler. Called on the event loop. */
 public interface SlotClient {
     /** Receives the decision on a request; called once, not before {@link #acquire} has returned. */
@@ -8,7 +10,7 @@
         void granted(String upstream);
 
         /** The request gets no slot now. */
-        void rejected(java.time.Duration retryAfter);
+        void rejected(Duration retryAfter);
     }
 
     /** Returns a number for a new lease. */
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Supplier;
 
 /**
@@ -148,7 +149,7 @@
     }
 
     /** Handles records that this process has appended at the offset that it expected. */
-    public void appended(long at, java.util.List<KeyedRecord> records) {
+    public void appended(long at, List<KeyedRecord> records) {
         handle(new LogSlice(at, records, at + records.size()));
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
@@ -2,6 +2,7 @@
 
 import dev.lavenderline.core.Ticker;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -110,7 +111,7 @@
     }
 
     /** Forgets upstreams that do not exist any more. */
-    public void retain(java.util.Collection<String> upstreams) {
+    public void retain(Collection<String> upstreams) {
         ejections.keySet().retainAll(upstreams);
         lostAnswers.keySet().retainAll(upstreams);
         answeredNanos.keySet().retainAll(upstreams);
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -159,9 +159,9 @@
     void start() throws IOException {
         first = new ScriptedEngine(vertx, "e1");
         second = new ScriptedEngine(vertx, "e2");
-        write("keyed.op", "config", "1");
-        write("keyed.servers", "e1", "engines " + first.port);
-        write("keyed.servers", "p1", "plain " + first.port);
+        write("config", "config", "1");
+        write("upstreams", "e1", "engines " + first.port);
+        write("upstreams", "p1", "plain " + first.port);
     }
 
     @AfterEach
@@ -214,7 +214,7 @@
 
     @Test
     void resumableStreamContinuesOnAnotherUpstream() throws IOException {
-        write("keyed.servers", "e2", "engines " + second.port);
+        write("upstreams", "e2", "engines " + second.port);
         startNode("n1");
         first.script = (request, body) -> ScriptedEngine.stream(vertx, request, 10, 3);
         second.script = first.script;
@@ -234,7 +234,7 @@
 
     @Test
     void safeRequestIsSentAgainAfterALostAnswer() throws IOException {
-        write("keyed.servers", "p2", "plain " + second.port);
+        write("upstreams", "p2", "plain " + second.port);
         startNode("n1");
         AtomicInteger seen = new AtomicInteger();
         first.script = (request, body) -> {
@@ -251,7 +251,7 @@
 
     @Test
     void unsafeRequestIsNotSentAgainAndNotCalledNotRun() throws IOException {
-        write("keyed.servers", "p2", "plain " + second.port);
+        write("upstreams", "p2", "plain " + second.port);
         startNode("n1");
         first.script = (request, body) -> request.connection().close();
         second.script = first.script;
@@ -261,7 +261,7 @@
 
     @Test
     void refusedRequestGoesToAnotherUpstream() throws IOException {
-        write("keyed.servers", "p2", "plain " + second.port);
+        write("upstreams", "p2", "plain " + second.port);
         startNode("n1");
         first.script = (request, body) ->
                 request.response().setStatusCode(503).putHeader("Not-Run", "1").end();
