--- a/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
@@ -72,6 +72,7 @@
                 .setPort(self.port())
                 .setZone(self.failureDomain())
                 .setCapacityMilli((int) Math.round(self.capacity() * 1000))
+                .setStartedUnixMs(self.startedMillis())
                 .build()
                 .toByteArray();
         store.append(PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(self.name(), value)))
@@ -120,6 +121,7 @@
                             entry.getHost(),
                             entry.getPort(),
                             entry.getZone(),
+                            entry.getStartedUnixMs(),
                             entry.getCapacityMilli() / 1000.0));
         } catch (InvalidProtocolBufferException e) {
             log.event(ServingEvent.RECORD_MALFORMED, "key", record.key(), "message", e.getMessage());
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerChoice.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerChoice.java
@@ -13,7 +13,7 @@
 
 /**
  * Chooses the node whose scheduler is used. All nodes order the registered nodes in the same way and use the first that
- * they can reach, so that they agree whenever they reach the same nodes. A node whose state is old, because it does not
+ * they can reach, those that have run longest before those that were restarted, so that they agree whenever they reach the same nodes. A node whose state is old, because it does not
  * hear from the store, is replaced by one whose state is fresh; if all are old, nothing changes.
  *
  * <p>Not thread-safe; confined to the event loop.
@@ -53,6 +53,7 @@
         order = registered.stream()
                 .sorted(Comparator.comparingDouble(NodeEntry::capacity)
                         .reversed()
+                        .thenComparingLong(NodeEntry::startedMillis)
                         .thenComparing(node -> hash(node.name()))
                         .thenComparing(NodeEntry::name))
                 .toList();
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -126,7 +126,7 @@
     private ServingNode startNode(String name) throws IOException {
         int callers = freePort();
         ServingSettings settings = new ServingSettings(
-                new NodeEntry(name, LOOPBACK, freePort(), "a", 1),
+                new NodeEntry(name, LOOPBACK, freePort(), "a", 0, 1),
                 new Address(LOOPBACK, callers),
                 new Address(LOOPBACK, 0),
                 new Address(LOOPBACK, 0),
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChoiceTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChoiceTest.java
@@ -16,7 +16,7 @@
     private final ManualTime time = new ManualTime();
 
     private static NodeEntry node(String name, double capacity) {
-        return new NodeEntry(name, "10.0.0.1", 7000, "a", capacity);
+        return new NodeEntry(name, "10.0.0.1", 7000, "a", 0, capacity);
     }
 
     private SchedulerChoice choice(List<NodeEntry> nodes) {
@@ -37,6 +37,17 @@
         assertEquals(2, best.capacity());
     }
 
+    /** Replays trouble-2 of gatewright-line: nodes that return from a stop must not take the duty back. */
+    @Test
+    void restartedNodeComesAfterThoseThatKeptRunning() {
+        NodeEntry old = new NodeEntry("old", "10.0.0.1", 7000, "a", 1_000, 1);
+        NodeEntry first = new NodeEntry("first", "10.0.0.2", 7000, "a", 900, 1);
+        NodeEntry restarted = new NodeEntry("first", "10.0.0.2", 7000, "a", 5_000, 1);
+        assertEquals("first", choice(List.of(old, first)).fresh().orElseThrow().name());
+        assertEquals(
+                "old", choice(List.of(old, restarted)).fresh().orElseThrow().name());
+    }
+
     @Test
     void nodeThatDoesNotAnswerIsPassedOverForLongerEachTime() {
         SchedulerChoice choice = choice(List.of(node("big", 2), node("small", 1)));
