--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -54,6 +54,7 @@
     private static final Duration LONGEST_JOBS_PAUSE = Duration.ofMillis(600);
 
     private static final Duration SCHEDULE = Duration.ofMillis(50);
+    private static final Duration IDLE_SCHEDULE = Duration.ofMillis(250);
     private static final Duration HOUSEKEEPING = Duration.ofSeconds(1);
 
     /** Shortest drain: the platform sends new callers until it has missed two answers, one a second. */
@@ -163,7 +164,7 @@
         upstreamReader.start();
         jobs.start();
         link.start(runner);
-        timers.every(SCHEDULE, this::schedule);
+        schedule();
         timers.every(HOUSEKEEPING, this::housekeeping);
         return Future.all(List.of(
                         slots.listen(settings.self().host(), settings.self().port()),
@@ -181,8 +182,11 @@
     }
 
     private void schedule() {
+        boolean active = slots.scheduler().nodeCount() > 0;
+        // Nodes whose scheduler is not in use wake up less often.
+        timers.after(active ? SCHEDULE : IDLE_SCHEDULE, this::schedule);
         directory.expire();
-        if (slots.scheduler().nodeCount() > 0) {
+        if (active) {
             slots.scheduler().schedule();
         }
         if (!wasReady && ready()) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerLink.java
@@ -33,7 +33,7 @@
  * the event loop.
  */
 public final class SchedulerLink implements SlotClient, SlotOutput {
-    /** Time between two checks of the connection. */
+    /** Time between two checks of the connection, plus two milliseconds for each node. */
     private static final Duration CHECK = Duration.ofMillis(100);
 
     /** Time between two pings, plus two milliseconds for each node, to bound what the scheduler has to answer. */
@@ -236,7 +236,12 @@
     /** Starts choosing and checking the scheduler. */
     public void start(ItemExecutor itemExecutor) {
         executor = itemExecutor;
-        timers.every(CHECK, this::check);
+        checkRegularly();
+    }
+
+    private void checkRegularly() {
+        timers.after(CHECK.plusMillis(2L * nodeCount), this::checkRegularly);
+        check();
     }
 
     private Duration pingPeriod() {
