--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/node/JobCleanerTest.java
@@ -0,0 +1,78 @@
+package dev.lavenderline.serving.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.proto.jobs.JobItem;
+import dev.lavenderline.serving.ManualTime;
+import dev.lavenderline.serving.jobs.JobLedger;
+import dev.lavenderline.serving.jobs.JobStore;
+import dev.lavenderline.serving.jobs.JobSubmission;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.routes.Route;
+import dev.lavenderline.serving.routes.RouteKind;
+import dev.lavenderline.serving.routes.WeightedService;
+import dev.lavenderline.serving.slots.ItemRef;
+import dev.lavenderline.serving.store.FakeStore;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against items that are given up early or never, and against jobs that stay in the store for good. */
+class JobCleanerTest {
+    private static final Duration RETENTION = Duration.ofSeconds(60);
+    private static final Duration READABLE = Duration.ofSeconds(120);
+    private static final Duration MARGIN = Duration.ofSeconds(6);
+
+    private final ManualTime time = new ManualTime();
+    private final JobLedger ledger = new JobLedger(time, EventLog.NONE);
+    private final JobStore jobs =
+            new JobStore(new FakeStore(), ledger, time, time, EventLog.NONE, 1, 100_000, () -> Duration.ofMillis(100));
+    private final JobCleaner cleaner = new JobCleaner(ledger, jobs, time, READABLE);
+
+    @BeforeEach
+    void acceptJob() {
+        jobs.start();
+        Route route = new Route(
+                "r",
+                "h",
+                "/b/",
+                RouteKind.BATCH,
+                Duration.ofSeconds(15),
+                Duration.ofMillis(400),
+                0,
+                List.of(new WeightedService("s", 1)),
+                3,
+                true,
+                Duration.ZERO,
+                Duration.ofSeconds(18),
+                RETENTION,
+                0);
+        JobItem item = JobItem.newBuilder().setId("i").build();
+        jobs.accept(new JobSubmission("j", List.of(item)), route, "h", Duration.ofSeconds(1));
+    }
+
+    private int resultsAfter(Duration wait) {
+        time.advance(wait);
+        cleaner.run();
+        time.advance(Duration.ofSeconds(1));
+        return ledger.find("j").orElseThrow().resultCount();
+    }
+
+    @Test
+    void itemIsGivenUpAfterItsRetentionOnly() {
+        assertEquals(0, resultsAfter(RETENTION));
+        assertEquals(1, resultsAfter(MARGIN));
+        assertEquals(false, ledger.find("j").orElseThrow().resultsFrom(0).get(0).getCompleted());
+    }
+
+    @Test
+    void closedJobIsDeletedWhenItNeedNotBeReadable() {
+        jobs.addResult(new ItemRef("j", 0), true, "text");
+        assertEquals(1, resultsAfter(READABLE));
+        time.advance(MARGIN);
+        cleaner.run();
+        assertTrue(ledger.find("j").isEmpty());
+    }
+}
