--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -163,7 +163,7 @@
         Optional<Upstream> found = context.directory().find(upstreamId);
         if (found.isEmpty()) {
             excluded.add(upstreamId);
-            releaseSlot(LeaseEnd.UPSTREAM_GONE, upstreamId);
+            releaseSlot(LeaseEnd.UPSTREAM_GONE);
             next();
             return;
         }
@@ -335,13 +335,13 @@
         silenceTimer.cancel();
         exchange = null;
         if (modelEngines) {
-            releaseSlot(end, "");
+            releaseSlot(end);
         } else if (upstream != null) {
             context.placement().ended(upstream.id(), end);
         }
     }
 
-    private void releaseSlot(LeaseEnd end, String unknownUpstream) {
+    private void releaseSlot(LeaseEnd end) {
         if (lease >= 0) {
             context.slots().release(lease, end, 0);
             lease = -1;
@@ -394,7 +394,7 @@
                 streaming = true;
                 answer.stream(status, answerHeaders);
                 answer.write(received);
-                received = UpstreamExchange.empty();
+                received = Buffer.buffer();
             }
         }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -2,7 +2,6 @@
 
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -195,9 +194,4 @@
             response.resume();
         }
     }
-
-    /** Returns a buffer that holds nothing. */
-    static Buffer empty() {
-        return Buffer.buffer();
-    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
@@ -122,10 +122,6 @@
         return byItem.containsKey(item);
     }
 
-    int itemCount() {
-        return byItem.size();
-    }
-
     /** Returns the leases of items that have not been preempted. */
     List<Lease> items() {
         return byItem.values().stream()
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -184,11 +184,6 @@
         return waiting.size();
     }
 
-    /** Returns the number of items that run. */
-    public int runningItems() {
-        return leases.itemCount();
-    }
-
     /** Handles a request of a node that has joined. */
     public void acquire(SlotRequest request) {
         if (leases.node(request.node()).isEmpty()) {
