--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -88,6 +88,10 @@
         Optional<Job> job = ledger.find(ref.job());
         Optional<JobItem> item = job.flatMap(known -> known.item(ref.index()));
         Optional<Upstream> upstream = context.directory().find(upstreamId);
+        if (context.directory().leaving(upstreamId)) {
+            context.slots().release(lease, LeaseEnd.UPSTREAM_GONE, kept(ref));
+            return;
+        }
         if (item.isEmpty() || upstream.isEmpty()) {
             store.refresh(ref.job());
             context.slots().release(lease, LeaseEnd.ITEM_UNKNOWN, 0);
@@ -102,6 +106,11 @@
         run.start();
     }
 
+    private int kept(ItemRef item) {
+        Text text = texts.get(item);
+        return text == null ? 0 : text.events.size();
+    }
+
     @Override
     public void preempt(long lease) {
         Run run = runs.get(lease);
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -161,9 +161,11 @@
 
     private void slotGranted(String upstreamId) {
         Optional<Upstream> found = context.directory().find(upstreamId);
-        if (found.isEmpty()) {
+        boolean leaving = context.directory().leaving(upstreamId);
+        if (found.isEmpty() || leaving) {
+            // The scheduler's entries may be older than this node's; an upstream that is new here may be known there.
             excluded.add(upstreamId);
-            releaseSlot(LeaseEnd.UPSTREAM_GONE);
+            releaseSlot(leaving ? LeaseEnd.UPSTREAM_GONE : LeaseEnd.CANCELLED);
             next();
             return;
         }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -353,7 +353,8 @@
         switch (end) {
             case COMPLETED -> health.succeeded(upstream);
             case ANSWER_LOST -> ejection = health.answerLost(upstream);
-            case UPSTREAM_UNREACHABLE, UPSTREAM_GONE -> ejection = health.unreachable(upstream);
+            case UPSTREAM_UNREACHABLE -> ejection = health.unreachable(upstream);
+            case UPSTREAM_GONE -> ejection = Optional.of(health.leaving(upstream));
             default -> health.unknown(upstream);
         }
         ejection.ifPresent(
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -4,8 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +29,18 @@
     /** Silence of the store after which a removal may be due to an outage. Long polls answer at least every second. */
     static final Duration OUTAGE = Duration.ofMillis(2000);
 
+    /** Removed upstreams that are remembered. */
+    private static final int REMEMBERED = 1000;
+
     private final Ticker ticker;
+    private final Set<String> removed = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > REMEMBERED;
+        }
+    });
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final Set<String> removals = new HashSet<>();
     private final List<Runnable> listeners = new ArrayList<>();
@@ -60,6 +73,7 @@
     /** Adds or replaces an upstream. */
     public void put(Upstream upstream) {
         removals.remove(upstream.id());
+        removed.remove(upstream.id());
         Upstream before = upstreams.put(upstream.id(), upstream);
         if (!upstream.equals(before)) {
             changed();
@@ -77,6 +91,7 @@
             return;
         }
         upstreams.remove(id);
+        removed.add(id);
         changed();
     }
 
@@ -98,6 +113,7 @@
             return;
         }
         upstreams.keySet().removeAll(removals);
+        removed.addAll(removals);
         removals.clear();
         changed();
     }
@@ -119,6 +135,12 @@
         return upstreams.values();
     }
 
+    /** Returns whether an upstream is draining or was removed; an unknown one may be new. */
+    public boolean leaving(String id) {
+        Upstream upstream = upstreams.get(id);
+        return upstream == null ? removed.contains(id) : upstream.draining();
+    }
+
     /** Returns the upstreams of a service that take new requests. */
     public List<Upstream> open(String service) {
         List<Upstream> open = new ArrayList<>();
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
@@ -96,6 +96,15 @@
         return Optional.of(eject(upstream));
     }
 
+    /** Records that an upstream leaves although its entry here does not say so; returns the delay. */
+    public Duration leaving(String upstream) {
+        lostAnswers.remove(upstream);
+        long now = ticker.nanos();
+        long delay = LONGEST_EJECTION.toNanos();
+        ejections.put(upstream, new Ejection(now + delay, delay, now, false));
+        return LONGEST_EJECTION;
+    }
+
     private Duration eject(String upstream) {
         long now = ticker.nanos();
         Ejection before = ejections.get(upstream);
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -284,6 +284,22 @@
         assertEquals(1, out.granted.stream().filter("e1"::equals).count());
     }
 
+    /** Replays trouble-1 of lavenderline-mic: the scheduler does not hear from the store that an upstream leaves. */
+    @Test
+    void upstreamThatANodeKnowsToLeaveGetsNothingMore() {
+        long answered = acquire();
+        scheduler.released("n1", answered, LeaseEnd.COMPLETED, 0);
+        scheduler.released("n1", acquire(), LeaseEnd.UPSTREAM_GONE, 0);
+        out.granted.clear();
+        for (int i = 0; i < SLOTS; i++) {
+            acquire();
+        }
+        items(2 * SLOTS);
+        scheduler.schedule();
+        assertFalse(out.granted.contains("e1"));
+        assertTrue(out.runs.stream().noneMatch(run -> run.upstream().equals("e1")));
+    }
+
     @Test
     void drainingUpstreamGetsNothing() {
         upstream("e1", true);
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
@@ -84,6 +84,18 @@
         assertTrue(directory.find("e").isEmpty());
     }
 
+    @Test
+    void tellsLeavingUpstreamsFromUnknownOnes() {
+        calmSeconds(3);
+        directory.put(upstream("e"));
+        assertFalse(directory.leaving("e"));
+        assertFalse(directory.leaving("unknown"));
+        directory.remove("e");
+        assertTrue(directory.leaving("e"));
+        directory.put(upstream("e"));
+        assertFalse(directory.leaving("e"));
+    }
+
     @Test
     void drainingUpstreamIsNotOpen() {
         directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true));
