Load large topics over slow links page by page

A process that starts reads all newest records of the job topic: pages of up to 1 MB in four partitions at once, each call limited to 1.2 s in all, and a failed page started its partition from the beginning. Over links of 21 Mbit/s four such pages take about 2 s, so that no partition was ever read.

--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -16,6 +16,7 @@
     STORE_LOST("LL-1420", "store does not answer"),
     STORE_REGAINED("LL-1421", "store answers again"),
     HISTORY_EXPIRED("LL-1422", "history expired; reading the newest records"),
+    PARTITION_READ("LL-1424", "newest records of a partition read"),
     RECORD_MALFORMED("LL-1423", "record can't be read and is ignored"),
     SCHEDULER_CHANGED("LL-1430", "node uses another scheduler"),
     SCHEDULER_LOST("LL-1431", "scheduler does not answer"),
--- a/serving/src/main/java/dev/lavenderline/serving/store/MetadataStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/MetadataStore.java
@@ -18,8 +18,12 @@
      */
     Future<LogSlice> read(Partition partition, long from, Duration wait);
 
-    /** Reads the newest record of each key. The pages that it consists of are not a snapshot. */
-    Future<KeyedState> newest(Partition partition);
+    /**
+     * Reads newest records of keys in the order of the keys. Pages are read one after the other and are not a snapshot.
+     *
+     * @param after key after which the page begins, empty for the first page
+     */
+    Future<KeyedPage> newest(Partition partition, String after);
 
     /**
      * Appends records, all or none.
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
 
@@ -36,6 +37,11 @@
     private boolean lost;
     private boolean stopped;
 
+    /** What has been read of the newest records while not all pages have been read. */
+    private final List<KeyedRecord> loading = new ArrayList<>();
+
+    private long loadedFrom = -1;
+
     /**
      * Creates a follower.
      *
@@ -87,17 +93,35 @@
         if (stopped) {
             return;
         }
-        store.newest(partition).onSuccess(this::loaded).onFailure(failure -> later(failure, this::load));
+        // A failure does not discard the pages before: over a slow link a state of many pages might never be complete.
+        String after = loading.isEmpty() ? "" : loading.get(loading.size() - 1).key();
+        long begun = ticker.nanos();
+        store.newest(partition, after)
+                .onSuccess(page -> pageRead(page, Duration.ofNanos(ticker.nanos() - begun)))
+                .onFailure(failure -> later(failure, this::load));
     }
 
-    private void loaded(KeyedState state) {
+    private void pageRead(KeyedPage page, Duration took) {
         if (stopped) {
             return;
         }
-        listener.reset(state.records());
-        next = state.end();
+        // Only what follows the end at the first page is certainly newer than all pages.
+        loadedFrom = loadedFrom < 0 ? page.end() : loadedFrom;
+        loading.addAll(page.records());
         answered();
+        if (page.more() && !page.records().isEmpty()) {
+            // Leaves as much time to requests as the page took; decoding is slow in a process that has just started.
+            timers.after(took, this::load);
+            return;
+        }
+        List<KeyedRecord> records = List.copyOf(loading);
+        listener.reset(records);
+        next = loadedFrom;
+        loading.clear();
+        loadedFrom = -1;
         loaded.tryComplete();
+        log.event(ServingEvent.PARTITION_READ, "partition", partition, "offset", next, "records", records.size());
+        listener.caughtUp();
         poll();
     }
 
@@ -146,6 +170,7 @@
         }
         next = Math.max(next, slice.next());
         answered();
+        listener.caughtUp();
     }
 
     /** Handles records that this process has appended at the offset that it expected. */
@@ -160,7 +185,6 @@
             lost = false;
             log.event(ServingEvent.STORE_REGAINED, "partition", partition, "offset", next);
         }
-        listener.caughtUp();
     }
 
     private void later(Throwable failure, Runnable task) {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -205,7 +205,7 @@
         for (int i = 0; i < 2; i++) {
             assertEquals(
                     List.of(),
-                    store.newest(new Partition(JobStore.TOPIC, i)).result().records());
+                    store.newest(new Partition(JobStore.TOPIC, i), "").result().records());
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -5,10 +5,14 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -34,6 +38,9 @@
     private boolean down;
     private boolean pollsHeld;
     private int appends;
+    private int pages;
+    private int pageSize = Integer.MAX_VALUE;
+    private final Set<Integer> failedPages = new HashSet<>();
 
     /** Sets what happens to the next appends; later ones are normal. */
     public void next(Fate... some) {
@@ -50,6 +57,21 @@
         pollsHeld = value;
     }
 
+    /** Limits the records of a page of newest records. */
+    public void pageSize(int records) {
+        pageSize = records;
+    }
+
+    /** Lets some calls for pages, counted from 1, go unanswered. */
+    public void failPages(Integer... calls) {
+        failedPages.addAll(List.of(calls));
+    }
+
+    /** Returns the number of calls for pages. */
+    public int pages() {
+        return pages;
+    }
+
     /** Executes the appends that were late. */
     public void runLate() {
         late.forEach(Runnable::run);
@@ -82,11 +104,12 @@
     }
 
     @Override
-    public Future<KeyedState> newest(Partition partition) {
-        if (down) {
+    public Future<KeyedPage> newest(Partition partition, String after) {
+        pages++;
+        if (down || failedPages.remove(pages)) {
             return unanswered();
         }
-        Map<String, KeyedRecord> newest = new TreeMap<>();
+        NavigableMap<String, KeyedRecord> newest = new TreeMap<>();
         for (KeyedRecord record : log(partition)) {
             if (record.deletion()) {
                 newest.remove(record.key());
@@ -94,8 +117,9 @@
                 newest.put(record.key(), record);
             }
         }
-        return Future.succeededFuture(
-                new KeyedState(List.copyOf(newest.values()), log(partition).size()));
+        Collection<KeyedRecord> rest = newest.tailMap(after, false).values();
+        return Future.succeededFuture(new KeyedPage(
+                rest.stream().limit(pageSize).toList(), log(partition).size(), rest.size() > pageSize));
     }
 
     @Override
--- a/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
@@ -25,11 +25,13 @@
 public final class StoreStandin {
     private static final int PAGE = 500;
     private static final long LATE_MS = 300;
+    private static final long PIECE_MS = 100;
 
     private final Vertx vertx;
     private final Map<String, Log> logs = new HashMap<>();
     private final Deque<Fault> appendFaults = new ArrayDeque<>();
     private volatile Fault outage = Fault.NONE;
+    private volatile int bytesPerPiece = Integer.MAX_VALUE;
     private HttpServer server;
 
     /** A fault of one append, or of all calls. */
@@ -78,6 +80,11 @@
         outage = fault;
     }
 
+    /** Lets answers with newest records come in pieces, one each 100 ms, as over a slow link. */
+    public void slowPages(int bytes) {
+        bytesPerPiece = bytes;
+    }
+
     /** Sets the faults of the next appends. */
     public void nextAppends(Fault... faults) {
         vertx.runOnContext(now -> appendFaults.addAll(List.of(faults)));
@@ -197,7 +204,7 @@
         request.response().end(body);
     }
 
-    private static void newest(HttpServerRequest request, Log log) {
+    private void newest(HttpServerRequest request, Log log) {
         Map<String, Buffer> newest = new TreeMap<>();
         for (Entry entry : log.entries) {
             if (entry.value().length() == 0) {
@@ -224,11 +231,21 @@
                             Base64.getEncoder().encodeToString(entry.getValue().getBytes()))
                     .put("Offset", 0));
         }
-        request.response()
-                .end(new JsonObject()
-                        .put("Items", items)
-                        .put("HasMore", more)
-                        .put("End", log.entries.size())
-                        .toBuffer());
+        Buffer answer = new JsonObject()
+                .put("Items", items)
+                .put("HasMore", more)
+                .put("End", log.entries.size())
+                .toBuffer();
+        request.response().putHeader("Content-Length", String.valueOf(answer.length()));
+        pieces(request, answer);
+    }
+
+    private void pieces(HttpServerRequest request, Buffer rest) {
+        if (rest.length() <= bytesPerPiece) {
+            request.response().end(rest);
+            return;
+        }
+        request.response().write(rest.getBuffer(0, bytesPerPiece));
+        vertx.setTimer(PIECE_MS, next -> pieces(request, rest.getBuffer(bytesPerPiece, rest.length())));
     }
 }
