Detect engines that fail part of their requests or turn slow

Cause: an engine that answered a resumable stream with status 500 counted as working, its answer went to the caller, and its slots were free at once, so that it got more requests than the others. Engines that turn slow were not noticed at all.

Change: a failure status before the first event is tried again on another engine within the route's attempts and counts against the engine, as does a refusal of an engine that has a free slot. The last seven or so requests decide on an ejection; a trial that succeeds does not clear the record. At most half of a service's engines are ejected for failures. An engine on which requests of two nodes are three times as old as usual is avoided for 3 s, and its items move.

--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -24,6 +24,7 @@
     NODE_LEFT("LL-1433", "node does not use this scheduler any more"),
     FRAME_MALFORMED("LL-1434", "frame can't be read; connection closed"),
     UPSTREAM_EJECTED("LL-1440", "upstream gets no requests for a while"),
+    UPSTREAM_SLOW("LL-1441", "upstream is slow and gets few requests for a while"),
     REQUEST_ENDED("LL-1450", "request ended"),
     REQUEST_SENT_AGAIN("LL-1451", "request goes to another upstream"),
     ITEM_STARTED("LL-1460", "batch item started"),
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -35,6 +35,9 @@
     /** Answers that are held back until they are complete; larger ones are streamed. */
     private static final int LARGEST_WHOLE_ANSWER = 256 * 1024;
 
+    /** Least status of an answer that tells of a failure of the upstream. */
+    private static final int LEAST_FAILURE = 500;
+
     /** Time after which callers come back if no upstream can be used. */
     private static final Duration NO_UPSTREAM = Duration.ofMillis(700);
 
@@ -206,6 +209,10 @@
         return maybeRuns + 1 < route.attempts() && sends < LARGEST_SENDS;
     }
 
+    private void failedWith(int status) {
+        attemptFailed(SendFailure.FAILURE_STATUS, LeaseEnd.UPSTREAM_FAILED, "status " + status);
+    }
+
     private void attemptFailed(SendFailure failure, LeaseEnd end, String message) {
         if (done) {
             return;
@@ -280,25 +287,29 @@
         if (exchange != null) {
             exchange.cancel();
         }
-        finished("caller left");
+        finished("caller left", LeaseEnd.CANCELLED);
     }
 
     private void finish(int status, String message, Duration retryAfter) {
         answer.own(status, message, retryAfter);
-        finished(status + " " + message);
+        finished(status + " " + message, LeaseEnd.CANCELLED);
     }
 
-    private void complete() {
+    private void complete(int status) {
         context.metrics().time("lavenderline_answer_seconds", context.ticker().nanos() - arrivedNanos);
-        finished("answered");
+        finished("answered " + status, failure(status) ? LeaseEnd.UPSTREAM_FAILED : LeaseEnd.COMPLETED);
     }
 
-    private void finished(String outcome) {
+    private static boolean failure(int status) {
+        return status >= LEAST_FAILURE;
+    }
+
+    private void finished(String outcome, LeaseEnd end) {
         done = true;
         deadlineTimer.cancel();
-        endExchange(outcome.equals("answered") ? LeaseEnd.COMPLETED : LeaseEnd.CANCELLED);
+        endExchange(end);
         long now = context.ticker().nanos();
-        context.metrics().count("lavenderline_requests_" + (outcome.equals("answered") ? "answered" : "failed"));
+        context.metrics().count("lavenderline_requests_" + (end == LeaseEnd.COMPLETED ? "answered" : "failed"));
         context.log()
                 .event(
                         ServingEvent.REQUEST_ENDED,
@@ -402,8 +413,8 @@
 
         @Override
         public void end() {
-            if (!streaming && status >= 500 && route.kind() == RouteKind.SAFE && attemptsLeft()) {
-                attemptFailed(SendFailure.LOST, LeaseEnd.ANSWER_LOST, "status " + status);
+            if (!streaming && failure(status) && route.repeatable() && attemptsLeft()) {
+                failedWith(status);
                 return;
             }
             if (streaming) {
@@ -411,7 +422,7 @@
             } else {
                 answer.whole(status, answerHeaders, received);
             }
-            complete();
+            complete(status);
         }
 
         @Override
@@ -451,7 +462,7 @@
         public void end() {
             startAnswer();
             answer.end();
-            complete();
+            complete(status);
         }
 
         @Override
@@ -463,6 +474,7 @@
     /** Forwards complete events only, so that another upstream can continue after the last one. */
     private final class ResumableStream implements AnswerListener {
         private final EventStreamParser parser = new EventStreamParser(this::event);
+        private final Buffer failureBody = Buffer.buffer();
         private int status;
         private MultiMap answerHeaders;
         private boolean outOfOrder;
@@ -484,10 +496,7 @@
         public void data(Buffer piece) {
             heard();
             if (status != 200) {
-                if (!answer.started()) {
-                    startAnswer();
-                    answer.write(piece);
-                }
+                failureBody.appendBuffer(piece);
                 return;
             }
             parser.feed(piece);
@@ -520,14 +529,23 @@
                 attemptFailed(SendFailure.CUT, LeaseEnd.ANSWER_LOST, "stream ends within an event");
                 return;
             }
-            if (status != 200 && answer.started() && sends > 1) {
+            if (failure(status) && attemptsLeft()) {
+                failedWith(status);
+                return;
+            }
+            if (status != 200 && answer.started()) {
                 answer.cut();
-                finished("upstream answered " + status + " within a stream");
+                finished("upstream answered " + status + " within a stream", LeaseEnd.UPSTREAM_FAILED);
+                return;
+            }
+            if (status != 200) {
+                answer.whole(status, answerHeaders, failureBody);
+                complete(status);
                 return;
             }
             startAnswer();
             answer.end();
-            complete();
+            complete(status);
         }
 
         @Override
--- a/serving/src/main/java/dev/lavenderline/serving/online/SendFailure.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/SendFailure.java
@@ -12,6 +12,8 @@
     OTHER_INSTANCE(false, LeaseEnd.UPSTREAM_GONE),
     /** No answer or a malformed one; the request may have run. */
     LOST(true, LeaseEnd.ANSWER_LOST),
+    /** The upstream answered with a failure; the request may have run. */
+    FAILURE_STATUS(true, LeaseEnd.UPSTREAM_FAILED),
     /** The answer began and was cut; the request has run. */
     CUT(true, LeaseEnd.ANSWER_LOST);
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/HoldEstimate.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/HoldEstimate.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Moving average of the time for which a slot is held, for each service. Not thread-safe. */
 final class HoldEstimate {
@@ -19,6 +20,11 @@
         seconds.put(service, seconds(service) + WEIGHT * (sample - seconds(service)));
     }
 
+    /** Returns the services with at least one sample. */
+    Set<String> services() {
+        return seconds.keySet();
+    }
+
     double seconds(String service) {
         return seconds.getOrDefault(service, initialSeconds);
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LeaseEnd.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LeaseEnd.java
@@ -14,7 +14,9 @@
     UPSTREAM_FULL,
     /** Another upstream has the address. */
     UPSTREAM_GONE,
-    /** The upstream ran an item and reported a failure. */
+    /** The upstream answered an online request with a failure. */
+    UPSTREAM_FAILED,
+    /** The upstream ran an item and reported a failure, which may be the item's fault. */
     ITEM_FAILED,
     /** The node does not know the job yet. */
     ITEM_UNKNOWN,
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
@@ -69,10 +69,14 @@
 
     /** What runs on an upstream. */
     static final class Occupancy {
-        private int online;
+        private final Set<Lease> online = new HashSet<>();
         private final Set<Lease> items = new HashSet<>();
 
         int online() {
+            return online.size();
+        }
+
+        Collection<Lease> onlineLeases() {
             return online;
         }
 
@@ -81,7 +85,7 @@
         }
 
         int total() {
-            return online + items.size();
+            return online.size() + items.size();
         }
     }
 
@@ -135,7 +139,7 @@
             detach(before);
         }
         if (lease.item().isEmpty()) {
-            on(lease.upstream()).online++;
+            on(lease.upstream()).online.add(lease);
             return;
         }
         on(lease.upstream()).items.add(lease);
@@ -155,7 +159,7 @@
 
     private void detach(Lease lease) {
         if (lease.item().isEmpty()) {
-            on(lease.upstream()).online--;
+            on(lease.upstream()).online.remove(lease);
         } else {
             on(lease.upstream()).items.remove(lease);
             byItem.remove(lease.item().get(), lease);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -135,6 +135,7 @@
             case OUTCOME_UPSTREAM_FULL -> LeaseEnd.UPSTREAM_FULL;
             case OUTCOME_UPSTREAM_GONE -> LeaseEnd.UPSTREAM_GONE;
             case OUTCOME_ITEM_FAILED -> LeaseEnd.ITEM_FAILED;
+            case OUTCOME_UPSTREAM_FAILED -> LeaseEnd.UPSTREAM_FAILED;
             case OUTCOME_ITEM_UNKNOWN -> LeaseEnd.ITEM_UNKNOWN;
             case OUTCOME_NODE_DECLINED -> LeaseEnd.NODE_DECLINED;
             case OUTCOME_CANCELLED, UNRECOGNIZED -> LeaseEnd.CANCELLED;
@@ -150,6 +151,7 @@
             case UPSTREAM_FULL -> Outcome.OUTCOME_UPSTREAM_FULL;
             case UPSTREAM_GONE -> Outcome.OUTCOME_UPSTREAM_GONE;
             case ITEM_FAILED -> Outcome.OUTCOME_ITEM_FAILED;
+            case UPSTREAM_FAILED -> Outcome.OUTCOME_UPSTREAM_FAILED;
             case ITEM_UNKNOWN -> Outcome.OUTCOME_ITEM_UNKNOWN;
             case NODE_DECLINED -> Outcome.OUTCOME_NODE_DECLINED;
         };
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -52,6 +52,12 @@
     /** Weight against an upstream that has its trial after an ejection. */
     private static final double SUSPECTED = 50;
 
+    /** Weight against a slow upstream: the slot of an item elsewhere goes before a free slot there. */
+    private static final double SLOW = 120;
+
+    /** Time between two looks at the age of what is in progress. */
+    private static final Duration SLOW_CHECK = Duration.ofMillis(100);
+
     /** Items for each unit of capacity that a distant node has to have less; the way costs bytes between regions. */
     private static final double DISTANT_ITEMS = 2;
 
@@ -76,6 +82,8 @@
     private final HoldEstimate holds = new HoldEstimate(ONLINE_SECONDS);
     private final HoldEstimate itemHolds = new HoldEstimate(ITEM_SECONDS);
     private final PrefixPlaces prefixes = new PrefixPlaces();
+    private final SlowUpstreams slowUpstreams;
+    private long slowCheckNanos;
     private BooleanSupplier startItems = () -> true;
     private BooleanSupplier stopItems = () -> false;
     private long activeSinceNanos;
@@ -134,6 +142,8 @@
         this.random = random;
         this.options = options;
         this.progress = new ItemProgress(ticker);
+        this.slowUpstreams = new SlowUpstreams(ticker);
+        this.slowCheckNanos = ticker.nanos();
         // Leases of items that another scheduler gave out before must not collide with those of this one.
         this.nextItemLease = (1L << 62) | (ticker.nanos() & 0x0fff_ffff_ffff_ffffL);
     }
@@ -283,6 +293,9 @@
         if (request.prefix() != 0 && prefixes.holds(request.prefix(), upstream.id())) {
             score += PREFIX_HELD;
         }
+        if (slowUpstreams.slow(upstream.id())) {
+            score -= SLOW;
+        }
         return health.suspected(upstream.id()) ? score - SUSPECTED : score;
     }
 
@@ -324,14 +337,14 @@
         }
         Lease lease = found.get();
         leases.drop(lease);
-        recordHealth(lease.upstream(), end);
+        recordHealth(lease, end);
         recordHold(lease, end);
         lease.item().ifPresent(item -> itemReleased(item, nodeName, end, keptEvents));
         schedule();
     }
 
     private void recordHold(Lease lease, LeaseEnd end) {
-        if (end != LeaseEnd.COMPLETED || lease.continued()) {
+        if (end != LeaseEnd.COMPLETED || lease.continued() || slowUpstreams.slow(lease.upstream())) {
             return;
         }
         HoldEstimate estimate = lease.item().isPresent() ? itemHolds : holds;
@@ -348,11 +361,13 @@
         }
     }
 
-    private void recordHealth(String upstream, LeaseEnd end) {
+    private void recordHealth(Lease lease, LeaseEnd end) {
+        String upstream = lease.upstream();
         Optional<Duration> ejection = Optional.empty();
         switch (end) {
             case COMPLETED -> health.succeeded(upstream);
-            case ANSWER_LOST -> ejection = health.answerLost(upstream);
+            case ANSWER_LOST, UPSTREAM_FAILED -> ejection = failed(upstream);
+            case UPSTREAM_FULL -> ejection = hasFreeSlot(upstream) ? failed(upstream) : unknown(upstream);
             case UPSTREAM_UNREACHABLE -> ejection = health.unreachable(upstream);
             case UPSTREAM_GONE -> ejection = Optional.of(health.leaving(upstream));
             default -> health.unknown(upstream);
@@ -361,6 +376,27 @@
                 delay -> log.event(ServingEvent.UPSTREAM_EJECTED, "upstream", upstream, "cause", end, "ms", delay));
     }
 
+    /** Counts a failure, unless most upstreams of the service fail, so that there is nothing better. */
+    private Optional<Duration> failed(String id) {
+        boolean mostWork = directory
+                .find(id)
+                .map(upstream -> health.mostWork(directory.open(upstream.service())))
+                .orElse(false);
+        return mostWork ? health.failed(id) : unknown(id);
+    }
+
+    private Optional<Duration> unknown(String id) {
+        health.unknown(id);
+        return Optional.empty();
+    }
+
+    private boolean hasFreeSlot(String id) {
+        return directory
+                .find(id)
+                .map(upstream -> leases.on(id).total() < upstream.slots())
+                .orElse(false);
+    }
+
     /** A node reports that an upstream is silent while a request is still open there. */
     public void suspected(String upstream) {
         if (health.suspected(upstream)) {
@@ -385,6 +421,7 @@
 
     /** Serves what waits. Call it after changes and every few tens of milliseconds. */
     public void schedule() {
+        findSlowUpstreams();
         serveWaiting();
         if (nodeCount() == 0) {
             return;
@@ -396,6 +433,34 @@
         }
     }
 
+    private void findSlowUpstreams() {
+        long now = ticker.nanos();
+        if (now - slowCheckNanos < SLOW_CHECK.toNanos()) {
+            return;
+        }
+        slowCheckNanos = now;
+        for (String service : holds.services()) {
+            List<Upstream> open = directory.open(service);
+            for (Upstream upstream : open) {
+                if (slowUpstreams.halfRemains(open)
+                        && slowUpstreams.check(
+                                upstream, leases.on(upstream.id()).onlineLeases(), holds.seconds(service))) {
+                    log.event(
+                            ServingEvent.UPSTREAM_SLOW,
+                            "upstream",
+                            upstream.id(),
+                            "requests",
+                            leases.on(upstream.id()).online(),
+                            "meanSeconds",
+                            holds.seconds(service),
+                            "ms",
+                            SlowUpstreams.AVOIDED);
+                    List.copyOf(leases.on(upstream.id()).items()).forEach(this::preempt);
+                }
+            }
+        }
+    }
+
     private void serveWaiting() {
         if (waiting.isEmpty()) {
             return;
@@ -468,7 +533,7 @@
     }
 
     private boolean takesItems(Upstream upstream) {
-        return health.usable(upstream.id()) && !health.suspected(upstream.id());
+        return health.usable(upstream.id()) && !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
     }
 
     private boolean start(BacklogItem item, String service) {
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
@@ -11,8 +11,9 @@
  * Ejects upstreams whose requests fail and lets single requests through after a delay that doubles with each further
  * failure. Health checks are not used: they are priced and may be wrong.
  *
- * <p>Answers the load pattern of an engine that crashed or went dark while requests keep arriving; an engine that loses
- * a few answers in a hundred stays in use.
+ * <p>Answers the load patterns of an engine that crashed or went dark while requests keep arriving, and of one that fails
+ * a large part of its requests, which without ejection attracts requests because its slots are soon free; an engine that
+ * loses a few answers in a hundred stays in use.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -26,8 +27,14 @@
     /** Time without failure after which the delay starts from the beginning. */
     static final Duration FORGET = Duration.ofSeconds(10);
 
-    /** Lost answers in a row that eject an upstream; at 5% lost answers this happens once in 8,000 requests. */
-    static final int LOST_ANSWERS = 3;
+    /** Weight of the newest request in the share of failures; about the last seven requests decide. */
+    static final double NEWEST = 0.15;
+
+    /**
+     * Share of failures that ejects an upstream: three failures in a row, which are one in 8,000 requests at 5% failures,
+     * or about six requests at 40%.
+     */
+    static final double FAILING = 0.35;
 
     /** Time for which an answer shows that an upstream works; a busy engine ends a request about every 0.1 s. */
     static final Duration ANSWERED = Duration.ofMillis(900);
@@ -35,11 +42,19 @@
     private final Ticker ticker;
     private final Map<String, Long> answeredNanos = new HashMap<>();
     private final Map<String, Ejection> ejections = new HashMap<>();
-    private final Map<String, Integer> lostAnswers = new HashMap<>();
+    private final Map<String, Double> failureShares = new HashMap<>();
+
+    /** The last ejection of each upstream, kept after it so that the next one is longer. */
+    private final Map<String, Ejection> past = new HashMap<>();
 
-    private record Ejection(long untilNanos, long delayNanos, long failedNanos, boolean trial) {
+    /**
+     * Why and how long an upstream gets no requests.
+     *
+     * @param firm whether successes of requests that were under way do not end it
+     */
+    private record Ejection(long untilNanos, long delayNanos, long failedNanos, boolean trial, boolean firm) {
         Ejection withTrial(boolean value) {
-            return new Ejection(untilNanos, delayNanos, failedNanos, value);
+            return new Ejection(untilNanos, delayNanos, failedNanos, value, firm);
         }
     }
 
@@ -65,9 +80,13 @@
 
     /** Records an answer. */
     public void succeeded(String upstream) {
-        ejections.remove(upstream);
-        lostAnswers.remove(upstream);
-        answeredNanos.put(upstream, ticker.nanos());
+        long now = ticker.nanos();
+        Ejection ejection = ejections.get(upstream);
+        if (ejection != null && (!ejection.firm() || now - ejection.untilNanos() >= 0)) {
+            ejections.remove(upstream);
+        }
+        failureShares.computeIfPresent(upstream, (id, share) -> share * (1 - NEWEST));
+        answeredNanos.put(upstream, now);
     }
 
     /** Records that a request's end says nothing about the upstream. */
@@ -75,13 +94,24 @@
         ejections.computeIfPresent(upstream, (id, before) -> before.withTrial(false));
     }
 
-    /** Records an answer that was lost or cut; returns the delay if the upstream is ejected for it. */
-    public Optional<Duration> answerLost(String upstream) {
-        int inRow = lostAnswers.merge(upstream, 1, Integer::sum);
-        if (inRow < LOST_ANSWERS && !suspected(upstream)) {
+    /**
+     * Records a failure, or an answer that was lost or cut; returns the delay if the upstream is ejected for it. An
+     * upstream that fails part of its requests is ejected again, for longer, soon after its trial.
+     */
+    public Optional<Duration> failed(String upstream) {
+        double share = failureShares.getOrDefault(upstream, 0.0) * (1 - NEWEST) + NEWEST;
+        failureShares.put(upstream, Math.min(share, FAILING));
+        if (share < FAILING && !suspected(upstream)) {
             return Optional.empty();
         }
-        return Optional.of(eject(upstream));
+        return Optional.of(eject(upstream, true));
+    }
+
+    /** Returns whether more than half of some upstreams are in use. */
+    public boolean mostWork(Collection<Upstream> upstreams) {
+        long ejected =
+                upstreams.stream().filter(upstream -> suspected(upstream.id())).count();
+        return 2 * (ejected + 1) <= upstreams.size();
     }
 
     /**
@@ -91,38 +121,40 @@
     public Optional<Duration> unreachable(String upstream) {
         Long answered = answeredNanos.get(upstream);
         if (answered != null && ticker.nanos() - answered < ANSWERED.toNanos()) {
-            return answerLost(upstream);
+            unknown(upstream);
+            return Optional.empty();
         }
-        return Optional.of(eject(upstream));
+        return Optional.of(eject(upstream, false));
     }
 
     /** Records that an upstream leaves although its entry here does not say so; returns the delay. */
     public Duration leaving(String upstream) {
-        lostAnswers.remove(upstream);
         long now = ticker.nanos();
         long delay = LONGEST_EJECTION.toNanos();
-        ejections.put(upstream, new Ejection(now + delay, delay, now, false));
+        ejections.put(upstream, new Ejection(now + delay, delay, now, false, false));
         return LONGEST_EJECTION;
     }
 
-    private Duration eject(String upstream) {
+    private Duration eject(String upstream, boolean firm) {
         long now = ticker.nanos();
-        Ejection before = ejections.get(upstream);
+        Ejection before = past.get(upstream);
         long delay = FIRST_EJECTION.toNanos();
         if (before != null && now - before.untilNanos() < 0) {
             delay = before.delayNanos();
         } else if (before != null && now - before.failedNanos() < FORGET.toNanos()) {
             delay = Math.min(before.delayNanos() * 2, LONGEST_EJECTION.toNanos());
         }
-        lostAnswers.remove(upstream);
-        ejections.put(upstream, new Ejection(now + delay, delay, now, false));
+        Ejection ejection = new Ejection(now + delay, delay, now, false, firm);
+        ejections.put(upstream, ejection);
+        past.put(upstream, ejection);
         return Duration.ofNanos(delay);
     }
 
     /** Forgets upstreams that do not exist any more. */
     public void retain(Collection<String> upstreams) {
         ejections.keySet().retainAll(upstreams);
-        lostAnswers.keySet().retainAll(upstreams);
+        failureShares.keySet().retainAll(upstreams);
+        past.keySet().retainAll(upstreams);
         answeredNanos.keySet().retainAll(upstreams);
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -195,6 +195,33 @@
         return text.toString();
     }
 
+    /** Guards against an engine that fails quickly and thereby gets most requests. */
+    @Test
+    void requestThatAnEngineFailsGoesToAnother() throws IOException {
+        write("upstreams", "e2", "engines " + second.port);
+        startNode("n1");
+        first.script = (request, body) -> request.response().setStatusCode(500).end("broken");
+        second.script = (request, body) -> request.response().end("id: 1\ndata: text\n\n");
+        for (int i = 0; i < 8; i++) {
+            HttpResponse<String> answer =
+                    post(0, "/resumable/1", "r" + i, "body").join();
+            assertEquals(200, answer.statusCode());
+        }
+        assertTrue(first.requests.size() <= 3, first.requests + " at the failing engine");
+    }
+
+    @Test
+    void failureOfTheLastAttemptIsForwarded() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> request.response().setStatusCode(500).end("broken");
+        HttpResponse<String> answer = post(0, "/resumable/1", "r", "body").join();
+        assertTrue(answer.statusCode() >= 500, "status " + answer.statusCode());
+        first.script = (request, body) -> request.response().setStatusCode(400).end("bad prompt");
+        answer = post(0, "/resumable/1", "r2", "body").join();
+        assertEquals(400, answer.statusCode());
+        assertEquals("bad prompt", answer.body());
+    }
+
     @Test
     void forwardsStreamUnchanged() throws IOException {
         startNode("n1");
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -369,4 +369,96 @@
         assertEquals(0, scheduler.waitingCount());
         assertEquals(rejected + waiting, out.rejected.size());
     }
+
+    private void learnHolds() {
+        for (int i = 0; i < 100; i++) {
+            long lease = acquire();
+            time.advance(Duration.ofMillis(500));
+            scheduler.released("n1", lease, LeaseEnd.COMPLETED, 0);
+        }
+        out.granted.clear();
+    }
+
+    /** Replays srv_slow of gatewright-line-grown: an engine takes five times as long and goes on answering. */
+    @Test
+    void slowUpstreamIsAvoidedAndItsItemsMove() {
+        learnHolds();
+        acquire("n1", TARGET, false);
+        acquire("n2", TARGET, false);
+        acquire("n1", TARGET, false);
+        acquire("n2", TARGET, false);
+        assertEquals(List.of("e1", "e2", "e1", "e2"), out.granted);
+        // Those at e2 end in time; e1 holds one request of each node.
+        scheduler.released("n2", nextLease - 1, LeaseEnd.COMPLETED, 0);
+        scheduler.released("n2", nextLease - 3, LeaseEnd.COMPLETED, 0);
+        scheduler.released("n1", nextLease - 2, LeaseEnd.COMPLETED, 0);
+        long ofFirst = nextLease - 4;
+        long ofSecond = nextLease++;
+        scheduler.acquire(new SlotRequest("n2", ofSecond, "s", TARGET, DEADLINE, Set.of("e2"), 0, false));
+        items(6);
+        scheduler.schedule();
+        time.advance(Duration.ofMillis(1600));
+        scheduler.schedule();
+        long onSlow =
+                out.runs.stream().filter(run -> run.upstream().equals("e1")).count();
+        assertTrue(onSlow > 0);
+        assertEquals(onSlow, out.preempted.size(), "items leave the slow engine");
+        out.granted.clear();
+        for (int i = 0; i < 3; i++) {
+            acquire("n1", TARGET, false);
+        }
+        assertEquals(List.of("e2", "e2", "e2"), out.granted, "though e1 is nearer and has room");
+        scheduler.released("n1", ofFirst, LeaseEnd.COMPLETED, 0);
+        scheduler.released("n2", ofSecond, LeaseEnd.COMPLETED, 0);
+        time.advance(SlowUpstreams.AVOIDED);
+        acquire("n1", TARGET, false);
+        assertEquals("e1", out.granted.get(3));
+    }
+
+    @Test
+    void requestsOfOneNodeThatStandsStillMakeNoUpstreamSlow() {
+        learnHolds();
+        acquire("n1", TARGET, false);
+        acquire("n1", TARGET, false);
+        time.advance(Duration.ofSeconds(4));
+        scheduler.schedule();
+        out.granted.clear();
+        acquire("n1", TARGET, false);
+        assertEquals(List.of("e1"), out.granted);
+    }
+
+    @Test
+    void engineThatFailsItsRequestsIsEjectedAlthoughItsSlotsAreFree() {
+        int failed = 0;
+        for (int i = 0; i < 20; i++) {
+            long lease = acquire();
+            boolean grey = out.granted.get(i).equals("e1");
+            failed += grey ? 1 : 0;
+            time.advance(Duration.ofMillis(10));
+            scheduler.released("n1", lease, grey ? LeaseEnd.UPSTREAM_FAILED : LeaseEnd.COMPLETED, 0);
+        }
+        assertEquals(3, failed);
+    }
+
+    @Test
+    void refusalOfAnUpstreamWithFreeSlotsCountsAsFailure() {
+        int refused = 0;
+        for (int i = 0; i < 20; i++) {
+            long lease = acquire();
+            boolean grey = out.granted.get(i).equals("e1");
+            refused += grey ? 1 : 0;
+            time.advance(Duration.ofMillis(10));
+            scheduler.released("n1", lease, grey ? LeaseEnd.UPSTREAM_FULL : LeaseEnd.COMPLETED, 0);
+        }
+        assertEquals(3, refused);
+    }
+
+    @Test
+    void failuresOfAllUpstreamsLeaveHalfOfThemInUse() {
+        for (int i = 0; i < 20; i++) {
+            long lease = acquire();
+            scheduler.released("n1", lease, LeaseEnd.UPSTREAM_FAILED, 0);
+        }
+        assertEquals(20, out.granted.size());
+    }
 }
