--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -323,6 +323,33 @@
         assertEquals("body of a", get(1, "/jobs/job/a").body());
     }
 
+    /** Guards against an item that is read more slowly than its engine generates. */
+    @Test
+    void itemIsReadAsFastAsItIsGenerated() throws Exception {
+        startNode("n1");
+        int count = 150;
+        first.script = (request, body) -> {
+            request.response().setChunked(true);
+            AtomicInteger event = new AtomicInteger();
+            vertx.setPeriodic(10, timer -> {
+                if (event.incrementAndGet() > count) {
+                    vertx.cancelTimer(timer);
+                    request.response().end();
+                } else {
+                    request.response().write(events(event.get(), event.get()));
+                }
+            });
+        };
+        long started = System.nanoTime();
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(LIMIT).until(() -> get(0, "/jobs/job").body().lines().count() == 1);
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+        assertTrue(
+                get(0, "/jobs/job").body().endsWith("|text" + count + "\n"),
+                get(0, "/jobs/job").body());
+        assertTrue(millis < 2 * 10 * count, millis + " ms");
+    }
+
     @Test
     void jobBeyondTheLimitIsRefused() throws IOException {
         startNode("n1");
