--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -42,15 +42,6 @@
 
     private static final Duration SILENCE_CHECK = Duration.ofMillis(500);
 
-    /**
-     * Pause between two reads of an item's events: nobody waits for single events of an item, and one read of eight
-     * events costs a node little more than one of a single event. A preempted item loses up to this much of its text.
-     */
-    private static final Duration READ_PAUSE = Duration.ofMillis(200);
-
-    /** Shortest timer; the events of one read are handled before it ends. */
-    private static final Duration READ_ROUND = Duration.ofMillis(1);
-
     private final CallContext context;
     private final JobLedger ledger;
     private final JobStore store;
@@ -141,7 +132,6 @@
         long heardNanos = startNanos;
         int status;
         boolean outOfOrder;
-        boolean pausing;
         UpstreamExchange exchange;
         Timers.Timer silence;
 
@@ -255,22 +245,7 @@
             if (outOfOrder) {
                 exchange.cancel();
                 finish(LeaseEnd.ANSWER_LOST, true, "events out of order");
-                return;
-            }
-            pauseReading();
-        }
-
-        /** Pauses once all that has arrived is handled; pausing within a read would deliver one event in each pause. */
-        private void pauseReading() {
-            if (pausing) {
-                return;
             }
-            pausing = true;
-            context.timers().after(READ_ROUND, exchange::pause);
-            context.timers().after(READ_PAUSE, () -> {
-                pausing = false;
-                exchange.resume();
-            });
         }
 
         @Override
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemRef.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemRef.java
@@ -7,6 +7,17 @@
  * @param index position of the item in the job as it was submitted, from 0
  */
 public record ItemRef(String job, int index) {
+    /** Written out because the generated method is slow until it is compiled, and items are keys in each round. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ItemRef item && item.index == index && item.job.equals(job);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * job.hashCode() + index;
+    }
+
     @Override
     public String toString() {
         return job + "#" + index;
