Eject failing upstreams of small services again after a failed trial

Cause, found by reading: the guard that keeps half of a service in use counted the ejected upstream itself, so that in a service of two or three a failed trial led to the next trial at once.

Change: only the other upstreams count for the guard; three unreachable ends in a row eject, as before. Both have tests.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
@@ -59,24 +59,12 @@
         return Optional.of(best);
     }
 
-    private void failed(String id) {
-        boolean mostWork = directory
-                .find(id)
-                .map(upstream -> health.mostWork(directory.open(upstream.service())))
-                .orElse(false);
-        if (mostWork) {
-            health.failed(id);
-        } else {
-            health.unknown(id);
-        }
-    }
-
     /** Ends a request that {@link #pick} has counted. */
     public void ended(String upstream, LeaseEnd end) {
         inFlight.computeIfPresent(upstream, (id, count) -> count <= 1 ? null : count - 1);
         switch (end) {
             case COMPLETED -> health.succeeded(upstream);
-            case ANSWER_LOST, UPSTREAM_FAILED -> failed(upstream);
+            case ANSWER_LOST, UPSTREAM_FAILED -> health.failed(upstream, directory.serviceOf(upstream));
             case UPSTREAM_UNREACHABLE, UPSTREAM_GONE -> health.unreachable(upstream);
             default -> health.unknown(upstream);
         }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -366,8 +366,14 @@
         Optional<Duration> ejection = Optional.empty();
         switch (end) {
             case COMPLETED -> health.succeeded(upstream);
-            case ANSWER_LOST, UPSTREAM_FAILED -> ejection = failed(upstream);
-            case UPSTREAM_FULL -> ejection = hasFreeSlot(upstream) ? failed(upstream) : unknown(upstream);
+            case ANSWER_LOST, UPSTREAM_FAILED -> ejection = health.failed(upstream, directory.serviceOf(upstream));
+            case UPSTREAM_FULL -> {
+                if (hasFreeSlot(upstream)) {
+                    ejection = health.failed(upstream, directory.serviceOf(upstream));
+                } else {
+                    health.unknown(upstream);
+                }
+            }
             case UPSTREAM_UNREACHABLE -> ejection = health.unreachable(upstream);
             case UPSTREAM_GONE -> ejection = Optional.of(health.leaving(upstream));
             default -> health.unknown(upstream);
@@ -376,20 +382,6 @@
                 delay -> log.event(ServingEvent.UPSTREAM_EJECTED, "upstream", upstream, "cause", end, "ms", delay));
     }
 
-    /** Counts a failure, unless most upstreams of the service fail, so that there is nothing better. */
-    private Optional<Duration> failed(String id) {
-        boolean mostWork = directory
-                .find(id)
-                .map(upstream -> health.mostWork(directory.open(upstream.service())))
-                .orElse(false);
-        return mostWork ? health.failed(id) : unknown(id);
-    }
-
-    private Optional<Duration> unknown(String id) {
-        health.unknown(id);
-        return Optional.empty();
-    }
-
     private boolean hasFreeSlot(String id) {
         return directory
                 .find(id)
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -151,4 +151,9 @@
         }
         return open;
     }
+
+    /** Returns the upstreams of an upstream's service that take requests, none if it is not known. */
+    public List<Upstream> serviceOf(String id) {
+        return find(id).map(upstream -> open(upstream.service())).orElse(List.of());
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
@@ -36,6 +36,9 @@
      */
     static final double FAILING = 0.35;
 
+    /** Failed connections or silences in a row that eject an upstream although it answered shortly before. */
+    static final int UNREACHABLE_IN_ROW = 3;
+
     /** Time for which an answer shows that an upstream works; a busy engine ends a request about every 0.1 s. */
     static final Duration ANSWERED = Duration.ofMillis(900);
 
@@ -43,6 +46,7 @@
     private final Map<String, Long> answeredNanos = new HashMap<>();
     private final Map<String, Ejection> ejections = new HashMap<>();
     private final Map<String, Double> failureShares = new HashMap<>();
+    private final Map<String, Integer> unreachableInRow = new HashMap<>();
 
     /** The last ejection of each upstream, kept after it so that the next one is longer. */
     private final Map<String, Ejection> past = new HashMap<>();
@@ -86,6 +90,7 @@
             ejections.remove(upstream);
         }
         failureShares.computeIfPresent(upstream, (id, share) -> share * (1 - NEWEST));
+        unreachableInRow.remove(upstream);
         answeredNanos.put(upstream, now);
     }
 
@@ -96,9 +101,19 @@
 
     /**
      * Records a failure, or an answer that was lost or cut; returns the delay if the upstream is ejected for it. An
-     * upstream that fails part of its requests is ejected again, for longer, soon after its trial.
+     * upstream that fails part of its requests is ejected again, for longer, soon after its trial. While half of the
+     * service's upstreams are ejected, the others are kept, since there is nothing better.
+     *
+     * @param service all upstreams of the same service
      */
-    public Optional<Duration> failed(String upstream) {
+    public Optional<Duration> failed(String upstream, Collection<Upstream> service) {
+        long othersEjected = service.stream()
+                .filter(other -> !other.id().equals(upstream) && suspected(other.id()))
+                .count();
+        if (2 * (othersEjected + 1) > service.size()) {
+            unknown(upstream);
+            return Optional.empty();
+        }
         double share = failureShares.getOrDefault(upstream, 0.0) * (1 - NEWEST) + NEWEST;
         failureShares.put(upstream, Math.min(share, FAILING));
         if (share < FAILING && !suspected(upstream)) {
@@ -107,13 +122,6 @@
         return Optional.of(eject(upstream, true));
     }
 
-    /** Returns whether more than half of some upstreams are in use. */
-    public boolean mostWork(Collection<Upstream> upstreams) {
-        long ejected =
-                upstreams.stream().filter(upstream -> suspected(upstream.id())).count();
-        return 2 * (ejected + 1) <= upstreams.size();
-    }
-
     /**
      * Records that no connection could be made or that a request met silence; returns the delay if the upstream is
      * ejected for it. While the upstream answers others, it is full rather than down.
@@ -121,8 +129,10 @@
     public Optional<Duration> unreachable(String upstream) {
         Long answered = answeredNanos.get(upstream);
         if (answered != null && ticker.nanos() - answered < ANSWERED.toNanos()) {
-            unknown(upstream);
-            return Optional.empty();
+            int inRow = unreachableInRow.merge(upstream, 1, Integer::sum);
+            if (inRow < UNREACHABLE_IN_ROW && !suspected(upstream)) {
+                return Optional.empty();
+            }
         }
         return Optional.of(eject(upstream, false));
     }
@@ -145,6 +155,7 @@
             delay = Math.min(before.delayNanos() * 2, LONGEST_EJECTION.toNanos());
         }
         Ejection ejection = new Ejection(now + delay, delay, now, false, firm);
+        unreachableInRow.remove(upstream);
         ejections.put(upstream, ejection);
         past.put(upstream, ejection);
         return Duration.ofNanos(delay);
@@ -154,6 +165,7 @@
     public void retain(Collection<String> upstreams) {
         ejections.keySet().retainAll(upstreams);
         failureShares.keySet().retainAll(upstreams);
+        unreachableInRow.keySet().retainAll(upstreams);
         past.keySet().retainAll(upstreams);
         answeredNanos.keySet().retainAll(upstreams);
     }
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamHealthTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamHealthTest.java
@@ -7,12 +7,17 @@
 import dev.lavenderline.serving.ManualTime;
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 
 /** Guards against upstreams that stay in use while they are down, and against ejections for a few lost answers. */
 class UpstreamHealthTest {
+    /** A service so large that its size does not matter. */
+    private static final List<Upstream> MANY =
+            IntStream.range(0, 20).mapToObj(i -> upstream("e" + i)).toList();
+
     private final ManualTime time = new ManualTime();
     private final UpstreamHealth health = new UpstreamHealth(time);
 
@@ -59,6 +64,16 @@
         assertTrue(health.unreachable("e").isPresent());
     }
 
+    /** Guards against a crashed engine that attracts requests because its slots are free. */
+    @Test
+    void refusedConnectionsInARowEjectAnUpstreamThatHasJustAnswered() {
+        health.succeeded("e");
+        assertTrue(health.unreachable("e").isEmpty());
+        assertTrue(health.unreachable("e").isEmpty());
+        assertTrue(health.unreachable("e").isPresent());
+        assertFalse(health.usable("e"));
+    }
+
     /** The 5% of lost answers of the sites' days eject an engine less than once in a thousand requests. */
     @Test
     void fewLostAnswersDoNotEject() {
@@ -67,7 +82,7 @@
         for (int i = 0; i < 20_000; i++) {
             if (random.nextDouble() >= 0.05) {
                 health.succeeded("e");
-            } else if (health.failed("e").isPresent()) {
+            } else if (health.failed("e", MANY).isPresent()) {
                 ejections++;
                 time.advance(UpstreamHealth.LONGEST_EJECTION);
                 health.succeeded("e");
@@ -80,7 +95,7 @@
     void everyTenthAnswerLostDoesNotEject() {
         for (int i = 0; i < 200; i++) {
             if (i % 10 == 0) {
-                assertTrue(health.failed("e").isEmpty());
+                assertTrue(health.failed("e", MANY).isEmpty());
             } else {
                 health.succeeded("e");
             }
@@ -90,9 +105,9 @@
 
     @Test
     void lostAnswersInARowEject() {
-        health.failed("e");
-        health.failed("e");
-        assertTrue(health.failed("e").isPresent());
+        health.failed("e", MANY);
+        health.failed("e", MANY);
+        assertTrue(health.failed("e", MANY).isPresent());
         assertFalse(health.usable("e"));
     }
 
@@ -112,7 +127,7 @@
                 tested.sent("e");
                 sent++;
                 if (random.nextDouble() < 0.4) {
-                    tested.failed("e");
+                    tested.failed("e", MANY);
                 } else {
                     tested.succeeded("e");
                 }
@@ -125,7 +140,7 @@
     @Test
     void successOfARequestUnderWayDoesNotEndTheEjectionOfAFailingEngine() {
         for (int i = 0; i < 3; i++) {
-            health.failed("e");
+            health.failed("e", MANY);
         }
         health.succeeded("e");
         assertFalse(health.usable("e"));
@@ -135,12 +150,28 @@
 
     @Test
     void halfOfTheUpstreamsStayInUse() {
-        List<Upstream> upstreams = List.of(upstream("a"), upstream("b"), upstream("c"), upstream("d"));
-        assertTrue(health.mostWork(upstreams));
-        health.unreachable("a");
-        assertTrue(health.mostWork(upstreams));
-        health.unreachable("b");
-        assertFalse(health.mostWork(upstreams));
+        List<Upstream> service = List.of(upstream("a"), upstream("b"), upstream("c"), upstream("d"));
+        for (Upstream upstream : service) {
+            for (int i = 0; i < 10; i++) {
+                health.failed(upstream.id(), service);
+            }
+        }
+        assertEquals(
+                List.of("c", "d"),
+                service.stream().map(Upstream::id).filter(health::usable).toList());
+    }
+
+    /** Guards against an ejected upstream of a small service that gets one trial after the other. */
+    @Test
+    void failedTrialEjectsAgainAlthoughTheServiceIsSmall() {
+        List<Upstream> service = List.of(upstream("a"), upstream("b"));
+        for (int i = 0; i < 3; i++) {
+            health.failed("a", service);
+        }
+        time.advance(UpstreamHealth.FIRST_EJECTION);
+        health.sent("a");
+        assertTrue(health.failed("a", service).isPresent());
+        assertFalse(health.usable("a"));
     }
 
     private static Upstream upstream(String id) {
