Keep contents of batch jobs out of the topic that every node reads

Cause: every node read every record of the job topic, bodies of items and outputs of results included. All reads share the store's 80 MB/s; 83 nodes that start at once ask for about 750 MB. A response that waits for more than 1.2 s is given up and asked for again, while the store has spent its bandwidth on it.

Contents above 64 bytes are now records of a topic of their own, written before the record that refers to them, and read by the nodes that need them: the one that runs an item, the one that is asked for a result or a body. The job topic keeps ids, tokens, positions and references. Records written before still hold their contents and are read as they are.

PayloadTest covers lost responses, expired history, a store that is down, two outputs of one item and deletion.

JobStoreTest counts the appends to the job topic instead of all appends, since a job's contents are appended as well.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -124,7 +124,9 @@
         final long lease;
         final ItemRef ref;
         final Job job;
+        /** Without its content, which is read when the run starts. */
         final JobItem item;
+
         final Upstream upstream;
         final PartialOutput output;
         final EventStreamParser parser = new EventStreamParser(this::addEvent);
@@ -134,7 +136,7 @@
         int status;
         boolean outOfOrder;
         UpstreamExchange exchange;
-        Timers.Timer idleTimer;
+        Timers.Timer idleTimer = () -> {};
 
         Run(long lease, ItemRef ref, Job job, JobItem item, Upstream upstream) {
             this.lease = lease;
@@ -147,6 +149,21 @@
         }
 
         void start() {
+            store.item(job, ref.index())
+                    .onSuccess(this::send)
+                    .onFailure(failure ->
+                            finish(ReleaseReason.ITEM_UNKNOWN, true, "content not read: " + failure.getMessage()));
+        }
+
+        private void send(JobItem content) {
+            if (runs.get(lease) != this) {
+                return;
+            }
+            if (context.directory().drainingOrRemoved(upstream.id())) {
+                finish(ReleaseReason.UPSTREAM_GONE, true, "upstream is leaving");
+                return;
+            }
+            lastReceivedNanos = context.ticker().nanos();
             context.log()
                     .event(
                             ServingEvent.ITEM_STARTED,
@@ -158,13 +175,13 @@
                             upstream.id(),
                             "after",
                             resumedEvents);
-            MultiMap headers = context.wire().itemHeaders(item, job.host(), upstream.id(), output.lastEventId);
+            MultiMap headers = context.wire().itemHeaders(content, job.host(), upstream.id(), output.lastEventId);
             UpstreamRequest request = new UpstreamRequest(
                     item.getId(),
                     HttpMethod.POST,
-                    item.getPath(),
+                    content.getPath(),
                     headers,
-                    Buffer.buffer(item.getBody().toByteArray()));
+                    Buffer.buffer(content.getBody().toByteArray()));
             idleTimer = context.timers().every(IDLE_CHECK_INTERVAL, this::checkIdle);
             exchange = context.connections().send(upstream, request, context.wire(), this);
         }
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
@@ -5,8 +5,11 @@
 import dev.lavenderline.proto.jobs.JobPart;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /**
  * A batch job in the ledger.
@@ -21,6 +24,10 @@
     private final ItemResult[] resultsByItem;
     private final List<ItemResult> results = new ArrayList<>();
     private final int[] failures;
+
+    /** The parts read so far, without their items, by the index of the first item. */
+    private final NavigableMap<Integer, JobPart> partsByFirstItem = new TreeMap<>();
+
     private int partsRead;
     private int resultCount;
     private long unfinishedTokens;
@@ -46,6 +53,7 @@
             return;
         }
         partsRead++;
+        partsByFirstItem.put(first, part.toBuilder().clearItems().build());
         for (int i = 0; i < part.getItemsCount(); i++) {
             items[first + i] = part.getItems(i);
             if (resultsByItem[first + i] == null) {
@@ -127,7 +135,25 @@
         return items.length;
     }
 
-    /** Returns an item; empty if the index is out of range or the item's part has not been read. */
+    /** Returns the part that contains an item, without the items; the index must be that of an item that was read. */
+    JobPart partOf(int index) {
+        return partsByFirstItem.floorEntry(index).getValue();
+    }
+
+    /** Returns the parts read so far, without their items. */
+    Collection<JobPart> readParts() {
+        return partsByFirstItem.values();
+    }
+
+    /** Returns the result of an item. */
+    Optional<ItemResult> result(int index) {
+        return Optional.ofNullable(resultsByItem[index]);
+    }
+
+    /**
+     * Returns an item, with its content only if that is small; empty if the index is out of range or the item's part
+     * has not been read.
+     */
     public Optional<JobItem> item(int index) {
         return index < 0 || index >= items.length ? Optional.empty() : Optional.ofNullable(items[index]);
     }
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.proto.jobs.JobItem;
 import dev.lavenderline.proto.jobs.JobPart;
 import dev.lavenderline.proto.jobs.JobRecord;
+import dev.lavenderline.proto.jobs.PayloadRef;
 import dev.lavenderline.serving.store.KeyedRecord;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,12 +16,12 @@
     private JobRecords() {}
 
     /**
-     * Returns the records of a job, split into parts so that each record stays below a size limit.
+     * Returns the parts of a job with the content of their items, split so that each stays below a size limit.
      *
      * @param metadata fields that all parts share
      * @param maxRecordBytes size limit
      */
-    static List<KeyedRecord> job(JobPart metadata, List<JobItem> items, int maxRecordBytes) {
+    static List<JobPart> parts(JobPart metadata, List<JobItem> items, int maxRecordBytes) {
         List<List<JobItem>> groups = new ArrayList<>();
         List<JobItem> group = new ArrayList<>();
         int size = 0;
@@ -34,27 +35,46 @@
             size += item.getSerializedSize();
         }
         groups.add(group);
-        List<KeyedRecord> records = new ArrayList<>();
+        List<JobPart> parts = new ArrayList<>();
         int first = 0;
         for (List<JobItem> partItems : groups) {
             JobPart part = metadata.toBuilder()
-                    .setPart(records.size())
+                    .setPart(parts.size())
                     .setParts(groups.size())
                     .setItemsTotal(items.size())
                     .setFirstItem(first)
                     .addAllItems(partItems)
                     .build();
             first += partItems.size();
-            records.add(record(
-                    "job/" + metadata.getJob() + "/" + part.getPart(),
-                    JobRecord.newBuilder().setPart(part)));
+            parts.add(part);
         }
-        return records;
+        return parts;
+    }
+
+    static String key(JobPart part) {
+        return "job/" + part.getJob() + "/" + part.getPart();
+    }
+
+    static String resultKey(String job, int item) {
+        return "result/" + job + "/" + item;
+    }
+
+    static KeyedRecord part(JobPart part) {
+        return record(key(part), JobRecord.newBuilder().setPart(part));
+    }
+
+    /** Returns a part that refers to the content of its items. */
+    static JobPart withPayload(JobPart part, PayloadRef payload) {
+        JobPart.Builder builder = part.toBuilder().clearItems().setPayload(payload);
+        part.getItemsList()
+                .forEach(item -> builder.addItems(
+                        JobItem.newBuilder().setId(item.getId()).setTokens(item.getTokens())));
+        return builder.build();
     }
 
     static KeyedRecord result(ItemResult result) {
         return record(
-                "result/" + result.getJob() + "/" + result.getItem(),
+                resultKey(result.getJob(), result.getItem()),
                 JobRecord.newBuilder().setResult(result));
     }
 
@@ -75,7 +95,7 @@
         List<KeyedRecord> records = new ArrayList<>();
         for (int i = 0; i < job.itemCount(); i++) {
             if (job.hasResult(i)) {
-                records.add(deletion("result/" + job.id() + "/" + i));
+                records.add(deletion(resultKey(job.id(), i)));
             }
             if (job.failures(i) > 0) {
                 records.add(deletion("failures/" + job.id() + "/" + i));
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -1,11 +1,16 @@
 package dev.lavenderline.serving.jobs;
 
 import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.jobs.ItemFailures;
 import dev.lavenderline.proto.jobs.ItemResult;
+import dev.lavenderline.proto.jobs.JobItem;
+import dev.lavenderline.proto.jobs.JobItems;
 import dev.lavenderline.proto.jobs.JobPart;
+import dev.lavenderline.proto.jobs.PayloadRef;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.slots.ItemRef;
@@ -15,17 +20,21 @@
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.store.PartitionFollower;
+import dev.lavenderline.serving.store.StoreException;
 import io.vertx.core.Future;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
  * Reads and writes the job topic. All records of a job are in one partition, and every append is conditional on the
- * offset up to which that partition was read.
+ * offset up to which that partition was read. Contents above a few bytes are kept as payloads.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -38,9 +47,16 @@
     /** Time limit of writes while the store is down; an item runs again if the node that ran it is lost meanwhile. */
     private static final Duration WRITE_TIMEOUT = Duration.ofMinutes(2);
 
+    /** Size up to which a content stays in the record of the job topic; a reference takes about as much. */
+    private static final int MAX_INLINE_BYTES = 64;
+
+    /** Limit on the outputs read for one response; the platform limits a response to 1 MB. */
+    private static final int MAX_RESPONSE_BYTES = 900_000;
+
     private final Ticker ticker;
     private final JobLedger ledger;
     private final int maxRecordBytes;
+    private final PayloadStore payloads;
     private final List<PartitionFollower> followers = new ArrayList<>();
     private final List<ConditionalWriter> writers = new ArrayList<>();
 
@@ -58,9 +74,11 @@
     /**
      * Creates a job store; {@link #start} begins to read.
      *
-     * @param partitions number of partitions; must be the same on all nodes
+     * @param partitions number of partitions of the job topic; must be the same on all nodes
+     * @param payloadPartitions number of partitions of the payload topic
      * @param maxRecordBytes size limit of a record
      * @param pause time between two polls of a partition
+     * @param nonces numbers that no other node or process draws
      */
     public JobStore(
             MetadataStore store,
@@ -69,11 +87,14 @@
             Timers timers,
             EventLog log,
             int partitions,
+            int payloadPartitions,
             int maxRecordBytes,
-            Supplier<Duration> pause) {
+            Supplier<Duration> pause,
+            LongSupplier nonces) {
         this.ticker = ticker;
         this.ledger = ledger;
         this.maxRecordBytes = maxRecordBytes;
+        this.payloads = new PayloadStore(store, ticker, timers, log, payloadPartitions, nonces);
         KeyedListener listener = new KeyedListener() {
             @Override
             public void reset(List<KeyedRecord> current) {
@@ -114,7 +135,8 @@
 
     /** Returns the number of changes that the store has not confirmed. */
     public int pendingWrites() {
-        return writers.stream().mapToInt(ConditionalWriter::waiting).sum();
+        return payloads.pendingWrites()
+                + writers.stream().mapToInt(ConditionalWriter::waiting).sum();
     }
 
     private int partition(String job) {
@@ -144,6 +166,38 @@
                 .setRetentionMs((int) route.retention().toMillis())
                 .setAttempts(route.attempts())
                 .build();
+        if (ledger.find(submission.id()).isPresent()) {
+            return Future.succeededFuture(Acceptance.ACCEPTED);
+        }
+        if (overLimit(submission, route)) {
+            return Future.succeededFuture(Acceptance.OVER_LIMIT);
+        }
+        long started = ticker.nanos();
+        List<Future<JobPart>> parts = JobRecords.parts(metadata, submission.items(), maxRecordBytes).stream()
+                .map(part -> writeContent(part, timeout))
+                .toList();
+        return Future.join(parts)
+                .map(written -> parts.stream().map(Future::result).toList())
+                .compose(stored -> appendJob(submission, route, stored, timeout.minusNanos(ticker.nanos() - started)))
+                .recover(failure -> Future.succeededFuture(Acceptance.NOT_APPENDED));
+    }
+
+    private Future<JobPart> writeContent(JobPart part, Duration timeout) {
+        byte[] content =
+                JobItems.newBuilder().addAllItems(part.getItemsList()).build().toByteArray();
+        if (content.length <= MAX_INLINE_BYTES) {
+            return Future.succeededFuture(part);
+        }
+        return payloads.write(part.getJob(), JobRecords.key(part), content, timeout)
+                .map(ref -> JobRecords.withPayload(part, ref));
+    }
+
+    private boolean overLimit(JobSubmission submission, Route route) {
+        return route.maxWaitingTokens() > 0
+                && ledger.waitingTokens(route.name()) + submission.tokens() > route.maxWaitingTokens();
+    }
+
+    private Future<Acceptance> appendJob(JobSubmission submission, Route route, List<JobPart> parts, Duration timeout) {
         boolean[] overLimit = new boolean[1];
         ConditionalWriter.Change change = reservations -> {
             if (ledger.find(submission.id()).isPresent()) {
@@ -153,19 +207,99 @@
             if (reservations.take("job/" + submission.id()) > 0) {
                 return Optional.empty();
             }
-            overLimit[0] = route.maxWaitingTokens() > 0
-                    && ledger.waitingTokens(route.name()) + submission.tokens() > route.maxWaitingTokens();
-            return overLimit[0]
-                    ? Optional.of(List.of())
-                    : Optional.of(JobRecords.job(metadata, submission.items(), maxRecordBytes));
+            overLimit[0] = overLimit(submission, route);
+            return Optional.of(
+                    overLimit[0]
+                            ? List.of()
+                            : parts.stream().map(JobRecords::part).toList());
         };
-        return writer(submission.id()).submit(change, timeout).map(result -> switch (result) {
+        Future<ConditionalWriter.Result> appended = writer(submission.id()).submit(change, timeout);
+        appended.onSuccess(result -> {
+            if (result != ConditionalWriter.Result.UNKNOWN) {
+                payloads.delete(unused(submission.id(), parts));
+            }
+        });
+        return appended.map(result -> switch (result) {
             case DONE -> overLimit[0] ? Acceptance.OVER_LIMIT : Acceptance.ACCEPTED;
             case NOT_APPENDED -> Acceptance.NOT_APPENDED;
             case UNKNOWN -> Acceptance.UNKNOWN;
         });
     }
 
+    /** Returns the payloads among those written for a job that no record refers to. */
+    private List<PayloadStore.Entry> unused(String job, List<JobPart> written) {
+        Set<Long> used = new HashSet<>();
+        ledger.find(job)
+                .ifPresent(known -> known.readParts()
+                        .forEach(part -> used.add(part.getPayload().getNonce())));
+        return written.stream()
+                .filter(part ->
+                        part.hasPayload() && !used.contains(part.getPayload().getNonce()))
+                .map(part -> new PayloadStore.Entry(JobRecords.key(part), part.getPayload()))
+                .toList();
+    }
+
+    /**
+     * Returns an item with its content.
+     *
+     * @param index index of an item that was read
+     * @return a future that fails with a {@link StoreException} if the store does not return the content
+     */
+    public Future<JobItem> item(Job job, int index) {
+        JobPart part = job.partOf(index);
+        if (!part.hasPayload()) {
+            return Future.succeededFuture(job.item(index).orElseThrow());
+        }
+        return payloads.read(JobRecords.key(part), part.getPayload()).compose(content -> {
+            try {
+                return Future.succeededFuture(JobItems.parseFrom(content).getItems(index - part.getFirstItem()));
+            } catch (InvalidProtocolBufferException | IndexOutOfBoundsException e) {
+                return Future.failedFuture(new StoreException(
+                        StoreException.Reason.MALFORMED, "content of " + JobRecords.key(part) + ": " + e.getMessage()));
+            }
+        });
+    }
+
+    /**
+     * Returns the results of a job from a position on, with their outputs, as many as fit into a response.
+     *
+     * @return a future that fails with a {@link StoreException} if the output of the first one can't be read
+     */
+    public Future<List<ItemResult>> results(Job job, int from) {
+        List<Future<ItemResult>> reads = new ArrayList<>();
+        int bytes = 0;
+        for (ItemResult result : job.resultsFrom(from)) {
+            bytes += result.getPayload().getBytes();
+            if (!reads.isEmpty() && bytes > MAX_RESPONSE_BYTES) {
+                break;
+            }
+            reads.add(readOutput(result));
+        }
+        return Future.join(reads).transform(done -> {
+            List<ItemResult> results = new ArrayList<>();
+            for (Future<ItemResult> read : reads) {
+                if (read.failed() && results.isEmpty()) {
+                    return Future.failedFuture(read.cause());
+                }
+                if (read.failed()) {
+                    break;
+                }
+                results.add(read.result());
+            }
+            return Future.succeededFuture(results);
+        });
+    }
+
+    private Future<ItemResult> readOutput(ItemResult result) {
+        if (!result.hasPayload()) {
+            return Future.succeededFuture(result);
+        }
+        return payloads.read(JobRecords.resultKey(result.getJob(), result.getItem()), result.getPayload())
+                .map(output -> result.toBuilder()
+                        .setOutputBytes(ByteString.copyFrom(output))
+                        .build());
+    }
+
     /** Cancels a job; true if it is cancelled or unknown, false if that was not confirmed in time. */
     public Future<Boolean> cancel(String job, Duration timeout) {
         return writer(job)
@@ -181,6 +315,18 @@
 
     /** Appends the result of an item unless it has one or the job was cancelled; false if not confirmed in time. */
     public Future<Boolean> addResult(ItemRef item, boolean completed, String output) {
+        ItemResult.Builder result =
+                ItemResult.newBuilder().setJob(item.job()).setItem(item.index()).setCompleted(completed);
+        byte[] content = output.getBytes(StandardCharsets.UTF_8);
+        if (content.length <= MAX_INLINE_BYTES) {
+            return appendResult(item, result.setOutput(output));
+        }
+        return payloads.write(item.job(), JobRecords.resultKey(item.job(), item.index()), content, WRITE_TIMEOUT)
+                .compose(ref -> appendResult(item, result.setPayload(ref)))
+                .recover(failure -> Future.succeededFuture(false));
+    }
+
+    private Future<Boolean> appendResult(ItemRef item, ItemResult.Builder result) {
         ConditionalWriter.Change change = reservations -> {
             Optional<Job> job = ledger.find(item.job());
             if (job.isEmpty() || job.get().hasResult(item.index()) || job.get().cancelled()) {
@@ -190,25 +336,54 @@
                 return Optional.empty();
             }
             int position = job.get().resultCount() + reservations.take("results/" + item.job());
-            return Optional.of(List.of(JobRecords.result(ItemResult.newBuilder()
-                    .setJob(item.job())
-                    .setItem(item.index())
-                    .setPosition(position)
-                    .setCompleted(completed)
-                    .setOutput(output)
-                    .build())));
+            return Optional.of(
+                    List.of(JobRecords.result(result.setPosition(position).build())));
         };
-        return writer(item.job()).submit(change, WRITE_TIMEOUT).map(result -> result == ConditionalWriter.Result.DONE);
+        return writer(item.job()).submit(change, WRITE_TIMEOUT).map(outcome -> {
+            if (outcome == ConditionalWriter.Result.DONE
+                    && result.hasPayload()
+                    && !refersTo(item, result.getPayload())) {
+                payloads.delete(List.of(
+                        new PayloadStore.Entry(JobRecords.resultKey(item.job(), item.index()), result.getPayload())));
+            }
+            return outcome == ConditionalWriter.Result.DONE;
+        });
+    }
+
+    private boolean refersTo(ItemRef item, PayloadRef payload) {
+        return ledger.find(item.job())
+                .flatMap(job -> job.result(item.index()))
+                .map(known -> known.getPayload().equals(payload))
+                .orElse(false);
     }
 
     /** Deletes all records of a job; false if not confirmed in time. */
     public Future<Boolean> delete(String job) {
+        List<PayloadStore.Entry> contents =
+                ledger.find(job).map(JobStore::payloadsOf).orElse(List.of());
         return writer(job)
                 .submit(
                         reservations -> Optional.of(
                                 ledger.find(job).map(JobRecords::deletions).orElse(List.of())),
                         WRITE_TIMEOUT)
-                .map(result -> result == ConditionalWriter.Result.DONE);
+                .map(result -> {
+                    if (result == ConditionalWriter.Result.DONE) {
+                        payloads.delete(contents);
+                    }
+                    return result == ConditionalWriter.Result.DONE;
+                });
+    }
+
+    private static List<PayloadStore.Entry> payloadsOf(Job job) {
+        List<PayloadStore.Entry> entries = new ArrayList<>();
+        job.readParts().stream()
+                .filter(JobPart::hasPayload)
+                .forEach(part -> entries.add(new PayloadStore.Entry(JobRecords.key(part), part.getPayload())));
+        job.resultsFrom(0).stream()
+                .filter(ItemResult::hasPayload)
+                .forEach(result -> entries.add(new PayloadStore.Entry(
+                        JobRecords.resultKey(result.getJob(), result.getItem()), result.getPayload())));
+        return entries;
     }
 
     /** Increments the failure count of an item; false if not confirmed in time. */
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -121,8 +121,10 @@
                 timers,
                 log,
                 settings.jobPartitions(),
+                settings.payloadPartitions(),
                 settings.maxRecordBytes(),
-                this::jobsPollPause);
+                this::jobsPollPause,
+                random::nextLong);
         UpstreamHealth health = new UpstreamHealth(ticker);
         LocalPlacement placement =
                 new LocalPlacement(directory, health, settings.self().failureDomain(), random::nextDouble);
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
@@ -11,6 +11,7 @@
  * @param readiness address of the readiness probe
  * @param metrics address of the metrics
  * @param jobPartitions number of partitions of the job topic, the same on all nodes
+ * @param payloadPartitions number of partitions of the topic with the contents of jobs
  * @param maxRecordBytes largest record that the store accepts, in bytes
  * @param resultRetention time after its submission for which the results of a job have to be readable
  * @param gracePeriod time from the termination signal until the process is killed
@@ -21,6 +22,7 @@
         Address readiness,
         Address metrics,
         int jobPartitions,
+        int payloadPartitions,
         int maxRecordBytes,
         Duration resultRetention,
         Duration gracePeriod) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -150,17 +150,20 @@
             response.sendText(404, "no item " + itemId + " in job " + job.id());
             return;
         }
-        response.sendBytes(Buffer.buffer(job.item(index).orElseThrow().getBody().toByteArray()));
+        store.item(job, index)
+                .onSuccess(
+                        item -> response.sendBytes(Buffer.buffer(item.getBody().toByteArray())))
+                .onFailure(failure -> response.sendText(503, "not run: the store does not answer", RETRY_DELAY));
     }
 
     private void sendResults(Job job, int after, Duration wait, CallerResponse response) {
         boolean nothingNew = job.resultsFrom(after).isEmpty() && job.open();
         if (!nothingNew || wait.isZero()) {
-            response.sendJson(wire.encodeResults(job, after));
+            sendAvailableResults(job, after, response);
             return;
         }
         List<Runnable> waiting = waitingReaders.computeIfAbsent(job.id(), id -> new ArrayList<>());
-        Runnable reply = () -> response.sendJson(wire.encodeResults(job, after));
+        Runnable reply = () -> sendAvailableResults(job, after, response);
         waiting.add(reply);
         timers.after(wait, () -> {
             Optional.ofNullable(waitingReaders.get(job.id())).ifPresent(replies -> {
@@ -173,6 +176,12 @@
         });
     }
 
+    private void sendAvailableResults(Job job, int after, CallerResponse response) {
+        store.results(job, after)
+                .onSuccess(results -> response.sendJson(wire.encodeResults(job, after, results)))
+                .onFailure(failure -> response.sendText(503, "not run: the store does not answer", RETRY_DELAY));
+    }
+
     private void cancel(BatchCall.Cancel call, CallerResponse response) {
         store.refresh(call.job())
                 .compose(read -> store.cancel(call.job(), CANCEL_TIMEOUT))
--- a/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.online;
 
+import dev.lavenderline.proto.jobs.ItemResult;
 import dev.lavenderline.proto.jobs.JobItem;
 import dev.lavenderline.serving.jobs.Job;
 import dev.lavenderline.serving.jobs.JobSubmission;
@@ -7,6 +8,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -29,8 +31,8 @@
      */
     JobSubmission parseSubmission(String jobId, Buffer body);
 
-    /** Encodes the results of a job, starting at a position. */
-    Buffer encodeResults(Job job, int after);
+    /** Encodes results of a job, with their outputs, of which the first is at a position. */
+    Buffer encodeResults(Job job, int position, List<ItemResult> results);
 
     /** Returns the headers to send to an upstream: the caller's end-to-end headers and those of this protocol. */
     MultiMap upstreamHeaders(
--- a/serving/src/main/java/dev/lavenderline/serving/store/MetadataStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/MetadataStore.java
@@ -18,6 +18,13 @@
      */
     Future<LogSlice> read(Partition partition, long from, Duration wait);
 
+    /**
+     * Reads the record at an offset, and possibly records after it.
+     *
+     * @param bytes size of the record's value
+     */
+    Future<LogSlice> readAt(Partition partition, long offset, int bytes);
+
     /**
      * Reads a page of the newest records of the keys, in key order. Successive pages are not a snapshot.
      *
@@ -29,7 +36,7 @@
      * Appends records atomically.
      *
      * @param expectedEnd required end offset of the partition, or {@link #ANY_END}
-     * @return the end offset of the partition after the append
+     * @return the offset of the first record
      */
     Future<Long> append(Partition partition, long expectedEnd, List<KeyedRecord> records);
 
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving;
 
 import com.google.protobuf.ByteString;
+import dev.lavenderline.proto.jobs.ItemResult;
 import dev.lavenderline.proto.jobs.JobItem;
 import dev.lavenderline.serving.jobs.Job;
 import dev.lavenderline.serving.jobs.JobSubmission;
@@ -71,11 +72,10 @@
     }
 
     @Override
-    public Buffer encodeResults(Job job, int after) {
+    public Buffer encodeResults(Job job, int position, List<ItemResult> results) {
         StringBuilder text = new StringBuilder();
-        job.resultsFrom(after)
-                .forEach(result -> text.append(
-                                job.item(result.getItem()).orElseThrow().getId())
+        results.forEach(
+                result -> text.append(job.item(result.getItem()).orElseThrow().getId())
                         .append(result.getCompleted() ? "=" : "!")
                         .append(result.getOutput().replace('\n', '|'))
                         .append('\n'));
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -31,11 +31,21 @@
     private final ManualTime time = new ManualTime();
     private final FakeStore store = new FakeStore();
     private final JobLedger ledger = new JobLedger(time, EventLog.NONE);
+    private long nextNonce;
     private final JobStore jobs = startStore(ledger);
 
     private JobStore startStore(JobLedger target) {
-        JobStore created =
-                new JobStore(store, target, time, time, EventLog.NONE, 2, 100_000, () -> Duration.ofMillis(100));
+        JobStore created = new JobStore(
+                store,
+                target,
+                time,
+                time,
+                EventLog.NONE,
+                2,
+                3,
+                100_000,
+                () -> Duration.ofMillis(100),
+                () -> nextNonce++);
         created.start();
         return created;
     }
@@ -87,9 +97,10 @@
         JobStore other = startStore(otherLedger);
         store.holdPolls(true);
         assertEquals(Acceptance.ACCEPTED, accept(jobs, "j", 3, 0).result());
-        int before = store.appends();
+        int before = store.appends(JobStore.TOPIC);
         assertEquals(Acceptance.ACCEPTED, accept(other, "j", 3, 0).result());
-        assertEquals(before + 1, store.appends(), "the second node's append conflicts and is not retried");
+        assertEquals(
+                before + 1, store.appends(JobStore.TOPIC), "the second node's append conflicts and is not retried");
         assertEquals(3, otherLedger.find("j").orElseThrow().itemCount());
     }
 
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
@@ -0,0 +1,198 @@
+package dev.lavenderline.serving.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import dev.lavenderline.proto.jobs.ItemResult;
+import dev.lavenderline.proto.jobs.JobItem;
+import dev.lavenderline.serving.ManualTime;
+import dev.lavenderline.serving.jobs.JobStore.Acceptance;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.routes.Route;
+import dev.lavenderline.serving.routes.RouteKind;
+import dev.lavenderline.serving.routes.WeightedService;
+import dev.lavenderline.serving.slots.ItemRef;
+import dev.lavenderline.serving.store.FakeStore;
+import dev.lavenderline.serving.store.FakeStore.AppendOutcome;
+import dev.lavenderline.serving.store.Partition;
+import io.vertx.core.Future;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against contents of jobs that can't be read back, change, or stay in the store when nothing refers to them. */
+class PayloadTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final int PAYLOAD_PARTITIONS = 3;
+    private static final String BODY = "body ".repeat(300);
+    private static final String OUTPUT = "text ".repeat(2_000);
+
+    private final ManualTime time = new ManualTime();
+    private final FakeStore store = new FakeStore();
+    private long nextNonce;
+    private final Node first = new Node();
+
+    private final class Node {
+        final JobLedger ledger = new JobLedger(time, EventLog.NONE);
+        final JobStore jobs = new JobStore(
+                store,
+                ledger,
+                time,
+                time,
+                EventLog.NONE,
+                2,
+                PAYLOAD_PARTITIONS,
+                100_000,
+                () -> Duration.ofMillis(100),
+                () -> nextNonce++);
+
+        Node() {
+            jobs.start();
+        }
+
+        Job job() {
+            return ledger.find("j").orElseThrow();
+        }
+
+        Future<Acceptance> accept(int items, long maxWaitingTokens) {
+            List<JobItem> list = new ArrayList<>();
+            for (int i = 0; i < items; i++) {
+                list.add(JobItem.newBuilder()
+                        .setId("j-" + i)
+                        .setPath("/b/" + i)
+                        .setBody(ByteString.copyFromUtf8(BODY + i))
+                        .setTokens(100)
+                        .build());
+            }
+            Route route = new Route(
+                    "batch",
+                    "host",
+                    "/b/",
+                    RouteKind.BATCH,
+                    Duration.ofSeconds(15),
+                    Duration.ofMillis(400),
+                    2,
+                    List.of(new WeightedService("s", 1)),
+                    3,
+                    true,
+                    Duration.ZERO,
+                    Duration.ofSeconds(18),
+                    Duration.ofSeconds(60),
+                    maxWaitingTokens);
+            return jobs.accept(new JobSubmission("j", list), route, "host", TIMEOUT);
+        }
+
+        List<String> outputs() {
+            return jobs.results(job(), 0).result().stream()
+                    .map(ItemResult::getOutput)
+                    .toList();
+        }
+    }
+
+    private long payloadKeys() {
+        long keys = 0;
+        for (int i = 0; i < PAYLOAD_PARTITIONS; i++) {
+            keys += store.newest(new Partition(PayloadStore.TOPIC, i), "")
+                    .result()
+                    .records()
+                    .size();
+        }
+        return keys;
+    }
+
+    @Test
+    void contentsAreReadBackOnceByARestartedNode() {
+        first.accept(3, 0);
+        first.jobs.addResult(new ItemRef("j", 1), true, OUTPUT);
+        assertEquals(0, store.readsAt(), "the node that wrote them keeps the contents");
+        Node restarted = new Node();
+        assertEquals(0, store.readsAt(), "contents are read on demand");
+        JobItem item = restarted.jobs.item(restarted.job(), 2).result();
+        assertEquals("/b/2", item.getPath());
+        assertArrayEquals((BODY + 2).getBytes(), item.getBody().toByteArray());
+        assertEquals(List.of(OUTPUT), restarted.outputs());
+        assertEquals(List.of(OUTPUT), restarted.outputs());
+        assertEquals(2, store.readsAt());
+    }
+
+    @Test
+    void contentsAreReadBackAfterTheHistoryHasExpired() {
+        first.accept(3, 0);
+        first.jobs.addResult(new ItemRef("j", 1), true, OUTPUT);
+        Node restarted = new Node();
+        store.expireHistory();
+        assertEquals("/b/0", restarted.jobs.item(restarted.job(), 0).result().getPath());
+        assertEquals(List.of(OUTPUT), restarted.outputs());
+    }
+
+    @Test
+    void unreadableContentIsAFailureAndIsReadAgainLater() {
+        first.accept(1, 0);
+        first.jobs.addResult(new ItemRef("j", 0), true, OUTPUT);
+        Node restarted = new Node();
+        store.down(true);
+        assertTrue(restarted.jobs.results(restarted.job(), 0).failed());
+        assertTrue(restarted.jobs.item(restarted.job(), 0).failed());
+        store.down(false);
+        assertEquals(List.of(OUTPUT), restarted.outputs());
+    }
+
+    @Test
+    void resultsUpToTheFirstUnreadableOneAreReturned() {
+        first.accept(3, 0);
+        first.jobs.addResult(new ItemRef("j", 2), true, "short");
+        first.jobs.addResult(new ItemRef("j", 0), true, OUTPUT);
+        Node restarted = new Node();
+        store.down(true);
+        assertEquals(List.of("short"), restarted.outputs());
+    }
+
+    @Test
+    void jobWhoseContentIsNotAppendedIsNotAccepted() {
+        store.down(true);
+        Future<Acceptance> accepted = first.accept(1, 0);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.NOT_APPENDED, accepted.result());
+        store.down(false);
+        time.advance(TIMEOUT);
+        assertTrue(first.ledger.find("j").isEmpty());
+        assertEquals(0, first.jobs.pendingWrites());
+    }
+
+    @Test
+    void lostResponseToAPayloadLeavesOneKey() {
+        store.nextAppends(AppendOutcome.ANSWER_LOST);
+        Future<Acceptance> accepted = first.accept(1, 0);
+        time.advance(Duration.ofMillis(500));
+        assertEquals(Acceptance.ACCEPTED, accepted.result());
+        assertEquals(1, payloadKeys());
+    }
+
+    /** Two nodes that run an item may get different texts; what was listed first stays. */
+    @Test
+    void secondOutputOfAnItemNeitherReplacesTheFirstNorStays() {
+        first.accept(1, 0);
+        Node second = new Node();
+        store.holdPolls(true);
+        first.jobs.addResult(new ItemRef("j", 0), true, OUTPUT);
+        second.jobs.addResult(new ItemRef("j", 0), true, "other " + OUTPUT);
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of(OUTPUT), second.outputs());
+        store.expireHistory();
+        assertEquals(List.of(OUTPUT), new Node().outputs());
+        assertEquals(2, payloadKeys());
+    }
+
+    @Test
+    void deletedJobLeavesNoPayloads() {
+        first.accept(3, 0);
+        first.jobs.addResult(new ItemRef("j", 0), true, OUTPUT);
+        first.jobs.addResult(new ItemRef("j", 1), true, OUTPUT);
+        assertEquals(3, payloadKeys());
+        assertTrue(first.jobs.delete("j").result());
+        assertEquals(0, payloadKeys());
+    }
+}
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -136,6 +136,7 @@
                 new Address(LOOPBACK, 0),
                 new Address(LOOPBACK, 0),
                 2,
+                3,
                 100_000,
                 Duration.ofSeconds(120),
                 Duration.ofSeconds(8));
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -37,8 +37,10 @@
     private final List<Runnable> waitingPolls = new ArrayList<>();
     private boolean down;
     private boolean holdPolls;
-    private int appends;
+    private final Map<String, Integer> appends = new HashMap<>();
     private int pageReads;
+    private int readsAt;
+    private boolean expired;
     private int pageSize = Integer.MAX_VALUE;
     private final Set<Integer> failedPageReads = new HashSet<>();
 
@@ -78,9 +80,9 @@
         lateAppends.clear();
     }
 
-    /** Returns the number of calls of append. */
-    public int appends() {
-        return appends;
+    /** Returns the number of appends to a topic. */
+    public int appends(String topic) {
+        return appends.getOrDefault(topic, 0);
     }
 
     /** Returns all records of a partition. */
@@ -103,6 +105,29 @@
         return Future.succeededFuture(new LogSlice(firstOffset, log.subList(firstOffset, log.size()), log.size()));
     }
 
+    @Override
+    public Future<LogSlice> readAt(Partition partition, long offset, int bytes) {
+        readsAt++;
+        if (down) {
+            return noResponse();
+        }
+        if (expired) {
+            return Future.failedFuture(new StoreException(StoreException.Reason.EXPIRED, "expired"));
+        }
+        List<KeyedRecord> log = log(partition);
+        return Future.succeededFuture(new LogSlice(offset, List.of(log.get((int) offset)), log.size()));
+    }
+
+    /** Lets reads at an offset find that the record has expired. */
+    public void expireHistory() {
+        expired = true;
+    }
+
+    /** Returns the number of reads at an offset. */
+    public int readsAt() {
+        return readsAt;
+    }
+
     @Override
     public Future<KeyedPage> newest(Partition partition, String after) {
         pageReads++;
@@ -124,7 +149,7 @@
 
     @Override
     public Future<Long> append(Partition partition, long expectedEnd, List<KeyedRecord> records) {
-        appends++;
+        appends.merge(partition.topic(), 1, Integer::sum);
         if (down) {
             return noResponse();
         }
@@ -145,13 +170,14 @@
         if (expectedEnd != ANY_END && expectedEnd != log.size()) {
             return Future.failedFuture(new StoreException(StoreException.Reason.CONFLICT, "ends at " + log.size()));
         }
+        long offset = log.size();
         log.addAll(records);
         if (!holdPolls) {
             List<Runnable> polls = List.copyOf(waitingPolls);
             waitingPolls.clear();
             polls.forEach(Runnable::run);
         }
-        return Future.succeededFuture((long) log.size());
+        return Future.succeededFuture(offset);
     }
 
     private static <T> Future<T> noResponse() {
--- a/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
@@ -24,6 +24,7 @@
  */
 public final class StoreStandin {
     private static final int MAX_PAGE_ITEMS = 500;
+    private static final int DEFAULT_MAX_KB = 1024;
     private static final long LATE_APPEND_MS = 300;
     private static final long CHUNK_INTERVAL_MS = 100;
 
@@ -133,11 +134,12 @@
                 request.connection().close();
             }
             default -> {
+                int offset = log.entries.size();
                 boolean applied = applyAppend(request, log, body);
                 request.response()
                         .setStatusCode(applied ? 200 : 412)
                         .end(new JsonObject()
-                                .put("Offset", log.entries.size())
+                                .put("Offset", offset)
                                 .put("End", log.entries.size())
                                 .toBuffer());
             }
@@ -193,9 +195,14 @@
 
     private static void respondToRead(HttpServerRequest request, Log log, long from) {
         Buffer body = Buffer.buffer().appendLong(log.entries.size()).appendLong(log.firstOffset);
+        String maxKb = request.getParam("MaxKb");
+        int maxBytes = (maxKb == null ? DEFAULT_MAX_KB : Integer.parseInt(maxKb)) * 1024;
         for (int i = (int) from; i < log.entries.size(); i++) {
             Entry entry = log.entries.get(i);
             byte[] key = entry.key().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            if (body.length() + 5 + key.length + entry.value().length() > 16 + maxBytes) {
+                break;
+            }
             body.appendInt(1 + key.length + entry.value().length())
                     .appendUnsignedByte((short) key.length)
                     .appendBytes(key)
