Log and count items that a node returns without running them

A node that cannot run an item, because it has not read the job or the upstream, the upstream is leaving or the item is settled, released it without a log line. Neither it nor the scheduler's node showed why items waited while slots were free. JsonEventLog limits the number of lines.

An item that SchedulerClient returns because the process drains is not logged.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -90,15 +90,18 @@
         Optional<JobItem> item = job.flatMap(known -> known.item(ref.index()));
         Optional<Upstream> upstream = context.directory().find(upstreamId);
         if (context.directory().drainingOrRemoved(upstreamId)) {
+            logDeclined(ref, upstreamId, "upstream is leaving");
             context.slots().release(lease, ReleaseReason.UPSTREAM_GONE, keptEvents(ref));
             return;
         }
         if (item.isEmpty() || upstream.isEmpty()) {
+            logDeclined(ref, upstreamId, item.isEmpty() ? "job is unknown" : "upstream is unknown");
             store.refresh(ref.job());
             context.slots().release(lease, ReleaseReason.ITEM_UNKNOWN, 0);
             return;
         }
         if (!job.get().open() || job.get().hasResult(ref.index())) {
+            logDeclined(ref, upstreamId, "item is already settled");
             context.slots().release(lease, ReleaseReason.CANCELLED, 0);
             return;
         }
@@ -107,6 +110,21 @@
         run.start();
     }
 
+    private void logDeclined(ItemRef ref, String upstream, String cause) {
+        context.metrics().count("lavenderline_items_declined");
+        context.log()
+                .event(
+                        ServingEvent.ITEM_DECLINED,
+                        "job",
+                        ref.job(),
+                        "index",
+                        ref.index(),
+                        "upstream",
+                        upstream,
+                        "cause",
+                        cause);
+    }
+
     private int keptEvents(ItemRef ref) {
         PartialOutput output = partialOutputs.get(ref);
         return output == null ? 0 : output.events.size();
--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -32,6 +32,7 @@
     JOB_ACCEPTED("LL-1462", "batch job accepted"),
     JOB_REJECTED("LL-1463", "batch job rejected"),
     JOB_ENDED("LL-1464", "batch job cancelled by its caller"),
+    ITEM_DECLINED("LL-1465", "batch item not run and returned to the scheduler"),
     LINES_DROPPED("LL-1490", "log lines dropped"),
     UNEXPECTED("LL-1499", "unexpected failure");
 
