Avoid draining nodes for items in the same way

A draining node stays joined until it exits and declines each item; the scheduler gave the item back to it without any delay, as the node without load.

A run that ends because the item's content could not be read does not end the avoidance.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/DecliningNodes.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/DecliningNodes.java
@@ -6,11 +6,12 @@
 import java.util.Map;
 
 /**
- * Nodes that the scheduler avoids for items, because they declined items of jobs that they have not read.
+ * Nodes that the scheduler avoids for items, because they declined items: of jobs that they have not read, or because
+ * they are draining.
  *
  * <p>A node that declines at once has no load, so that placement by load alone would give it nearly every item again.
- * Nodes decline for milliseconds after a job was accepted, and for seconds while they are partitioned from the store or
- * read it after a start; the avoidance period therefore starts short and doubles while a node keeps declining.
+ * Nodes decline for milliseconds after a job was accepted, and for seconds while they drain, are partitioned from the
+ * store or read it after a start; the avoidance period therefore starts short and doubles while a node keeps declining.
  *
  * <p>Invariants: a node is avoided for at most {@link #MAX_PERIOD} after a decline; the declines of items that were
  * given to a node before its previous decline was known count as one. Not thread-safe; confined to the event loop.
@@ -23,9 +24,8 @@
     static final Duration MAX_PERIOD = Duration.ofSeconds(2);
 
     /**
-     * Items per unit of capacity added to the load of an avoided node for each decline in a row. Calculated: five times
-     * the load of the other nodes when a third of 81 nodes declines and the rest fill 441 slots. Finite, so that the
-     * few nodes that have read a new job do not get all of its items.
+     * Items per unit of capacity added to the load of an avoided node for each decline in a row. Several times what a
+     * node usually runs, but finite, so that the few nodes that have read a new job do not get all of its items.
      */
     static final double ITEM_LOAD_PER_DECLINE = 60;
 
@@ -48,7 +48,7 @@
     }
 
     /**
-     * Records that a node declined an item because it does not know the job.
+     * Records that a node declined an item.
      *
      * @param grantNanos time at which the item was given to the node
      * @return whether the node was not avoided at that time
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -368,13 +368,16 @@
 
     private void itemReleased(ItemRef item, Lease lease, ReleaseReason reason, int keptEvents) {
         String node = lease.node().name;
-        if (reason == ReleaseReason.COMPLETED || reason == ReleaseReason.ITEM_FAILED || keptEvents > 0) {
+        boolean declined = reason == ReleaseReason.ITEM_UNKNOWN || reason == ReleaseReason.NODE_DECLINED;
+        boolean ran = reason == ReleaseReason.COMPLETED || reason == ReleaseReason.ITEM_FAILED || keptEvents > 0;
+        if (ran && !declined) {
             decliningNodes.ran(node, lease.startNanos());
         }
         switch (reason) {
             case COMPLETED -> progress.runCompleted(item, node, options.resultTimeout());
-            case CANCELLED, NODE_DECLINED -> progress.runInterrupted(item, node, keptEvents, Duration.ZERO);
-            case ITEM_UNKNOWN -> progress.runInterrupted(item, node, keptEvents, declinedItemDelay(lease));
+            case ITEM_UNKNOWN, NODE_DECLINED ->
+                progress.runInterrupted(item, node, keptEvents, declinedItemDelay(lease));
+            case CANCELLED -> progress.runInterrupted(item, node, keptEvents, Duration.ZERO);
             default -> progress.runInterrupted(item, node, keptEvents, options.itemRetryDelay());
         }
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.logging.EventLog;
@@ -468,4 +469,87 @@
         }
         assertEquals(20, decisions.granted.size());
     }
+
+    /**
+     * Guards against a node that cannot read the job store: it returns each new item at once, so it stays the least
+     * loaded one and would get the same items again and again while other nodes could run them.
+     */
+    @Test
+    void itemUnknownToOneNodeRunsOnAnotherNode() {
+        items(1);
+        scheduler.schedule();
+        String cutOff = decisions.runs.get(0).node();
+        scheduler.released(cutOff, decisions.runs.get(0).lease(), ReleaseReason.ITEM_UNKNOWN, 0);
+        for (int round = 0; round < 20; round++) {
+            time.advance(Duration.ofMillis(300));
+            directory.recordStoreResponse();
+            scheduler.schedule();
+            Run last = decisions.runs.get(decisions.runs.size() - 1);
+            if (!last.node().equals(cutOff)) {
+                return;
+            }
+            scheduler.released(cutOff, last.lease(), ReleaseReason.ITEM_UNKNOWN, 0);
+        }
+        fail("the item was given " + decisions.runs.size() + " times to " + cutOff + ", which does not know it");
+    }
+
+    /** Guards against items that do not run although engines are idle, because one of ten nodes returns them all. */
+    @Test
+    void itemsCompleteByTheirDueTimeAlthoughOneNodeDoesNotKnowTheirJob() {
+        assertItemsCompleteByDueTime(ReleaseReason.ITEM_UNKNOWN);
+    }
+
+    /** Runs 40 items of 1 s on 8 slots and 10 nodes, of which n1 returns each item after 20 ms. */
+    private void assertItemsCompleteByDueTime(ReleaseReason reasonOfFirstNode) {
+        for (int i = 3; i <= 10; i++) {
+            scheduler.joined("n" + i, i % 2 == 0 ? "b" : "a", 1, List.of());
+        }
+        items(40);
+        List<Run> started = new ArrayList<>();
+        long end = Duration.ofSeconds(18).toNanos();
+        while (time.nanos() < end && !backlog.isEmpty()) {
+            directory.recordStoreResponse();
+            scheduler.schedule();
+            List<Run> added = List.copyOf(decisions.runs.subList(started.size(), decisions.runs.size()));
+            started.addAll(added);
+            for (Run run : added) {
+                boolean returned = run.node().equals("n1");
+                time.after(returned ? Duration.ofMillis(20) : Duration.ofSeconds(1), () -> {
+                    if (!returned) {
+                        backlog.removeIf(item -> item.item().equals(run.item()));
+                    }
+                    ReleaseReason reason = returned ? reasonOfFirstNode : ReleaseReason.COMPLETED;
+                    scheduler.released(run.node(), run.lease(), reason, 0);
+                });
+            }
+            time.advance(Duration.ofMillis(10));
+        }
+        long returned = started.stream().filter(run -> run.node().equals("n1")).count();
+        assertEquals(0, backlog.size(), "items without a result after 18 s; n1 returned " + returned);
+    }
+
+    /**
+     * Guards against a draining node that declines every item at once: it stays the least loaded one and would get the
+     * same items again, without a delay, until it exits.
+     */
+    @Test
+    void itemDeclinedByOneNodeRunsOnAnotherNode() {
+        items(1);
+        scheduler.schedule();
+        String draining = decisions.runs.get(0).node();
+        for (int i = 0; i < decisions.runs.size() && i < 20; i++) {
+            Run run = decisions.runs.get(i);
+            if (!run.node().equals(draining)) {
+                return;
+            }
+            scheduler.released(draining, run.lease(), ReleaseReason.NODE_DECLINED, 0);
+        }
+        fail("the item was given " + decisions.runs.size() + " times to " + draining + ", which is draining");
+    }
+
+    /** Guards against items that do not run during a rolling restart, because a draining node declines them all. */
+    @Test
+    void itemsCompleteByTheirDueTimeAlthoughOneNodeDeclinesThem() {
+        assertItemsCompleteByDueTime(ReleaseReason.NODE_DECLINED);
+    }
 }
