Keep engines from getting items twice while nodes change schedulers

After a store outage of some hosts, callers saw engines that were overloaded for seconds: requests 503, streams late, hundreds of items cut.

A node now says that it moves, and its slots and items stay in use for 2 s; those of a lost node are free at once, as before. A scheduler starts items when all registered nodes have joined, or after 2 s, and not before it knows them.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
@@ -107,6 +107,15 @@
         return true;
     }
 
+    /** Returns the slots that a node holds, without those of preempted items. */
+    List<Holding> holdings(String name) {
+        return node(name).map(state -> state.leases.values()).orElse(List.of()).stream()
+                .filter(lease -> lease.item().isEmpty()
+                        || occupancy(lease.upstream()).items.contains(lease))
+                .map(lease -> new Holding(lease.number(), lease.upstream(), lease.item()))
+                .toList();
+    }
+
     Optional<NodeState> node(String name) {
         return Optional.ofNullable(nodes.get(name));
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Supplier;
 
 /**
@@ -67,6 +68,7 @@
     private boolean draining;
     private List<NodeEntry> registeredNodes = List.of();
     private int nodeCount = 1;
+    private boolean nodesKnown;
     private long nextLease;
 
     private record Pending(SlotRequest request, Listener listener, long sinceNanos) {}
@@ -127,7 +129,7 @@
             current = this;
             candidate = null;
             if (previous != null) {
-                previous.close();
+                previous.leave();
             }
             if (local()) {
                 scheduler.joined(self.name(), self.failureDomain(), self.capacity(), List.copyOf(heldSlots.values()));
@@ -203,6 +205,16 @@
             }
         }
 
+        /** Ends the use of this scheduler in favor of another one. */
+        void leave() {
+            if (local()) {
+                scheduler.moved(self.name());
+            } else {
+                socket.write(SlotFrames.leaving());
+            }
+            close();
+        }
+
         void close() {
             closed = true;
             if (local() && active) {
@@ -255,6 +267,7 @@
 
     /** Replaces the registered nodes. */
     public void replaceNodes(Collection<NodeEntry> registered) {
+        nodesKnown = true;
         registeredNodes = List.copyOf(registered);
         nodeCount = Math.max(1, registered.size());
         selector.replaceNodes(draining ? otherNodes() : registeredNodes);
@@ -267,7 +280,12 @@
                 .toList();
     }
 
-    /** Returns the number of registered nodes, at least one. */
+    /** Returns the number of registered nodes; empty if they have not been read. */
+    OptionalInt registeredCount() {
+        return nodesKnown ? OptionalInt.of(nodeCount) : OptionalInt.empty();
+    }
+
+    /** Returns the number of registered nodes, one while they have not been read. */
     public int nodeCount() {
         return nodeCount;
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.proto.slots.Acquire;
 import dev.lavenderline.proto.slots.Granted;
 import dev.lavenderline.proto.slots.Hello;
+import dev.lavenderline.proto.slots.Leaving;
 import dev.lavenderline.proto.slots.Outcome;
 import dev.lavenderline.proto.slots.Ping;
 import dev.lavenderline.proto.slots.Pong;
@@ -90,6 +91,10 @@
                         .setEvents(keptEvents)));
     }
 
+    static Buffer leaving() {
+        return frame(SlotFrame.newBuilder().setLeaving(Leaving.getDefaultInstance()));
+    }
+
     static Buffer suspect(String upstream) {
         return frame(SlotFrame.newBuilder().setSuspect(Suspect.newBuilder().setUpstream(upstream)));
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -87,6 +87,7 @@
     private final LeaseTable leases = new LeaseTable();
     private final ItemProgress progress;
     private final DecliningNodes decliningNodes;
+    private final MovedSlots movedSlots;
     private final List<WaitingRequest> waiting = new ArrayList<>();
     private final HoldTimeEstimate onlineHoldTimes = new HoldTimeEstimate(INITIAL_ONLINE_SECONDS);
     private final HoldTimeEstimate itemHoldTimes = new HoldTimeEstimate(INITIAL_ITEM_SECONDS);
@@ -152,6 +153,7 @@
         this.options = options;
         this.progress = new ItemProgress(ticker);
         this.decliningNodes = new DecliningNodes(ticker);
+        this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
         this.lastSlowCheckNanos = ticker.nanos();
         // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
@@ -180,6 +182,7 @@
         if (nodeCount() == 0) {
             activeSinceNanos = ticker.nanos();
         }
+        movedSlots.nodeJoined(name);
         NodeState node = leases.addNode(name, failureDomain, capacity);
         for (Holding holding : holdings) {
             leases.add(new Lease(
@@ -187,7 +190,13 @@
         }
     }
 
-    /** Removes a node that uses another scheduler now or is gone. */
+    /** Removes a node that uses another scheduler now and goes on with what it runs. */
+    public void moved(String name) {
+        movedSlots.nodeMoved(name, leases.holdings(name));
+        left(name);
+    }
+
+    /** Removes a node that is gone. */
     public void left(String name) {
         if (leases.removeNode(name)) {
             waiting.removeIf(entry -> entry.request().node().equals(name));
@@ -506,10 +515,11 @@
     }
 
     private void startItems() {
+        movedSlots.expire();
         Map<String, Integer> capacities = new HashMap<>();
         List<BacklogItem> late = new ArrayList<>();
         backlog.visit(item -> {
-            if (leases.hasLease(item.item()) || !progress.startable(item.item())) {
+            if (leases.hasLease(item.item()) || movedSlots.holds(item.item()) || !progress.startable(item.item())) {
                 return true;
             }
             if (willBeLate(item)) {
@@ -555,13 +565,16 @@
         for (Upstream upstream : directory.open(service)) {
             if (mayRunItems(upstream)) {
                 slots += upstream.slots();
-                free += Math.max(
-                        0, upstream.slots() - leases.occupancy(upstream.id()).total());
+                free += Math.max(0, freeForItems(upstream));
             }
         }
         return free - slots * options.reservePercent() / 100;
     }
 
+    private int freeForItems(Upstream upstream) {
+        return upstream.slots() - leases.occupancy(upstream.id()).total() - movedSlots.count(upstream.id());
+    }
+
     private boolean mayRunItems(Upstream upstream) {
         return health.usable(upstream.id()) && !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
     }
@@ -570,7 +583,7 @@
         Upstream best = null;
         int bestFree = 0;
         for (Upstream upstream : directory.open(service)) {
-            int free = upstream.slots() - leases.occupancy(upstream.id()).total();
+            int free = freeForItems(upstream);
             if (free > bestFree && mayRunItems(upstream)) {
                 best = upstream;
                 bestFree = free;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -64,6 +64,7 @@
                             frame.getRelease().getLease(),
                             SlotFrames.releaseReason(frame.getRelease().getOutcome()),
                             frame.getRelease().getEvents());
+                case LEAVING -> scheduler.moved(node);
                 case SUSPECT -> scheduler.suspected(frame.getSuspect().getUpstream());
                 default -> log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", frame.getBodyCase());
             }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.OptionalInt;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
@@ -47,8 +48,8 @@
         this.scheduler = new SlotScheduler(ticker, directory, health, backlog, server, log, random, options);
         this.client = new SchedulerClient(vertx, self, scheduler, placement, ticker, timers, log, jobStateAge);
         // A node that is partitioned from the store and the other nodes would run the same items as they do.
-        scheduler.startItemsWhile(() ->
-                hasMajority() || (fresh(jobStateAge) && scheduler.activeFor().compareTo(JOIN_PERIOD) > 0));
+        scheduler.startItemsWhile(() -> mayStartItems(
+                scheduler.nodeCount(), client.registeredCount(), scheduler.activeFor(), jobStateAge.get()));
         scheduler.stopItemsWhile(() -> !hasMajority() && !fresh(jobStateAge));
         server.attach(scheduler, self.name(), client);
         directory.onChange(() -> {
@@ -57,6 +58,24 @@
         });
     }
 
+    /**
+     * Returns whether a scheduler may start items: not while nodes that hold slots may still join it, nor in a minority
+     * that is partitioned from the store.
+     *
+     * @param registered number of registered nodes, empty if they have not been read
+     * @param activeFor time since the first node joined
+     */
+    static boolean mayStartItems(int joined, OptionalInt registered, Duration activeFor, Duration jobStateAge) {
+        if (registered.isEmpty()) {
+            return false;
+        }
+        if (joined >= registered.getAsInt()) {
+            return true;
+        }
+        boolean majority = 2 * joined > registered.getAsInt();
+        return activeFor.compareTo(JOIN_PERIOD) > 0 && (majority || jobStateAge.compareTo(MAX_FRESH_AGE) < 0);
+    }
+
     private boolean hasMajority() {
         return 2 * scheduler.nodeCount() > client.nodeCount();
     }
