Bound the reads, writes and leftovers of payloads

Payloads are spread over 64 topics, so that a page holds those of few jobs; one page of a partition is read at a time and kept; a node has at most 8 appends of payloads in progress; reading an item's content is limited to 400 ms; a deleted job takes all its payloads along, listed by its id.

PayloadTest: ten results after the history has expired take one page, 200 outputs at a store that is down at most 8 calls.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -41,6 +41,9 @@
     /** Time without data after which a run is stopped; far above the 25 ms between events and the wait for a slot. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMillis(1500);
 
+    /** Time limit on reading an item's content, for which its slot is idle. */
+    private static final Duration CONTENT_TIMEOUT = Duration.ofMillis(400);
+
     private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(500);
 
     private final CallContext context;
@@ -142,6 +145,7 @@
         final long lease;
         final ItemRef ref;
         final Job job;
+
         /** Without its content, which is read when the run starts. */
         final JobItem item;
 
@@ -167,16 +171,25 @@
         }
 
         void start() {
+            idleTimer = context.timers().after(CONTENT_TIMEOUT, () -> contentNotRead("no response yet"));
             store.item(job, ref.index())
                     .onSuccess(this::send)
-                    .onFailure(failure ->
-                            finish(ReleaseReason.ITEM_UNKNOWN, true, "content not read: " + failure.getMessage()));
+                    .onFailure(failure -> contentNotRead(failure.getMessage()));
+        }
+
+        private void contentNotRead(String cause) {
+            finish(ReleaseReason.ITEM_UNKNOWN, true, "content not read: " + cause);
         }
 
         private void send(JobItem content) {
             if (runs.get(lease) != this) {
                 return;
             }
+            idleTimer.cancel();
+            if (!job.open() || job.hasResult(ref.index())) {
+                finish(ReleaseReason.CANCELLED, false, "item is already settled");
+                return;
+            }
             if (context.directory().drainingOrRemoved(upstream.id())) {
                 finish(ReleaseReason.UPSTREAM_GONE, true, "upstream is leaving");
                 return;
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -75,7 +75,7 @@
      * Creates a job store; {@link #start} begins to read.
      *
      * @param partitions number of partitions of the job topic; must be the same on all nodes
-     * @param payloadPartitions number of partitions of the payload topic
+     * @param payloadPartitions number of partitions of each payload topic; must be the same on all nodes
      * @param maxRecordBytes size limit of a record
      * @param pause time between two polls of a partition
      * @param nonces numbers that no other node or process draws
@@ -94,7 +94,7 @@
         this.ticker = ticker;
         this.ledger = ledger;
         this.maxRecordBytes = maxRecordBytes;
-        this.payloads = new PayloadStore(store, ticker, timers, log, payloadPartitions, nonces);
+        this.payloads = new PayloadStore(store, timers, log, payloadPartitions, nonces);
         KeyedListener listener = new KeyedListener() {
             @Override
             public void reset(List<KeyedRecord> current) {
@@ -172,14 +172,22 @@
         if (overLimit(submission, route)) {
             return Future.succeededFuture(Acceptance.OVER_LIMIT);
         }
-        long started = ticker.nanos();
-        List<Future<JobPart>> parts = JobRecords.parts(metadata, submission.items(), maxRecordBytes).stream()
+        long deadlineNanos = ticker.nanos() + timeout.toNanos();
+        List<Future<JobPart>> writes = JobRecords.parts(metadata, submission.items(), maxRecordBytes).stream()
                 .map(part -> writeContent(part, timeout))
                 .toList();
-        return Future.join(parts)
-                .map(written -> parts.stream().map(Future::result).toList())
-                .compose(stored -> appendJob(submission, route, stored, timeout.minusNanos(ticker.nanos() - started)))
-                .recover(failure -> Future.succeededFuture(Acceptance.NOT_APPENDED));
+        return Future.join(writes).transform(done -> {
+            List<JobPart> written = writes.stream()
+                    .filter(Future::succeeded)
+                    .map(Future::result)
+                    .toList();
+            long leftNanos = deadlineNanos - ticker.nanos();
+            if (done.failed() || leftNanos <= 0) {
+                deleteUnused(submission.id(), written);
+                return Future.succeededFuture(Acceptance.NOT_APPENDED);
+            }
+            return appendJob(submission, route, written, Duration.ofNanos(leftNanos));
+        });
     }
 
     private Future<JobPart> writeContent(JobPart part, Duration timeout) {
@@ -216,7 +224,7 @@
         Future<ConditionalWriter.Result> appended = writer(submission.id()).submit(change, timeout);
         appended.onSuccess(result -> {
             if (result != ConditionalWriter.Result.UNKNOWN) {
-                payloads.delete(unused(submission.id(), parts));
+                deleteUnused(submission.id(), parts);
             }
         });
         return appended.map(result -> switch (result) {
@@ -226,17 +234,16 @@
         });
     }
 
-    /** Returns the payloads among those written for a job that no record refers to. */
-    private List<PayloadStore.Entry> unused(String job, List<JobPart> written) {
+    /** Deletes the payloads among those written for a job that no record refers to. */
+    private void deleteUnused(String job, List<JobPart> written) {
         Set<Long> used = new HashSet<>();
         ledger.find(job)
                 .ifPresent(known -> known.readParts()
                         .forEach(part -> used.add(part.getPayload().getNonce())));
-        return written.stream()
+        written.stream()
                 .filter(part ->
                         part.hasPayload() && !used.contains(part.getPayload().getNonce()))
-                .map(part -> new PayloadStore.Entry(JobRecords.key(part), part.getPayload()))
-                .toList();
+                .forEach(part -> payloads.delete(JobRecords.key(part), part.getPayload()));
     }
 
     /**
@@ -269,7 +276,7 @@
         List<Future<ItemResult>> reads = new ArrayList<>();
         int bytes = 0;
         for (ItemResult result : job.resultsFrom(from)) {
-            bytes += result.getPayload().getBytes();
+            bytes += result.getPayload().getBytes() + result.getOutputBytes().size();
             if (!reads.isEmpty() && bytes > MAX_RESPONSE_BYTES) {
                 break;
             }
@@ -340,11 +347,9 @@
                     List.of(JobRecords.result(result.setPosition(position).build())));
         };
         return writer(item.job()).submit(change, WRITE_TIMEOUT).map(outcome -> {
-            if (outcome == ConditionalWriter.Result.DONE
-                    && result.hasPayload()
-                    && !refersTo(item, result.getPayload())) {
-                payloads.delete(List.of(
-                        new PayloadStore.Entry(JobRecords.resultKey(item.job(), item.index()), result.getPayload())));
+            boolean unused = outcome != ConditionalWriter.Result.UNKNOWN && !refersTo(item, result.getPayload());
+            if (result.hasPayload() && unused) {
+                payloads.delete(JobRecords.resultKey(item.job(), item.index()), result.getPayload());
             }
             return outcome == ConditionalWriter.Result.DONE;
         });
@@ -359,8 +364,6 @@
 
     /** Deletes all records of a job; false if not confirmed in time. */
     public Future<Boolean> delete(String job) {
-        List<PayloadStore.Entry> contents =
-                ledger.find(job).map(JobStore::payloadsOf).orElse(List.of());
         return writer(job)
                 .submit(
                         reservations -> Optional.of(
@@ -368,24 +371,12 @@
                         WRITE_TIMEOUT)
                 .map(result -> {
                     if (result == ConditionalWriter.Result.DONE) {
-                        payloads.delete(contents);
+                        payloads.deleteAll(job);
                     }
                     return result == ConditionalWriter.Result.DONE;
                 });
     }
 
-    private static List<PayloadStore.Entry> payloadsOf(Job job) {
-        List<PayloadStore.Entry> entries = new ArrayList<>();
-        job.readParts().stream()
-                .filter(JobPart::hasPayload)
-                .forEach(part -> entries.add(new PayloadStore.Entry(JobRecords.key(part), part.getPayload())));
-        job.resultsFrom(0).stream()
-                .filter(ItemResult::hasPayload)
-                .forEach(result -> entries.add(new PayloadStore.Entry(
-                        JobRecords.resultKey(result.getJob(), result.getItem()), result.getPayload())));
-        return entries;
-    }
-
     /** Increments the failure count of an item; false if not confirmed in time. */
     public Future<Boolean> addFailure(ItemRef item) {
         int newCount =
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
@@ -3,12 +3,10 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import com.google.common.hash.Hashing;
-import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.jobs.PayloadRef;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
-import dev.lavenderline.serving.store.KeyedPage;
 import dev.lavenderline.serving.store.KeyedRecord;
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
@@ -17,6 +15,8 @@
 import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -32,7 +32,11 @@
  * Not thread-safe; confined to the event loop.
  */
 final class PayloadStore {
-    static final String TOPIC = "payloads";
+    /** Number of payload topics: a page of newest records, up to 1 MB, is to hold the payloads of few jobs. */
+    static final int TOPICS = 64;
+
+    /** Appends in progress; the others wait, so that they leave connections to other calls of the store. */
+    private static final int MAX_APPENDS = 8;
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
@@ -40,7 +44,6 @@
     private static final int CACHE_BYTES = 4_000_000;
 
     private final MetadataStore store;
-    private final Ticker ticker;
     private final Timers timers;
     private final EventLog log;
     private final int partitions;
@@ -51,17 +54,19 @@
             .weigher((String key, byte[] content) -> content.length)
             .build();
     private final Map<String, Future<byte[]>> reads = new HashMap<>();
+    private final Map<Partition, Future<byte[]>> pageReads = new HashMap<>();
+    private final Deque<Write> waitingWrites = new ArrayDeque<>();
+    private int appending;
     private int pendingWrites;
 
     /**
      * Creates a payload store.
      *
-     * @param partitions number of partitions of the payload topic
+     * @param partitions number of partitions of each payload topic
      * @param nonces numbers that no other node or process draws
      */
-    PayloadStore(MetadataStore store, Ticker ticker, Timers timers, EventLog log, int partitions, LongSupplier nonces) {
+    PayloadStore(MetadataStore store, Timers timers, EventLog log, int partitions, LongSupplier nonces) {
         this.store = store;
-        this.ticker = ticker;
         this.timers = timers;
         this.log = log;
         this.partitions = partitions;
@@ -77,12 +82,16 @@
         return name + "/" + HexFormat.of().toHexDigits(nonce);
     }
 
-    /** Payloads of a job share a partition, so that they can be listed and deleted together. */
-    private int partition(String job) {
+    /** Returns the number of the partition, counted over all payload topics, that holds the payloads of a job. */
+    private int partitionNumber(String job) {
         int hash = Hashing.murmur3_32_fixed()
                 .hashString(job, StandardCharsets.UTF_8)
                 .asInt();
-        return Math.floorMod(hash, partitions);
+        return Math.floorMod(hash, TOPICS * partitions);
+    }
+
+    private Partition partition(int number) {
+        return new Partition("payloads-" + number / partitions, number % partitions);
     }
 
     /**
@@ -92,54 +101,68 @@
      * @param limit time after which the result fails with a {@link StoreException}
      */
     Future<PayloadRef> write(String job, String name, byte[] content, Duration limit) {
-        Write write = new Write(
-                new Partition(TOPIC, partition(job)),
-                name,
-                nonces.getAsLong(),
-                content,
-                ticker.nanos() + limit.toNanos());
+        Write write = new Write(partitionNumber(job), name, nonces.getAsLong(), content);
         pendingWrites++;
-        timers.after(limit, () -> write.fail("not appended within " + limit));
-        write.append();
-        return write.promise.future().onComplete(done -> pendingWrites--);
+        Timers.Timer timeout = timers.after(limit, () -> write.fail("not appended within " + limit));
+        waitingWrites.add(write);
+        appendNext();
+        return write.promise.future().onComplete(done -> {
+            timeout.cancel();
+            pendingWrites--;
+        });
+    }
+
+    private void appendNext() {
+        while (appending < MAX_APPENDS && !waitingWrites.isEmpty()) {
+            Write write = waitingWrites.poll();
+            if (!write.promise.future().isComplete()) {
+                append(write);
+            }
+        }
+    }
+
+    private void append(Write write) {
+        appending++;
+        KeyedRecord record = new KeyedRecord(key(write.name, write.nonce), write.content);
+        store.append(partition(write.partition), MetadataStore.ANY_END, List.of(record))
+                .onComplete(response -> {
+                    if (response.succeeded()) {
+                        appending--;
+                        cache.put(record.key(), write.content);
+                        if (!write.appended(response.result())) {
+                            delete(partition(write.partition), List.of(record.key()));
+                        }
+                        appendNext();
+                        return;
+                    }
+                    // Holds its place during the delay, so that a store that fails fast gets no more calls.
+                    timers.after(RETRY_DELAY, () -> {
+                        appending--;
+                        waitingWrites.addFirst(write);
+                        appendNext();
+                    });
+                });
     }
 
     /** A payload that is appended until the store confirms it; repeated appends have the same key. */
     private final class Write {
-        final Partition partition;
+        final int partition;
         final String name;
         final long nonce;
         final byte[] content;
-        final long deadlineNanos;
         final Promise<PayloadRef> promise = Promise.promise();
 
-        Write(Partition partition, String name, long nonce, byte[] content, long deadlineNanos) {
+        Write(int partition, String name, long nonce, byte[] content) {
             this.partition = partition;
             this.name = name;
             this.nonce = nonce;
             this.content = content;
-            this.deadlineNanos = deadlineNanos;
         }
 
-        void append() {
-            if (promise.future().isComplete()) {
-                return;
-            }
-            store.append(partition, MetadataStore.ANY_END, List.of(new KeyedRecord(key(name, nonce), content)))
-                    .onSuccess(this::appended)
-                    .onFailure(failure -> {
-                        if (ticker.nanos() + RETRY_DELAY.toNanos() - deadlineNanos > 0) {
-                            fail(failure.getMessage());
-                        } else {
-                            timers.after(RETRY_DELAY, this::append);
-                        }
-                    });
-        }
-
-        private void appended(long offset) {
-            cache.put(key(name, nonce), content);
-            promise.tryComplete(PayloadRef.newBuilder()
-                    .setPartition(partition.number())
+        /** Completes the write; returns false if its time limit has passed. */
+        boolean appended(long offset) {
+            return promise.tryComplete(PayloadRef.newBuilder()
+                    .setPartition(partition)
                     .setOffset(offset)
                     .setBytes(content.length)
                     .setNonce(nonce)
@@ -169,7 +192,7 @@
         if (current != null) {
             return current;
         }
-        Partition partition = new Partition(TOPIC, ref.getPartition());
+        Partition partition = partition(ref.getPartition());
         Future<byte[]> read = store.readAt(partition, ref.getOffset(), ref.getBytes())
                 .map(slice -> find(slice.records(), key))
                 .recover(failure -> StoreException.reasonOf(failure) == StoreException.Reason.EXPIRED
@@ -184,11 +207,21 @@
                 .onComplete(done -> reads.remove(key, read));
     }
 
+    /** Reads the page with a payload, one page of a partition at a time, as it may have the next payload as well. */
     private Future<byte[]> readNewest(Partition partition, String key) {
-        // A page starts after a given key; this one precedes the wanted key, with hardly any other in between.
-        String predecessor = key.substring(0, key.length() - 1);
-        return store.newest(partition, predecessor).compose(page -> {
-            keepAll(page);
+        Future<byte[]> previous = pageReads.getOrDefault(partition, Future.succeededFuture());
+        Future<byte[]> read = previous.transform(done -> {
+            byte[] cached = cache.getIfPresent(key);
+            return cached == null ? readPage(partition, key) : Future.succeededFuture(cached);
+        });
+        pageReads.put(partition, read);
+        return read.onComplete(done -> pageReads.remove(partition, read));
+    }
+
+    private Future<byte[]> readPage(Partition partition, String key) {
+        // A page starts after a given key: the one without the last character precedes the wanted key.
+        return store.newest(partition, key.substring(0, key.length() - 1)).compose(page -> {
+            page.records().forEach(record -> cache.put(record.key(), record.value()));
             return find(page.records(), key)
                     .map(Future::succeededFuture)
                     .orElseGet(() -> Future.failedFuture(
@@ -196,10 +229,6 @@
         });
     }
 
-    private void keepAll(KeyedPage page) {
-        page.records().forEach(record -> cache.put(record.key(), record.value()));
-    }
-
     private static Optional<byte[]> find(List<KeyedRecord> records, String key) {
         return records.stream()
                 .filter(record -> record.key().equals(key) && !record.deletion())
@@ -207,26 +236,47 @@
                 .findFirst();
     }
 
-    /** A payload to delete. */
-    record Entry(String name, PayloadRef ref) {}
+    /** Deletes a payload; one that stays because the store does not answer takes space until its job is deleted. */
+    void delete(String name, PayloadRef ref) {
+        delete(partition(ref.getPartition()), List.of(key(name, ref.getNonce())));
+    }
+
+    /** Deletes the payloads of a job, those to which no record refers included. */
+    void deleteAll(String job) {
+        Partition partition = partition(partitionNumber(job));
+        deleteAfter(partition, "/" + job + "/", "");
+    }
 
-    /** Deletes payloads of one job; one that stays because the store does not answer takes space, but does no harm. */
-    void delete(List<Entry> entries) {
-        if (entries.isEmpty()) {
+    private void deleteAfter(Partition partition, String jobInKey, String after) {
+        store.newest(partition, after)
+                .onSuccess(page -> {
+                    List<String> keys = page.records().stream()
+                            .map(KeyedRecord::key)
+                            .filter(key -> key.contains(jobInKey))
+                            .toList();
+                    delete(partition, keys);
+                    if (page.hasMore() && !page.records().isEmpty()) {
+                        deleteAfter(
+                                partition,
+                                jobInKey,
+                                page.records().get(page.records().size() - 1).key());
+                    }
+                })
+                .onFailure(failure -> logNotDeleted(partition, failure));
+    }
+
+    private void delete(Partition partition, List<String> keys) {
+        if (keys.isEmpty()) {
             return;
         }
-        Partition partition = new Partition(TOPIC, entries.get(0).ref().getPartition());
-        List<KeyedRecord> deletions = entries.stream()
-                .map(entry -> new KeyedRecord(key(entry.name(), entry.ref().getNonce()), new byte[0]))
-                .toList();
+        cache.invalidateAll(keys);
+        List<KeyedRecord> deletions =
+                keys.stream().map(key -> new KeyedRecord(key, new byte[0])).toList();
         store.append(partition, MetadataStore.ANY_END, deletions)
-                .onFailure(failure -> log.event(
-                        ServingEvent.PAYLOAD_NOT_DELETED,
-                        "partition",
-                        partition,
-                        "payloads",
-                        deletions.size(),
-                        "message",
-                        failure.getMessage()));
+                .onFailure(failure -> logNotDeleted(partition, failure));
+    }
+
+    private void logNotDeleted(Partition partition, Throwable failure) {
+        log.event(ServingEvent.PAYLOAD_NOT_DELETED, "partition", partition, "message", failure.getMessage());
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -163,9 +163,13 @@
             return;
         }
         List<Runnable> waiting = waitingReaders.computeIfAbsent(job.id(), id -> new ArrayList<>());
-        Runnable reply = () -> sendAvailableResults(job, after, response);
+        Timers.Timer[] timeout = new Timers.Timer[1];
+        Runnable reply = () -> {
+            timeout[0].cancel();
+            sendAvailableResults(job, after, response);
+        };
         waiting.add(reply);
-        timers.after(wait, () -> {
+        timeout[0] = timers.after(wait, () -> {
             Optional.ofNullable(waitingReaders.get(job.id())).ifPresent(replies -> {
                 replies.remove(reply);
                 if (replies.isEmpty()) {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
@@ -94,11 +94,13 @@
 
     private long payloadKeys() {
         long keys = 0;
-        for (int i = 0; i < PAYLOAD_PARTITIONS; i++) {
-            keys += store.newest(new Partition(PayloadStore.TOPIC, i), "")
-                    .result()
-                    .records()
-                    .size();
+        for (int topic = 0; topic < PayloadStore.TOPICS; topic++) {
+            for (int i = 0; i < PAYLOAD_PARTITIONS; i++) {
+                keys += store.newest(new Partition("payloads-" + topic, i), "")
+                        .result()
+                        .records()
+                        .size();
+            }
         }
         return keys;
     }
@@ -128,6 +130,45 @@
         assertEquals(List.of(OUTPUT), restarted.outputs());
     }
 
+    /** Without history, each read returns a page; ten results of a job must not take ten of them. */
+    @Test
+    void resultsOfAJobTakeOnePageAfterTheHistoryHasExpired() {
+        first.accept(10, 0);
+        for (int i = 0; i < 10; i++) {
+            first.jobs.addResult(new ItemRef("j", i), true, OUTPUT + i);
+        }
+        Node restarted = new Node();
+        store.expireHistory();
+        int before = store.pageReads();
+        assertEquals(10, restarted.outputs().size());
+        assertEquals(before + 1, store.pageReads());
+    }
+
+    /** Guards against outputs that take all connections to a store that does not answer. */
+    @Test
+    void writesThatTheStoreDoesNotAnswerAreBounded() {
+        first.accept(200, 0);
+        store.down(true);
+        int before = appends();
+        for (int i = 0; i < 200; i++) {
+            first.jobs.addResult(new ItemRef("j", i), true, OUTPUT + i);
+        }
+        assertTrue(appends() - before <= 8, appends() - before + " appends at once");
+        time.advance(Duration.ofSeconds(1));
+        store.down(false);
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(0, first.jobs.pendingWrites());
+        assertEquals(200, first.job().resultCount());
+    }
+
+    private int appends() {
+        int appends = 0;
+        for (int topic = 0; topic < PayloadStore.TOPICS; topic++) {
+            appends += store.appends("payloads-" + topic);
+        }
+        return appends;
+    }
+
     @Test
     void unreadableContentIsAFailureAndIsReadAgainLater() {
         first.accept(1, 0);
