Read up to the end of the partition in PartitionFollower.refresh

A caller got 404 for an accepted job, or 200 for a cancellation that was not recorded, from a node whose partition lagged by more than one response of the store (1 MB).

Cause: refresh read once and ignored LogSlice.endOffset. BatchCallHandler answers 404 after one refresh, and JobStore.cancel treats an unknown job as done.

refresh now reads until the end that the first response stated. Records appended after that response are not waited for, so the number of reads is bounded. A response without progress fails the refresh, as the store then contradicts itself and a further read could repeat without end.

Evidence, before: JobStoreTest.refreshFindsJobBeyondTheFirstSlice "expected: <true> but was: <false>", PartitionFollowerTest.refreshReadsUpToTheEndOfThePartition "expected: <[a, b, c]> but was: <[a, b]>". That a node lags by 1 MB in practice was not shown.

--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -153,21 +153,38 @@
     }
 
     /**
-     * Reads up to the current end of the partition.
+     * Reads up to the current end of the partition, which may take several reads.
      *
-     * @return a future that fails if the partition has not been loaded or the read fails
+     * @return a future that fails if the partition has not been loaded or a read fails
      */
     public Future<Void> refresh() {
         if (nextOffset < 0) {
             return Future.failedFuture(
                     new StoreException(StoreException.Reason.REJECTED, partition + " has not been loaded yet"));
         }
-        return store.read(partition, nextOffset, Duration.ZERO).map(slice -> {
-            handleSlice(slice);
-            return null;
+        return readNext().compose(slice -> readUpTo(slice.endOffset()));
+    }
+
+    /** Reads up to an offset that the store has stated as the partition's end. */
+    private Future<Void> readUpTo(long endOffset) {
+        if (nextOffset >= endOffset) {
+            return Future.succeededFuture();
+        }
+        long offset = nextOffset;
+        return readNext().compose(slice -> {
+            if (nextOffset <= offset) {
+                return Future.failedFuture(new StoreException(
+                        StoreException.Reason.MALFORMED,
+                        partition + " ends at " + endOffset + ", but has no record at " + offset));
+            }
+            return readUpTo(endOffset);
         });
     }
 
+    private Future<LogSlice> readNext() {
+        return store.read(partition, nextOffset, Duration.ZERO).onSuccess(this::handleSlice);
+    }
+
     private void handleSlice(LogSlice slice) {
         int handled = (int) Math.max(0, Math.min(slice.records().size(), nextOffset - slice.firstOffset()));
         for (KeyedRecord record :
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
 import dev.lavenderline.proto.jobs.ItemResult;
 import dev.lavenderline.proto.jobs.JobItem;
@@ -18,6 +19,7 @@
 import dev.lavenderline.serving.store.FakeStore.AppendOutcome;
 import dev.lavenderline.serving.store.Partition;
 import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -267,4 +269,31 @@
         assertEquals(40, job.itemCount());
         assertEquals("i39", job.item(39).orElseThrow().getId());
     }
+
+    /** Returns the hash by which the store assigns a job to a partition. */
+    private static int hash(String job) {
+        return Hashing.murmur3_32_fixed()
+                .hashString(job, StandardCharsets.UTF_8)
+                .asInt();
+    }
+
+    /** Guards against a 404 response for an accepted job when this node lags by more than one response of the store. */
+    @Test
+    void refreshFindsJobBeyondTheFirstSlice() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        JobStore other = startStore(otherLedger);
+        store.holdPolls(true);
+        accept(jobs, "j", 3, 0);
+        for (int i = 0; i < 3; i++) {
+            jobs.addResult(new ItemRef("j", i), true, "");
+        }
+        String newJob = "k";
+        while (Math.floorMod(hash(newJob), 2) != Math.floorMod(hash("j"), 2)) {
+            newJob += "k";
+        }
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, newJob, 1, 0).result());
+        store.sliceSize(2);
+        assertTrue(other.refresh(newJob).succeeded());
+        assertTrue(otherLedger.find(newJob).isPresent());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -42,6 +42,7 @@
     private int readsAt;
     private boolean expired;
     private int pageSize = Integer.MAX_VALUE;
+    private int sliceSize = Integer.MAX_VALUE;
     private final Set<Integer> failedPageReads = new HashSet<>();
 
     /** Sets the outcome of the next appends; later ones are normal. */
@@ -64,6 +65,11 @@
         pageSize = records;
     }
 
+    /** Sets the largest number of records in the response to a read. */
+    public void sliceSize(int records) {
+        sliceSize = records;
+    }
+
     /** Lets reads of pages, counted from 1, fail without a response. */
     public void failPageReads(Integer... reads) {
         failedPageReads.addAll(List.of(reads));
@@ -102,7 +108,8 @@
             return promise.future();
         }
         int firstOffset = (int) Math.min(from, log.size());
-        return Future.succeededFuture(new LogSlice(firstOffset, log.subList(firstOffset, log.size()), log.size()));
+        int endOffset = (int) Math.min((long) firstOffset + sliceSize, log.size());
+        return Future.succeededFuture(new LogSlice(firstOffset, log.subList(firstOffset, endOffset), log.size()));
     }
 
     @Override
--- a/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
@@ -93,4 +93,15 @@
         time.advance(Duration.ofSeconds(1));
         assertEquals(List.of("a", "b", "c", "a2"), delivered);
     }
+
+    /** Guards against a lookup that ends in a 404 response because only the first part of the new records was read. */
+    @Test
+    void refreshReadsUpToTheEndOfThePartition() {
+        store.holdPolls(true);
+        follower.start();
+        append("a", "b", "c");
+        store.sliceSize(2);
+        assertTrue(follower.refresh().succeeded());
+        assertEquals(List.of("a", "b", "c"), delivered);
+    }
 }
