Refuse a job for the limit only if it is not and will not be in the store

Callers got 429, the promise that the job does not run, for a job that - was in the store, but the response to its append was lost, - was appended later, as the store executed an append that had got no response, - had been accepted by another node, whose records this node had not read.

Cause: JobStore.accept decided on the state that the node had read, which lags by up to one poll, and ConditionalWriter completed a change without records as DONE even if an earlier append of the change had no response.

A refusal is now a result of its own (Change.refused, Result.REFUSED). ConditionalWriter returns it only after a read up to the partition's end that began after the change was submitted, and not while an append of a change of this name may still be executed. Appends without a response are kept by name until the follower has read past their offset; from then on the append was read or fails its condition. Until then the change is appended again, whatever the limit: the job fitted when it was sent first, and only this shows whether it was executed. It may exceed the limit by that job. The check before the payload is written follows the same rule, also for an append of an earlier submission that was abandoned. The read is limited by the time limit of the submission; if it fails, the outcome is NOT_APPENDED.

A job that fits needs no read; a refusal needs one, where it needed none before.

Evidence, before (JobStoreTest): appendedJobIsNotOverLimitAfterLostResponse "expected: not equal but was: <OVER_LIMIT>", jobIsNotOverLimitWhileItsAppendMayStillBeExecuted "expected: not equal but was: <OVER_LIMIT>", jobAcceptedByAnotherNodeIsNotOverLimit "expected: <ACCEPTED> but was: <OVER_LIMIT>", resubmittedJobIsNotOverLimitWhileItsAbandonedAppendMayStillBeExecuted "expected: not equal but was: <OVER_LIMIT>", jobIsNotOverLimitWhileThePartitionCannotBeRead "expected: <NOT_APPENDED> but was: <OVER_LIMIT>", acceptingAJobWithinTheLimitReadsNothing "expected: <3> but was: <2>" (the read before a refusal). jobIsOverLimitOnceItsAppendCanNoLongerBeExecuted passed before and guards the other direction.

FakeStore can now set the outcome of appends to one topic, as a job's payload is appended before its record.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -22,6 +22,7 @@
 import dev.lavenderline.serving.store.PartitionFollower;
 import dev.lavenderline.serving.store.StoreException;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -54,6 +55,7 @@
     private static final int MAX_RESPONSE_BYTES = 900_000;
 
     private final Ticker ticker;
+    private final Timers timers;
     private final JobLedger ledger;
     private final int maxRecordBytes;
     private final PayloadStore payloads;
@@ -92,6 +94,7 @@
             Supplier<Duration> pause,
             LongSupplier nonces) {
         this.ticker = ticker;
+        this.timers = timers;
         this.ledger = ledger;
         this.maxRecordBytes = maxRecordBytes;
         this.payloads = new PayloadStore(store, ticker, timers, log, payloadPartitions, nonces);
@@ -169,9 +172,25 @@
         if (ledger.find(submission.id()).isPresent()) {
             return Future.succeededFuture(Acceptance.ACCEPTED);
         }
-        if (overLimit(submission, route)) {
-            return Future.succeededFuture(Acceptance.OVER_LIMIT);
+        if (!overLimit(submission, route)) {
+            return write(submission, route, metadata, timeout);
         }
+        // The state may lag: another node may have accepted this job, or results may have been added.
+        long started = ticker.nanos();
+        return refresh(submission.id(), timeout)
+                .compose(read -> {
+                    if (ledger.find(submission.id()).isPresent()) {
+                        return Future.succeededFuture(Acceptance.ACCEPTED);
+                    }
+                    if (overLimit(submission, route) && !mayBeAppended(submission.id())) {
+                        return Future.succeededFuture(Acceptance.OVER_LIMIT);
+                    }
+                    return write(submission, route, metadata, timeout.minusNanos(ticker.nanos() - started));
+                })
+                .recover(failure -> Future.succeededFuture(Acceptance.NOT_APPENDED));
+    }
+
+    private Future<Acceptance> write(JobSubmission submission, Route route, JobPart metadata, Duration timeout) {
         long started = ticker.nanos();
         List<Future<JobPart>> parts = JobRecords.parts(metadata, submission.items(), maxRecordBytes).stream()
                 .map(part -> writeContent(part, timeout))
@@ -182,6 +201,25 @@
                 .recover(failure -> Future.succeededFuture(Acceptance.NOT_APPENDED));
     }
 
+    /** Reads the partition of a job up to its current end; fails with a {@link StoreException} after a limit. */
+    private Future<Void> refresh(String job, Duration limit) {
+        Promise<Void> promise = Promise.promise();
+        Timers.Timer timer = timers.after(
+                limit,
+                () -> promise.tryFail(new StoreException(StoreException.Reason.UNKNOWN, "not read within " + limit)));
+        refresh(job).onSuccess(promise::tryComplete).onFailure(promise::tryFail);
+        return promise.future().onComplete(done -> timer.cancel());
+    }
+
+    /** Returns whether the store may still execute an append of a job, such as one of an earlier submission. */
+    private boolean mayBeAppended(String job) {
+        return writer(job).mayBeExecuted(changeName(job));
+    }
+
+    private static String changeName(String job) {
+        return "job/" + job;
+    }
+
     private Future<JobPart> writeContent(JobPart part, Duration timeout) {
         byte[] content =
                 JobItems.newBuilder().addAllItems(part.getItemsList()).build().toByteArray();
@@ -198,29 +236,33 @@
     }
 
     private Future<Acceptance> appendJob(JobSubmission submission, Route route, List<JobPart> parts, Duration timeout) {
-        boolean[] overLimit = new boolean[1];
-        ConditionalWriter.Change change = reservations -> {
-            if (ledger.find(submission.id()).isPresent()) {
-                overLimit[0] = false;
-                return Optional.of(List.of());
+        ConditionalWriter.Change change = new ConditionalWriter.Change() {
+            @Override
+            public Optional<List<KeyedRecord>> records(ConditionalWriter.Reservations reservations) {
+                if (ledger.find(submission.id()).isPresent()) {
+                    return Optional.of(List.of());
+                }
+                if (reservations.take(changeName(submission.id())) > 0) {
+                    return Optional.empty();
+                }
+                return Optional.of(parts.stream().map(JobRecords::part).toList());
             }
-            if (reservations.take("job/" + submission.id()) > 0) {
-                return Optional.empty();
+
+            @Override
+            public boolean refused() {
+                return ledger.find(submission.id()).isEmpty() && overLimit(submission, route);
             }
-            overLimit[0] = overLimit(submission, route);
-            return Optional.of(
-                    overLimit[0]
-                            ? List.of()
-                            : parts.stream().map(JobRecords::part).toList());
         };
-        Future<ConditionalWriter.Result> appended = writer(submission.id()).submit(change, timeout);
+        Future<ConditionalWriter.Result> appended =
+                writer(submission.id()).submit(changeName(submission.id()), change, timeout);
         appended.onSuccess(result -> {
             if (result != ConditionalWriter.Result.UNKNOWN) {
                 payloads.delete(unused(submission.id(), parts));
             }
         });
         return appended.map(result -> switch (result) {
-            case DONE -> overLimit[0] ? Acceptance.OVER_LIMIT : Acceptance.ACCEPTED;
+            case DONE -> Acceptance.ACCEPTED;
+            case REFUSED -> Acceptance.OVER_LIMIT;
             case NOT_APPENDED -> Acceptance.NOT_APPENDED;
             case UNKNOWN -> Acceptance.UNKNOWN;
         });
@@ -304,6 +346,7 @@
     public Future<Boolean> cancel(String job, Duration timeout) {
         return writer(job)
                 .submit(
+                        "end/" + job,
                         reservations -> {
                             boolean cancelled =
                                     ledger.find(job).map(Job::cancelled).orElse(true);
@@ -339,15 +382,17 @@
             return Optional.of(
                     List.of(JobRecords.result(result.setPosition(position).build())));
         };
-        return writer(item.job()).submit(change, WRITE_TIMEOUT).map(outcome -> {
-            if (outcome == ConditionalWriter.Result.DONE
-                    && result.hasPayload()
-                    && !refersTo(item, result.getPayload())) {
-                payloads.delete(List.of(
-                        new PayloadStore.Entry(JobRecords.resultKey(item.job(), item.index()), result.getPayload())));
-            }
-            return outcome == ConditionalWriter.Result.DONE;
-        });
+        return writer(item.job())
+                .submit("result/" + item, change, WRITE_TIMEOUT)
+                .map(outcome -> {
+                    if (outcome == ConditionalWriter.Result.DONE
+                            && result.hasPayload()
+                            && !refersTo(item, result.getPayload())) {
+                        payloads.delete(List.of(new PayloadStore.Entry(
+                                JobRecords.resultKey(item.job(), item.index()), result.getPayload())));
+                    }
+                    return outcome == ConditionalWriter.Result.DONE;
+                });
     }
 
     private boolean refersTo(ItemRef item, PayloadRef payload) {
@@ -363,6 +408,7 @@
                 ledger.find(job).map(JobStore::payloadsOf).orElse(List.of());
         return writer(job)
                 .submit(
+                        "deletion/" + job,
                         reservations -> Optional.of(
                                 ledger.find(job).map(JobRecords::deletions).orElse(List.of())),
                         WRITE_TIMEOUT)
@@ -401,6 +447,8 @@
                     .setFailures(newCount)
                     .build())));
         };
-        return writer(item.job()).submit(change, WRITE_TIMEOUT).map(result -> result == ConditionalWriter.Result.DONE);
+        return writer(item.job())
+                .submit("failures/" + item + "/" + newCount, change, WRITE_TIMEOUT)
+                .map(result -> result == ConditionalWriter.Result.DONE);
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Appends records to a partition on the condition that nothing was appended since it was last read.
@@ -20,8 +22,9 @@
  * is evaluated again after each conflict and after each append without a response, so it has to detect that it is
  * already in effect. Waiting changes are batched into one append.
  *
- * <p>Invariant: at most one append is in progress, and each states the offset up to which the follower has read. Not
- * thread-safe; confined to the event loop.
+ * <p>Invariants: at most one append is in progress, and each states the offset up to which the follower has read. A
+ * change is refused only if the partition was read up to its end since it was submitted and no append of it can still be
+ * executed. Not thread-safe; confined to the event loop.
  */
 public final class ConditionalWriter {
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
@@ -35,7 +38,15 @@
     private final Ticker ticker;
     private final Timers timers;
     private final Deque<PendingChange> waiting = new ArrayDeque<>();
-    private boolean appending;
+
+    /** Names of the changes whose append is in progress. */
+    private Set<String> appending = Set.of();
+
+    /**
+     * By the name of a change, the end of the records of its last append without a response. Once the follower has read
+     * up to there, the append has been read or its condition no longer holds.
+     */
+    private final Map<String, Long> unansweredEnds = new HashMap<>();
 
     /** A change of the partition. */
     public interface Change {
@@ -46,6 +57,11 @@
          * @param reservations reservations of earlier changes of the same append
          */
         Optional<List<KeyedRecord>> records(Reservations reservations);
+
+        /** Returns whether the change must not be appended in the current state; false if it is in effect. */
+        default boolean refused() {
+            return false;
+        }
     }
 
     /** Numbers reserved by the changes of one append, as the state lacks these changes so far. Not thread-safe. */
@@ -62,6 +78,8 @@
     public enum Result {
         /** The records are in the partition, or the state called for none. */
         DONE,
+        /** The change was refused; nothing was or will be appended. */
+        REFUSED,
         /** The time limit passed; nothing was or will be appended. */
         NOT_APPENDED,
         /** The time limit passed; the records may have been or may still be appended. */
@@ -69,13 +87,21 @@
     }
 
     private static final class PendingChange {
+        final String name;
         final Change change;
         final long deadlineNanos;
         final Promise<Result> promise = Promise.promise();
         boolean inProgress;
         boolean maybeAppended;
 
-        PendingChange(Change change, long deadlineNanos) {
+        /** Whether a read up to the partition's end is in progress, before which the change is not evaluated. */
+        boolean reading;
+
+        /** Whether the partition was read up to its end since the change was submitted or its last append failed. */
+        boolean readToEnd;
+
+        PendingChange(String name, Change change, long deadlineNanos) {
+            this.name = name;
             this.change = change;
             this.deadlineNanos = deadlineNanos;
         }
@@ -93,10 +119,11 @@
     /**
      * Submits a change.
      *
+     * @param name identifies the change; changes of the same name have the same effect
      * @param limit time after which the change is abandoned
      */
-    public Future<Result> submit(Change change, Duration limit) {
-        PendingChange pending = new PendingChange(change, ticker.nanos() + limit.toNanos());
+    public Future<Result> submit(String name, Change change, Duration limit) {
+        PendingChange pending = new PendingChange(name, change, ticker.nanos() + limit.toNanos());
         waiting.add(pending);
         // Also expires changes whose deadline passes while an append is in progress.
         timers.after(limit, this::expireOverdue);
@@ -109,6 +136,14 @@
         return waiting.size();
     }
 
+    /**
+     * Returns whether an append of a change of this name, possibly one that was abandoned, may still be executed or has
+     * not been read.
+     */
+    public boolean mayBeExecuted(String name) {
+        return appending.contains(name) || unansweredEnds.getOrDefault(name, -1L) > follower.nextOffset();
+    }
+
     private void expireOverdue() {
         long now = ticker.nanos();
         waiting.removeIf(pending -> {
@@ -122,10 +157,11 @@
     }
 
     private void appendNext() {
-        if (appending || waiting.isEmpty() || follower.nextOffset() < 0) {
+        if (!appending.isEmpty() || waiting.isEmpty() || follower.nextOffset() < 0) {
             return;
         }
         List<PendingChange> batch = new ArrayList<>();
+        List<PendingChange> unread = new ArrayList<>();
         List<KeyedRecord> records = new ArrayList<>();
         Reservations reservations = new Reservations();
         int bytes = 0;
@@ -133,6 +169,19 @@
             if (bytes >= APPEND_BATCH_BYTES) {
                 break;
             }
+            if (pending.reading) {
+                continue;
+            }
+            // A change that may be executed is appended again: only that shows whether it was.
+            if (!mayBeExecuted(pending.name) && pending.change.refused()) {
+                if (pending.readToEnd) {
+                    waiting.remove(pending);
+                    pending.promise.tryComplete(Result.REFUSED);
+                } else {
+                    unread.add(pending);
+                }
+                continue;
+            }
             Optional<List<KeyedRecord>> changeRecords = pending.change.records(reservations);
             if (changeRecords.isEmpty()) {
                 continue;
@@ -151,14 +200,36 @@
         if (!batch.isEmpty()) {
             append(batch, records);
         }
+        if (!unread.isEmpty()) {
+            readToEnd(unread);
+        }
+    }
+
+    /** Reads up to the partition's end, then evaluates changes again. */
+    private void readToEnd(List<PendingChange> changes) {
+        changes.forEach(pending -> pending.reading = true);
+        follower.refresh().onComplete(read -> {
+            changes.forEach(pending -> {
+                pending.reading = false;
+                pending.readToEnd = read.succeeded();
+            });
+            if (read.succeeded()) {
+                appendNext();
+            } else {
+                timers.after(RETRY_DELAY, this::appendNext);
+            }
+        });
     }
 
     private void append(List<PendingChange> batch, List<KeyedRecord> records) {
         long offset = follower.nextOffset();
-        appending = true;
-        batch.forEach(pending -> pending.inProgress = true);
+        appending = batch.stream().map(pending -> pending.name).collect(Collectors.toSet());
+        batch.forEach(pending -> {
+            pending.inProgress = true;
+            pending.readToEnd = false;
+        });
         store.append(partition, offset, records).onComplete(response -> {
-            appending = false;
+            appending = Set.of();
             batch.forEach(pending -> pending.inProgress = false);
             if (response.succeeded()) {
                 follower.handleAppended(offset, records);
@@ -171,17 +242,15 @@
             }
             StoreException.Reason reason = StoreException.reasonOf(response.cause());
             if (reason != StoreException.Reason.REJECTED && reason != StoreException.Reason.CONFLICT) {
-                batch.forEach(pending -> pending.maybeAppended = true);
+                unansweredEnds.values().removeIf(end -> end <= follower.nextOffset());
+                batch.forEach(pending -> {
+                    pending.maybeAppended = true;
+                    unansweredEnds.put(pending.name, offset + records.size());
+                });
             }
             expireOverdue();
             if (reason == StoreException.Reason.CONFLICT) {
-                follower.refresh().onComplete(refreshed -> {
-                    if (refreshed.succeeded()) {
-                        appendNext();
-                    } else {
-                        timers.after(RETRY_DELAY, this::appendNext);
-                    }
-                });
+                readToEnd(batch);
                 return;
             }
             timers.after(RETRY_DELAY, this::appendNext);
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.hash.Hashing;
@@ -277,6 +278,119 @@
                 .asInt();
     }
 
+    /** Returns a job id whose records are in a partition. */
+    private static String jobInPartition(int partition) {
+        for (int i = 0; ; i++) {
+            if (Math.floorMod(hash("job" + i), 2) == partition) {
+                return "job" + i;
+            }
+        }
+    }
+
+    private boolean stored(String job) {
+        return store.log(new Partition(JobStore.TOPIC, 0)).stream()
+                        .anyMatch(record -> record.key().equals("job/" + job + "/0"))
+                || store.log(new Partition(JobStore.TOPIC, 1)).stream()
+                        .anyMatch(record -> record.key().equals("job/" + job + "/0"));
+    }
+
+    /** Guards against a 429 response to a job that is in the store because only the append's response was lost. */
+    @Test
+    void appendedJobIsNotOverLimitAfterLostResponse() {
+        String first = jobInPartition(0);
+        store.holdPolls(true);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.ANSWER_LOST);
+        Future<Acceptance> accepted = accept(jobs, first, 3, 400);
+        assertTrue(stored(first));
+        accept(jobs, jobInPartition(1), 2, 400);
+        time.advance(TIMEOUT.plusMillis(200));
+        assertNotEquals(Acceptance.OVER_LIMIT, accepted.result());
+    }
+
+    /** Guards against a 429 response to a job whose first append the store executes later. */
+    @Test
+    void jobIsNotOverLimitWhileItsAppendMayStillBeExecuted() {
+        String first = jobInPartition(0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> accepted = accept(jobs, first, 3, 400);
+        accept(jobs, jobInPartition(1), 2, 400);
+        time.advance(TIMEOUT.plusMillis(200));
+        store.executeLateAppends();
+        assertTrue(stored(first));
+        assertNotEquals(Acceptance.OVER_LIMIT, accepted.result());
+    }
+
+    /** Guards against a 429 response to a resubmitted job whose abandoned append the store executes later. */
+    @Test
+    void resubmittedJobIsNotOverLimitWhileItsAbandonedAppendMayStillBeExecuted() {
+        String first = jobInPartition(0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> abandoned = jobs.accept(submission(first, 3), route(400), "host", Duration.ofMillis(100));
+        time.advance(Duration.ofMillis(100));
+        assertEquals(Acceptance.UNKNOWN, abandoned.result());
+        accept(jobs, jobInPartition(1), 2, 400);
+        Future<Acceptance> repeated = accept(jobs, first, 3, 400);
+        time.advance(TIMEOUT.plusMillis(200));
+        store.executeLateAppends();
+        assertTrue(stored(first));
+        assertNotEquals(Acceptance.OVER_LIMIT, repeated.result());
+    }
+
+    /** Guards against a job that stays above the limit of the route because one of its appends got no response. */
+    @Test
+    void jobIsOverLimitOnceItsAppendCanNoLongerBeExecuted() {
+        String first = jobInPartition(0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> accepted = accept(jobs, first, 3, 400);
+        JobStore other = startStore(new JobLedger(time, EventLog.NONE));
+        String second = "other";
+        while (Math.floorMod(hash(second), 2) != 0) {
+            second += "r";
+        }
+        assertEquals(Acceptance.ACCEPTED, accept(other, second, 2, 400).result());
+        time.advance(TIMEOUT.plusMillis(200));
+        store.executeLateAppends();
+        assertFalse(stored(first));
+        assertEquals(Acceptance.OVER_LIMIT, accepted.result());
+    }
+
+    /** Guards against a 429 response to a resubmitted job that another node has just accepted. */
+    @Test
+    void jobAcceptedByAnotherNodeIsNotOverLimit() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        accept(jobs, "a", 4, 400);
+        JobStore other = startStore(otherLedger);
+        store.holdPolls(true);
+        jobs.addResult(new ItemRef("a", 0), true, "");
+        jobs.addResult(new ItemRef("a", 1), true, "");
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "b", 2, 400).result());
+        Future<Acceptance> repeated = accept(other, "b", 2, 400);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.ACCEPTED, repeated.result());
+    }
+
+    /** Guards against a 429 response that rests on a state in which another node's job is missing. */
+    @Test
+    void jobIsNotOverLimitWhileThePartitionCannotBeRead() {
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 4, 400).result());
+        store.down(true);
+        Future<Acceptance> accepted = accept(jobs, "b", 2, 400);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.NOT_APPENDED, accepted.result());
+    }
+
+    /** Guards against reads for each accepted job; the platform limits the rate of reads and charges for them. */
+    @Test
+    void acceptingAJobWithinTheLimitReadsNothing() {
+        store.holdPolls(true);
+        time.advance(Duration.ofSeconds(1));
+        int before = store.reads();
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 4, 400).result());
+        assertEquals(before, store.reads());
+        assertEquals(Acceptance.OVER_LIMIT, accept(jobs, "b", 2, 400).result());
+        assertEquals(before + 1, store.reads());
+    }
+
     /** Guards against a 404 response for an accepted job when this node lags by more than one response of the store. */
     @Test
     void refreshFindsJobBeyondTheFirstSlice() {
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -33,11 +33,13 @@
 
     private final Map<Partition, List<KeyedRecord>> logs = new HashMap<>();
     private final Deque<AppendOutcome> nextOutcomes = new ArrayDeque<>();
+    private final Map<String, Deque<AppendOutcome>> nextOutcomesByTopic = new HashMap<>();
     private final List<Runnable> lateAppends = new ArrayList<>();
     private final List<Runnable> waitingPolls = new ArrayList<>();
     private boolean down;
     private boolean holdPolls;
     private final Map<String, Integer> appends = new HashMap<>();
+    private int reads;
     private int pageReads;
     private int readsAt;
     private boolean expired;
@@ -50,6 +52,11 @@
         nextOutcomes.addAll(List.of(outcomes));
     }
 
+    /** Sets the outcome of the next appends to a topic; later ones are normal. */
+    public void nextAppends(String topic, AppendOutcome... outcomes) {
+        nextOutcomesByTopic.computeIfAbsent(topic, key -> new ArrayDeque<>()).addAll(List.of(outcomes));
+    }
+
     /** Sets whether all calls fail without a response. */
     public void down(boolean value) {
         down = value;
@@ -75,6 +82,11 @@
         failedPageReads.addAll(List.of(reads));
     }
 
+    /** Returns the number of reads, excluding those of pages and those at an offset. */
+    public int reads() {
+        return reads;
+    }
+
     /** Returns the number of reads of pages. */
     public int pageReads() {
         return pageReads;
@@ -98,6 +110,7 @@
 
     @Override
     public Future<LogSlice> read(Partition partition, long from, Duration wait) {
+        reads++;
         if (down) {
             return noResponse();
         }
@@ -160,7 +173,8 @@
         if (down) {
             return noResponse();
         }
-        AppendOutcome outcome = nextOutcomes.isEmpty() ? AppendOutcome.NORMAL : nextOutcomes.poll();
+        Deque<AppendOutcome> outcomes = nextOutcomesByTopic.getOrDefault(partition.topic(), nextOutcomes);
+        AppendOutcome outcome = outcomes.isEmpty() ? AppendOutcome.NORMAL : outcomes.poll();
         if (outcome == AppendOutcome.REJECTED) {
             return Future.failedFuture(new StoreException(StoreException.Reason.REJECTED, "busy"));
         }
