Do not report a resubmitted job as not appended while it may be

A caller who submitted a job again to the same node got 503, the promise that the job does not run, while the append of the first submission had no response yet and could be executed.

Cause: a second change for the same job waits for the first and is never sent itself, so ConditionalWriter completes it with NOT_APPENDED when its time has passed. The same held for a second submission whose payload was not written.

JobStore now reports a submission that appended nothing as UNKNOWN while an append of the same job may be executed, which ConditionalWriter knows by the name of the change, and as ACCEPTED if the job has been read. Payloads of the second submission are still deleted, since no append refers to them.

Evidence, before: "expected: <UNKNOWN> but was: <NOT_APPENDED>" in JobStoreTest resubmittedJobIsNotReportedAsNotAppendedWhileItsFirstAppendMayBeExecuted and resubmittedJobWithoutPayloadIsNotReportedAsNotAppendedWhileItsFirstAppendMayBeExecuted.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -187,7 +187,7 @@
                     }
                     return write(submission, route, metadata, timeout.minusNanos(ticker.nanos() - started));
                 })
-                .recover(failure -> Future.succeededFuture(Acceptance.NOT_APPENDED));
+                .recover(failure -> Future.succeededFuture(outcomeWithoutAppend(submission.id())));
     }
 
     private Future<Acceptance> write(JobSubmission submission, Route route, JobPart metadata, Duration timeout) {
@@ -198,7 +198,7 @@
         return Future.join(parts)
                 .map(written -> parts.stream().map(Future::result).toList())
                 .compose(stored -> appendJob(submission, route, stored, timeout.minusNanos(ticker.nanos() - started)))
-                .recover(failure -> Future.succeededFuture(Acceptance.NOT_APPENDED));
+                .recover(failure -> Future.succeededFuture(outcomeWithoutAppend(submission.id())));
     }
 
     /** Reads the partition of a job up to its current end; fails with a {@link StoreException} after a limit. */
@@ -216,6 +216,14 @@
         return writer(job).mayBeExecuted(changeName(job));
     }
 
+    /** Returns the outcome of a submission that appended nothing; an earlier one of the same job may have. */
+    private Acceptance outcomeWithoutAppend(String job) {
+        if (ledger.find(job).isPresent()) {
+            return Acceptance.ACCEPTED;
+        }
+        return mayBeAppended(job) ? Acceptance.UNKNOWN : Acceptance.NOT_APPENDED;
+    }
+
     private static String changeName(String job) {
         return "job/" + job;
     }
@@ -263,7 +271,7 @@
         return appended.map(result -> switch (result) {
             case DONE -> Acceptance.ACCEPTED;
             case REFUSED -> Acceptance.OVER_LIMIT;
-            case NOT_APPENDED -> Acceptance.NOT_APPENDED;
+            case NOT_APPENDED -> outcomeWithoutAppend(submission.id());
             case UNKNOWN -> Acceptance.UNKNOWN;
         });
     }
--- a/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
@@ -80,7 +80,7 @@
         DONE,
         /** The change was refused; nothing was or will be appended. */
         REFUSED,
-        /** The time limit passed; nothing was or will be appended. */
+        /** The time limit passed; the change was not and will not be appended, but another of its name may be. */
         NOT_APPENDED,
         /** The time limit passed; the records may have been or may still be appended. */
         UNKNOWN
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -379,6 +379,33 @@
         assertEquals(Acceptance.NOT_APPENDED, accepted.result());
     }
 
+    /** Guards against a 503 response, which promises that the job will not run, while an earlier append may succeed. */
+    @Test
+    void resubmittedJobIsNotReportedAsNotAppendedWhileItsFirstAppendMayBeExecuted() {
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.HANGING);
+        Future<Acceptance> first = accept(jobs, "j", 1, 0);
+        Future<Acceptance> repeated = accept(jobs, "j", 1, 0);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.UNKNOWN, first.result());
+        assertEquals(Acceptance.UNKNOWN, repeated.result());
+    }
+
+    /** Guards against the same promise when the payload of the second submission can't be written. */
+    @Test
+    void resubmittedJobWithoutPayloadIsNotReportedAsNotAppendedWhileItsFirstAppendMayBeExecuted() {
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> first = jobs.accept(submission("j", 4), route(0), "host", Duration.ofMillis(100));
+        time.advance(Duration.ofMillis(100));
+        assertEquals(Acceptance.UNKNOWN, first.result());
+        store.down(true);
+        Future<Acceptance> repeated = accept(jobs, "j", 4, 0);
+        time.advance(TIMEOUT);
+        store.down(false);
+        store.executeLateAppends();
+        assertTrue(stored("j"));
+        assertEquals(Acceptance.UNKNOWN, repeated.result());
+    }
+
     /** Guards against reads for each accepted job; the platform limits the rate of reads and charges for them. */
     @Test
     void acceptingAJobWithinTheLimitReadsNothing() {
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -28,7 +28,9 @@
         /** Not executed; the store reports the rejection. */
         REJECTED,
         /** No response; executed by {@link #executeLateAppends}, if the condition holds then. */
-        LATE
+        LATE,
+        /** Not executed, and neither a response nor a failure arrives. */
+        HANGING
     }
 
     private final Map<Partition, List<KeyedRecord>> logs = new HashMap<>();
@@ -178,6 +180,9 @@
         if (outcome == AppendOutcome.REJECTED) {
             return Future.failedFuture(new StoreException(StoreException.Reason.REJECTED, "busy"));
         }
+        if (outcome == AppendOutcome.HANGING) {
+            return Promise.<Long>promise().future();
+        }
         if (outcome == AppendOutcome.LATE) {
             lateAppends.add(() -> execute(partition, expectedEnd, records));
             return noResponse();
