Forget jobs that a reload of their partition no longer contains

A node that was cut off while a job was deleted and the history expired kept the job. If it was open there, its tokens counted towards the limit of the route (429) and its items ran again, until a cleaner deleted it once more.

Cause: the listener of JobStore applied the records of a reset, but did not remove jobs that are no longer in the list, as KeyedListener.reset requires.

JobLedger.reset removes the jobs of the partition of which the list has no part, and the records read before their job. Other partitions are not touched. Jobs that stay keep their state, so results and cancellations that are known are not announced again. A removed job that was open here ended elsewhere; the listeners of cancellations are called for it, so that its runs stop. The id in a key is now what precedes the last slash: for an id with slashes, a reset would otherwise forget a job that exists, and a deletion had no effect.

A job that was deleted and submitted again while the node was cut off keeps the results that it had.

Evidence, before (JobStoreTest): jobDeletedBeforeReloadIsForgotten "expected: <[j2]> but was: <[j, j2]>", listenersLearnOnceOfWhatAReloadShows "expected: <[cancelled, job0]> but was: <[cancelled]>", reloadOfOnePartitionKeepsTheJobsOfTheOther and idWithSlashesIsFoundInKeys "expected: <true> but was: <false>".

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
@@ -13,10 +13,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * State of the batch jobs, built from the records of the job topic. All nodes that have read the same records have the
@@ -62,13 +65,34 @@
         }
     }
 
+    /**
+     * Applies the newest record of each key of a partition and forgets the jobs of that partition of which no part is
+     * among them. Jobs that stay keep their state, so that listeners are only called for what is new.
+     *
+     * @param inPartition whether the records of the job with this id are in the partition
+     */
+    public void reset(List<KeyedRecord> current, Predicate<String> inPartition) {
+        Set<String> existing = new HashSet<>();
+        current.forEach(record -> JobRecords.jobOfPart(record.key()).ifPresent(existing::add));
+        Predicate<String> deleted = id -> inPartition.test(id) && !existing.contains(id);
+        // A job is only deleted after it ended, so runs of its items are pointless.
+        List<Job> missed = jobs.values().stream()
+                .filter(job -> deleted.test(job.id()) && job.open())
+                .toList();
+        jobs.keySet().removeIf(deleted);
+        // All records that exist are in the list.
+        recordsBeforeJob.keySet().removeIf(inPartition);
+        openJobsStale = true;
+        missed.forEach(job -> cancelListeners.forEach(listener -> listener.accept(job)));
+        current.forEach(this::apply);
+    }
+
     private void delete(String key) {
-        String[] segments = key.split("/", 3);
-        if (segments.length >= 2 && segments[0].equals("job")) {
-            jobs.remove(segments[1]);
-            recordsBeforeJob.remove(segments[1]);
+        JobRecords.jobOfPart(key).ifPresent(id -> {
+            jobs.remove(id);
+            recordsBeforeJob.remove(id);
             openJobsStale = true;
-        }
+        });
     }
 
     private void apply(JobRecord record) {
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -10,9 +10,12 @@
 import dev.lavenderline.serving.store.KeyedRecord;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Builds the keyed records of the job topic. Stateless and thread-safe. */
 final class JobRecords {
+    private static final String PART_PREFIX = "job/";
+
     private JobRecords() {}
 
     /**
@@ -52,7 +55,15 @@
     }
 
     static String key(JobPart part) {
-        return "job/" + part.getJob() + "/" + part.getPart();
+        return PART_PREFIX + part.getJob() + "/" + part.getPart();
+    }
+
+    /** Returns the id of the job, which may contain slashes, if the key is that of a part. */
+    static Optional<String> jobOfPart(String key) {
+        int idEnd = key.lastIndexOf('/');
+        return key.startsWith(PART_PREFIX) && idEnd >= PART_PREFIX.length()
+                ? Optional.of(key.substring(PART_PREFIX.length(), idEnd))
+                : Optional.empty();
     }
 
     static String resultKey(String job, int item) {
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -98,10 +98,20 @@
         this.ledger = ledger;
         this.maxRecordBytes = maxRecordBytes;
         this.payloads = new PayloadStore(store, ticker, timers, log, payloadPartitions, nonces);
-        KeyedListener listener = new KeyedListener() {
+        for (int i = 0; i < partitions; i++) {
+            Partition partition = new Partition(TOPIC, i);
+            PartitionFollower follower =
+                    new PartitionFollower(store, partition, listener(partition), ticker, timers, log, POLL_WAIT, pause);
+            followers.add(follower);
+            writers.add(new ConditionalWriter(store, partition, follower, ticker, timers));
+        }
+    }
+
+    private KeyedListener listener(Partition partition) {
+        return new KeyedListener() {
             @Override
             public void reset(List<KeyedRecord> current) {
-                current.forEach(ledger::apply);
+                ledger.reset(current, job -> partition(job) == partition.number());
             }
 
             @Override
@@ -109,13 +119,6 @@
                 ledger.apply(newer);
             }
         };
-        for (int i = 0; i < partitions; i++) {
-            Partition partition = new Partition(TOPIC, i);
-            PartitionFollower follower =
-                    new PartitionFollower(store, partition, listener, ticker, timers, log, POLL_WAIT, pause);
-            followers.add(follower);
-            writers.add(new ConditionalWriter(store, partition, follower, ticker, timers));
-        }
     }
 
     /** Starts reading all partitions. */
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -24,6 +24,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Guards against lost or duplicate jobs and results when appends are lost, delayed, rejected or concurrent. */
@@ -418,6 +419,101 @@
         assertEquals(before + 1, store.reads());
     }
 
+    /** Guards against a node that keeps running the items of a job deleted while it was cut off from the store. */
+    @Test
+    void jobDeletedBeforeReloadIsForgotten() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        accept(jobs, "j", 2, 0);
+        startStore(otherLedger);
+        store.holdPolls(true);
+        jobs.cancel("j", TIMEOUT);
+        assertTrue(jobs.delete("j").result());
+        accept(jobs, "j2", 1, 0);
+        store.expireHistory(new Partition(JobStore.TOPIC, 0));
+        store.expireHistory(new Partition(JobStore.TOPIC, 1));
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find("j2").isPresent(), "the partition was read again");
+        assertEquals(
+                List.of("j2"), otherLedger.openByDueTime().stream().map(Job::id).toList());
+    }
+
+    /** Guards against runs that go on for a job whose cancellation and deletion this node has not read. */
+    @Test
+    void listenersLearnOnceOfWhatAReloadShows() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        List<String> results = new ArrayList<>();
+        List<String> cancelled = new ArrayList<>();
+        otherLedger.onResult(result -> results.add(result.getJob() + "/" + result.getItem()));
+        otherLedger.onCancelled(job -> cancelled.add(job.id()));
+        String deleted = jobInPartition(0);
+        accept(jobs, deleted, 2, 0);
+        for (String id : List.of("kept", "cancelled", "ended")) {
+            accept(jobs, id, 2, 0);
+            jobs.addResult(new ItemRef(id, 0), true, "a");
+        }
+        jobs.cancel("ended", TIMEOUT);
+        startStore(otherLedger);
+        results.clear();
+        cancelled.clear();
+        store.holdPolls(true);
+        jobs.cancel(deleted, TIMEOUT);
+        assertTrue(jobs.delete(deleted).result());
+        assertTrue(jobs.delete("ended").result());
+        jobs.cancel("cancelled", TIMEOUT);
+        jobs.addResult(new ItemRef("kept", 1), true, "b");
+        for (int i = 0; i < 2; i++) {
+            store.expireHistory(new Partition(JobStore.TOPIC, i));
+        }
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("kept/1"), results);
+        assertEquals(Set.of(deleted, "cancelled"), Set.copyOf(cancelled));
+        assertEquals(2, cancelled.size());
+        assertEquals(List.of("a", "b"), outputs(otherLedger, "kept"));
+    }
+
+    /** Guards against keys of which the job's id can't be found, so that a deleted job stays or a kept one is lost. */
+    @Test
+    void idWithSlashesIsFoundInKeys() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        List<String> cancelled = new ArrayList<>();
+        otherLedger.onCancelled(job -> cancelled.add(job.id()));
+        accept(jobs, "a/b", 1, 0);
+        startStore(otherLedger);
+        store.holdPolls(true);
+        accept(jobs, "a/b/c", 1, 0);
+        for (int i = 0; i < 2; i++) {
+            store.expireHistory(new Partition(JobStore.TOPIC, i));
+        }
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find("a/b").isPresent());
+        assertEquals(List.of(), cancelled);
+        assertTrue(jobs.delete("a/b").result());
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find("a/b").isEmpty());
+    }
+
+    /** Guards against a node that loses the jobs of one partition when it reads another one again. */
+    @Test
+    void reloadOfOnePartitionKeepsTheJobsOfTheOther() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        String first = jobInPartition(0);
+        String second = jobInPartition(1);
+        accept(jobs, first, 1, 0);
+        accept(jobs, second, 1, 0);
+        startStore(otherLedger);
+        store.holdPolls(true);
+        jobs.cancel(first, TIMEOUT);
+        assertTrue(jobs.delete(first).result());
+        store.expireHistory(new Partition(JobStore.TOPIC, 0));
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find(first).isEmpty());
+        assertTrue(otherLedger.find(second).isPresent());
+    }
+
     /** Guards against a 404 response for an accepted job when this node lags by more than one response of the store. */
     @Test
     void refreshFindsJobBeyondTheFirstSlice() {
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -47,6 +47,7 @@
     private boolean expired;
     private int pageSize = Integer.MAX_VALUE;
     private int sliceSize = Integer.MAX_VALUE;
+    private final Map<Partition, Integer> firstOffsets = new HashMap<>();
     private final Set<Integer> failedPageReads = new HashSet<>();
 
     /** Sets the outcome of the next appends; later ones are normal. */
@@ -69,6 +70,14 @@
         holdPolls = value;
     }
 
+    /** Answers the waiting polls; further polls do not wait if records are available. */
+    public void releasePolls() {
+        holdPolls = false;
+        List<Runnable> polls = List.copyOf(waitingPolls);
+        waitingPolls.clear();
+        polls.forEach(Runnable::run);
+    }
+
     /** Sets the largest number of records in a page of newest records. */
     public void pageSize(int records) {
         pageSize = records;
@@ -122,6 +131,9 @@
             waitingPolls.add(() -> read(partition, from, Duration.ZERO).onComplete(promise));
             return promise.future();
         }
+        if (from < firstOffsets.getOrDefault(partition, 0)) {
+            return Future.failedFuture(new StoreException(StoreException.Reason.EXPIRED, "expired"));
+        }
         int firstOffset = (int) Math.min(from, log.size());
         int endOffset = (int) Math.min((long) firstOffset + sliceSize, log.size());
         return Future.succeededFuture(new LogSlice(firstOffset, log.subList(firstOffset, endOffset), log.size()));
@@ -140,6 +152,11 @@
         return Future.succeededFuture(new LogSlice(offset, List.of(log.get((int) offset)), log.size()));
     }
 
+    /** Lets the records of a partition expire; the newest record of each key is kept. */
+    public void expireHistory(Partition partition) {
+        firstOffsets.put(partition, log(partition).size());
+    }
+
     /** Lets reads at an offset find that the record has expired. */
     public void expireHistory() {
         expired = true;
