Test that a known job is accepted again while an append is in progress

A caller who submitted an accepted job again got 503, or a late 202, from a node that had read the job, as ConditionalWriter evaluates no change while an append is in progress. JobStore.accept has returned early for a known job since contents of jobs were moved out of the job topic; this test guards it.

Evidence: passes; with both checks for a known job removed from JobStore on a trial copy it fails with "expected: <ACCEPTED> but was: <NOT_APPENDED>".

--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -407,6 +407,17 @@
         assertEquals(Acceptance.UNKNOWN, repeated.result());
     }
 
+    /** Guards against a 503 response to a resubmitted job that this node knows, while another append has no response. */
+    @Test
+    void knownJobIsAcceptedAgainWhileAnotherAppendIsInProgress() {
+        accept(jobs, "j", 2, 0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.HANGING);
+        jobs.addResult(new ItemRef("j", 0), true, "");
+        Future<Acceptance> repeated = accept(jobs, "j", 2, 0);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.ACCEPTED, repeated.result());
+    }
+
     /** Guards against reads for each accepted job; the platform limits the rate of reads and charges for them. */
     @Test
     void acceptingAJobWithinTheLimitReadsNothing() {
