Let the response to the job's record be lost in the test that guards it

Since contents of jobs are payloads, the lost response in recognizesOwnRecordAfterLostResponse was that of the payload, and no test covered a lost response to the job's record. The outcome now names the job topic, and the test checks that the record was executed.

Evidence, with the outcome for any topic and the new check: "only the response was lost ==> expected: <true> but was: <false>".

--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -110,9 +110,10 @@
 
     @Test
     void recognizesOwnRecordAfterLostResponse() {
-        store.nextAppends(AppendOutcome.ANSWER_LOST);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.ANSWER_LOST);
         Future<Acceptance> accepted = accept(jobs, "j", 3, 0);
         assertFalse(accepted.isComplete());
+        assertTrue(stored("j"), "only the response was lost");
         time.advance(Duration.ofMillis(500));
         assertEquals(Acceptance.ACCEPTED, accepted.result());
         assertEquals(3, ledger.find("j").orElseThrow().itemCount());
