--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -22,6 +22,7 @@
 import dev.lavenderline.serving.store.PartitionFollower;
 import dev.lavenderline.serving.store.StoreException;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -54,6 +55,7 @@
     private static final int MAX_RESPONSE_BYTES = 900_000;
 
     private final Ticker ticker;
+    private final Timers timers;
     private final JobLedger ledger;
     private final int maxRecordBytes;
     private final PayloadStore payloads;
@@ -92,13 +94,24 @@
             Supplier<Duration> pause,
             LongSupplier nonces) {
         this.ticker = ticker;
+        this.timers = timers;
         this.ledger = ledger;
         this.maxRecordBytes = maxRecordBytes;
         this.payloads = new PayloadStore(store, timers, log, payloadPartitions, nonces);
-        KeyedListener listener = new KeyedListener() {
+        for (int i = 0; i < partitions; i++) {
+            Partition partition = new Partition(TOPIC, i);
+            PartitionFollower follower =
+                    new PartitionFollower(store, partition, listener(partition), ticker, timers, log, POLL_WAIT, pause);
+            followers.add(follower);
+            writers.add(new ConditionalWriter(store, partition, follower, ticker, timers));
+        }
+    }
+
+    private KeyedListener listener(Partition partition) {
+        return new KeyedListener() {
             @Override
             public void reset(List<KeyedRecord> current) {
-                current.forEach(ledger::apply);
+                ledger.reset(current, job -> partition(job) == partition.number());
             }
 
             @Override
@@ -106,13 +119,6 @@
                 ledger.apply(newer);
             }
         };
-        for (int i = 0; i < partitions; i++) {
-            Partition partition = new Partition(TOPIC, i);
-            PartitionFollower follower =
-                    new PartitionFollower(store, partition, listener, ticker, timers, log, POLL_WAIT, pause);
-            followers.add(follower);
-            writers.add(new ConditionalWriter(store, partition, follower, ticker, timers));
-        }
     }
 
     /** Starts reading all partitions. */
@@ -169,9 +175,25 @@
         if (ledger.find(submission.id()).isPresent()) {
             return Future.succeededFuture(Acceptance.ACCEPTED);
         }
-        if (overLimit(submission, route)) {
-            return Future.succeededFuture(Acceptance.OVER_LIMIT);
+        if (!overLimit(submission, route)) {
+            return write(submission, route, metadata, timeout);
         }
+        // The state may lag: another node may have accepted this job, or results may have been added.
+        long started = ticker.nanos();
+        return refresh(submission.id(), timeout)
+                .compose(read -> {
+                    if (ledger.find(submission.id()).isPresent()) {
+                        return Future.succeededFuture(Acceptance.ACCEPTED);
+                    }
+                    if (overLimit(submission, route) && !mayBeAppended(submission.id())) {
+                        return Future.succeededFuture(Acceptance.OVER_LIMIT);
+                    }
+                    return write(submission, route, metadata, timeout.minusNanos(ticker.nanos() - started));
+                })
+                .recover(failure -> Future.succeededFuture(outcomeWithoutAppend(submission.id())));
+    }
+
+    private Future<Acceptance> write(JobSubmission submission, Route route, JobPart metadata, Duration timeout) {
         long deadlineNanos = ticker.nanos() + timeout.toNanos();
         List<Future<JobPart>> writes = JobRecords.parts(metadata, submission.items(), maxRecordBytes).stream()
                 .map(part -> writeContent(part, timeout))
@@ -184,12 +206,39 @@
             long leftNanos = deadlineNanos - ticker.nanos();
             if (done.failed() || leftNanos <= 0) {
                 deleteUnused(submission.id(), written);
-                return Future.succeededFuture(Acceptance.NOT_APPENDED);
+                return Future.succeededFuture(outcomeWithoutAppend(submission.id()));
             }
             return appendJob(submission, route, written, Duration.ofNanos(leftNanos));
         });
     }
 
+    /** Reads the partition of a job up to its current end; fails with a {@link StoreException} after a limit. */
+    private Future<Void> refresh(String job, Duration limit) {
+        Promise<Void> promise = Promise.promise();
+        Timers.Timer timer = timers.after(
+                limit,
+                () -> promise.tryFail(new StoreException(StoreException.Reason.UNKNOWN, "not read within " + limit)));
+        refresh(job).onSuccess(promise::tryComplete).onFailure(promise::tryFail);
+        return promise.future().onComplete(done -> timer.cancel());
+    }
+
+    /** Returns whether the store may still execute an append of a job, such as one of an earlier submission. */
+    private boolean mayBeAppended(String job) {
+        return writer(job).mayBeExecuted(changeName(job));
+    }
+
+    /** Returns the outcome of a submission that appended nothing; an earlier one of the same job may have. */
+    private Acceptance outcomeWithoutAppend(String job) {
+        if (ledger.find(job).isPresent()) {
+            return Acceptance.ACCEPTED;
+        }
+        return mayBeAppended(job) ? Acceptance.UNKNOWN : Acceptance.NOT_APPENDED;
+    }
+
+    private static String changeName(String job) {
+        return "job/" + job;
+    }
+
     private Future<JobPart> writeContent(JobPart part, Duration timeout) {
         byte[] content =
                 JobItems.newBuilder().addAllItems(part.getItemsList()).build().toByteArray();
@@ -206,30 +255,34 @@
     }
 
     private Future<Acceptance> appendJob(JobSubmission submission, Route route, List<JobPart> parts, Duration timeout) {
-        boolean[] overLimit = new boolean[1];
-        ConditionalWriter.Change change = reservations -> {
-            if (ledger.find(submission.id()).isPresent()) {
-                overLimit[0] = false;
-                return Optional.of(List.of());
+        ConditionalWriter.Change change = new ConditionalWriter.Change() {
+            @Override
+            public Optional<List<KeyedRecord>> records(ConditionalWriter.Reservations reservations) {
+                if (ledger.find(submission.id()).isPresent()) {
+                    return Optional.of(List.of());
+                }
+                if (reservations.take(changeName(submission.id())) > 0) {
+                    return Optional.empty();
+                }
+                return Optional.of(parts.stream().map(JobRecords::part).toList());
             }
-            if (reservations.take("job/" + submission.id()) > 0) {
-                return Optional.empty();
+
+            @Override
+            public boolean refused() {
+                return ledger.find(submission.id()).isEmpty() && overLimit(submission, route);
             }
-            overLimit[0] = overLimit(submission, route);
-            return Optional.of(
-                    overLimit[0]
-                            ? List.of()
-                            : parts.stream().map(JobRecords::part).toList());
         };
-        Future<ConditionalWriter.Result> appended = writer(submission.id()).submit(change, timeout);
+        Future<ConditionalWriter.Result> appended =
+                writer(submission.id()).submit(changeName(submission.id()), change, timeout);
         appended.onSuccess(result -> {
             if (result != ConditionalWriter.Result.UNKNOWN) {
                 deleteUnused(submission.id(), parts);
             }
         });
         return appended.map(result -> switch (result) {
-            case DONE -> overLimit[0] ? Acceptance.OVER_LIMIT : Acceptance.ACCEPTED;
-            case NOT_APPENDED -> Acceptance.NOT_APPENDED;
+            case DONE -> Acceptance.ACCEPTED;
+            case REFUSED -> Acceptance.OVER_LIMIT;
+            case NOT_APPENDED -> outcomeWithoutAppend(submission.id());
             case UNKNOWN -> Acceptance.UNKNOWN;
         });
     }
@@ -311,6 +364,7 @@
     public Future<Boolean> cancel(String job, Duration timeout) {
         return writer(job)
                 .submit(
+                        "end/" + job,
                         reservations -> {
                             boolean cancelled =
                                     ledger.find(job).map(Job::cancelled).orElse(true);
@@ -346,13 +400,16 @@
             return Optional.of(
                     List.of(JobRecords.result(result.setPosition(position).build())));
         };
-        return writer(item.job()).submit(change, WRITE_TIMEOUT).map(outcome -> {
-            boolean unused = outcome != ConditionalWriter.Result.UNKNOWN && !refersTo(item, result.getPayload());
-            if (result.hasPayload() && unused) {
-                payloads.delete(JobRecords.resultKey(item.job(), item.index()), result.getPayload());
-            }
-            return outcome == ConditionalWriter.Result.DONE;
-        });
+        return writer(item.job())
+                .submit("result/" + item, change, WRITE_TIMEOUT)
+                .map(outcome -> {
+                    boolean unused =
+                            outcome != ConditionalWriter.Result.UNKNOWN && !refersTo(item, result.getPayload());
+                    if (result.hasPayload() && unused) {
+                        payloads.delete(JobRecords.resultKey(item.job(), item.index()), result.getPayload());
+                    }
+                    return outcome == ConditionalWriter.Result.DONE;
+                });
     }
 
     private boolean refersTo(ItemRef item, PayloadRef payload) {
@@ -366,6 +423,7 @@
     public Future<Boolean> delete(String job) {
         return writer(job)
                 .submit(
+                        "deletion/" + job,
                         reservations -> Optional.of(
                                 ledger.find(job).map(JobRecords::deletions).orElse(List.of())),
                         WRITE_TIMEOUT)
@@ -392,6 +450,8 @@
                     .setFailures(newCount)
                     .build())));
         };
-        return writer(item.job()).submit(change, WRITE_TIMEOUT).map(result -> result == ConditionalWriter.Result.DONE);
+        return writer(item.job())
+                .submit("failures/" + item + "/" + newCount, change, WRITE_TIMEOUT)
+                .map(result -> result == ConditionalWriter.Result.DONE);
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
 import dev.lavenderline.proto.jobs.ItemResult;
 import dev.lavenderline.proto.jobs.JobItem;
@@ -18,9 +20,11 @@
 import dev.lavenderline.serving.store.FakeStore.AppendOutcome;
 import dev.lavenderline.serving.store.Partition;
 import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Guards against lost or duplicate jobs and results when appends are lost, delayed, rejected or concurrent. */
@@ -106,9 +110,10 @@
 
     @Test
     void recognizesOwnRecordAfterLostResponse() {
-        store.nextAppends(AppendOutcome.ANSWER_LOST);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.ANSWER_LOST);
         Future<Acceptance> accepted = accept(jobs, "j", 3, 0);
         assertFalse(accepted.isComplete());
+        assertTrue(stored("j"), "only the response was lost");
         time.advance(Duration.ofMillis(500));
         assertEquals(Acceptance.ACCEPTED, accepted.result());
         assertEquals(3, ledger.find("j").orElseThrow().itemCount());
@@ -267,4 +272,277 @@
         assertEquals(40, job.itemCount());
         assertEquals("i39", job.item(39).orElseThrow().getId());
     }
+
+    /** Returns the hash by which the store assigns a job to a partition. */
+    private static int hash(String job) {
+        return Hashing.murmur3_32_fixed()
+                .hashString(job, StandardCharsets.UTF_8)
+                .asInt();
+    }
+
+    /** Returns a job id whose records are in a partition. */
+    private static String jobInPartition(int partition) {
+        for (int i = 0; ; i++) {
+            if (Math.floorMod(hash("job" + i), 2) == partition) {
+                return "job" + i;
+            }
+        }
+    }
+
+    private boolean stored(String job) {
+        return store.log(new Partition(JobStore.TOPIC, 0)).stream()
+                        .anyMatch(record -> record.key().equals("job/" + job + "/0"))
+                || store.log(new Partition(JobStore.TOPIC, 1)).stream()
+                        .anyMatch(record -> record.key().equals("job/" + job + "/0"));
+    }
+
+    /** Guards against a 429 response to a job that is in the store because only the append's response was lost. */
+    @Test
+    void appendedJobIsNotOverLimitAfterLostResponse() {
+        String first = jobInPartition(0);
+        store.holdPolls(true);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.ANSWER_LOST);
+        Future<Acceptance> accepted = accept(jobs, first, 3, 400);
+        assertTrue(stored(first));
+        accept(jobs, jobInPartition(1), 2, 400);
+        time.advance(TIMEOUT.plusMillis(200));
+        assertNotEquals(Acceptance.OVER_LIMIT, accepted.result());
+    }
+
+    /** Guards against a 429 response to a job whose first append the store executes later. */
+    @Test
+    void jobIsNotOverLimitWhileItsAppendMayStillBeExecuted() {
+        String first = jobInPartition(0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> accepted = accept(jobs, first, 3, 400);
+        accept(jobs, jobInPartition(1), 2, 400);
+        time.advance(TIMEOUT.plusMillis(200));
+        store.executeLateAppends();
+        assertTrue(stored(first));
+        assertNotEquals(Acceptance.OVER_LIMIT, accepted.result());
+    }
+
+    /** Guards against a 429 response to a resubmitted job whose abandoned append the store executes later. */
+    @Test
+    void resubmittedJobIsNotOverLimitWhileItsAbandonedAppendMayStillBeExecuted() {
+        String first = jobInPartition(0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> abandoned = jobs.accept(submission(first, 3), route(400), "host", Duration.ofMillis(100));
+        time.advance(Duration.ofMillis(100));
+        assertEquals(Acceptance.UNKNOWN, abandoned.result());
+        accept(jobs, jobInPartition(1), 2, 400);
+        Future<Acceptance> repeated = accept(jobs, first, 3, 400);
+        time.advance(TIMEOUT.plusMillis(200));
+        store.executeLateAppends();
+        assertTrue(stored(first));
+        assertNotEquals(Acceptance.OVER_LIMIT, repeated.result());
+    }
+
+    /** Guards against a job that stays above the limit of the route because one of its appends got no response. */
+    @Test
+    void jobIsOverLimitOnceItsAppendCanNoLongerBeExecuted() {
+        String first = jobInPartition(0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> accepted = accept(jobs, first, 3, 400);
+        JobStore other = startStore(new JobLedger(time, EventLog.NONE));
+        String second = "other";
+        while (Math.floorMod(hash(second), 2) != 0) {
+            second += "r";
+        }
+        assertEquals(Acceptance.ACCEPTED, accept(other, second, 2, 400).result());
+        time.advance(TIMEOUT.plusMillis(200));
+        store.executeLateAppends();
+        assertFalse(stored(first));
+        assertEquals(Acceptance.OVER_LIMIT, accepted.result());
+    }
+
+    /** Guards against a 429 response to a resubmitted job that another node has just accepted. */
+    @Test
+    void jobAcceptedByAnotherNodeIsNotOverLimit() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        accept(jobs, "a", 4, 400);
+        JobStore other = startStore(otherLedger);
+        store.holdPolls(true);
+        jobs.addResult(new ItemRef("a", 0), true, "");
+        jobs.addResult(new ItemRef("a", 1), true, "");
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "b", 2, 400).result());
+        Future<Acceptance> repeated = accept(other, "b", 2, 400);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.ACCEPTED, repeated.result());
+    }
+
+    /** Guards against a 429 response that rests on a state in which another node's job is missing. */
+    @Test
+    void jobIsNotOverLimitWhileThePartitionCannotBeRead() {
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 4, 400).result());
+        store.down(true);
+        Future<Acceptance> accepted = accept(jobs, "b", 2, 400);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.NOT_APPENDED, accepted.result());
+    }
+
+    /** Guards against a 503 response, which promises that the job will not run, while an earlier append may succeed. */
+    @Test
+    void resubmittedJobIsNotReportedAsNotAppendedWhileItsFirstAppendMayBeExecuted() {
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.HANGING);
+        Future<Acceptance> first = accept(jobs, "j", 1, 0);
+        Future<Acceptance> repeated = accept(jobs, "j", 1, 0);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.UNKNOWN, first.result());
+        assertEquals(Acceptance.UNKNOWN, repeated.result());
+    }
+
+    /** Guards against the same promise when the payload of the second submission can't be written. */
+    @Test
+    void resubmittedJobWithoutPayloadIsNotReportedAsNotAppendedWhileItsFirstAppendMayBeExecuted() {
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        Future<Acceptance> first = jobs.accept(submission("j", 4), route(0), "host", Duration.ofMillis(100));
+        time.advance(Duration.ofMillis(100));
+        assertEquals(Acceptance.UNKNOWN, first.result());
+        store.down(true);
+        Future<Acceptance> repeated = accept(jobs, "j", 4, 0);
+        time.advance(TIMEOUT);
+        store.down(false);
+        store.executeLateAppends();
+        assertTrue(stored("j"));
+        assertEquals(Acceptance.UNKNOWN, repeated.result());
+    }
+
+    /** Guards against a 503 response to a resubmitted job that this node knows, while another append has no response. */
+    @Test
+    void knownJobIsAcceptedAgainWhileAnotherAppendIsInProgress() {
+        accept(jobs, "j", 2, 0);
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.HANGING);
+        jobs.addResult(new ItemRef("j", 0), true, "");
+        Future<Acceptance> repeated = accept(jobs, "j", 2, 0);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.ACCEPTED, repeated.result());
+    }
+
+    /** Guards against reads for each accepted job; the platform limits the rate of reads and charges for them. */
+    @Test
+    void acceptingAJobWithinTheLimitReadsNothing() {
+        store.holdPolls(true);
+        time.advance(Duration.ofSeconds(1));
+        int before = store.reads();
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 4, 400).result());
+        assertEquals(before, store.reads());
+        assertEquals(Acceptance.OVER_LIMIT, accept(jobs, "b", 2, 400).result());
+        assertEquals(before + 1, store.reads());
+    }
+
+    /** Guards against a node that keeps running the items of a job deleted while it was cut off from the store. */
+    @Test
+    void jobDeletedBeforeReloadIsForgotten() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        accept(jobs, "j", 2, 0);
+        startStore(otherLedger);
+        store.holdPolls(true);
+        jobs.cancel("j", TIMEOUT);
+        assertTrue(jobs.delete("j").result());
+        accept(jobs, "j2", 1, 0);
+        store.expireHistory(new Partition(JobStore.TOPIC, 0));
+        store.expireHistory(new Partition(JobStore.TOPIC, 1));
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find("j2").isPresent(), "the partition was read again");
+        assertEquals(
+                List.of("j2"), otherLedger.openByDueTime().stream().map(Job::id).toList());
+    }
+
+    /** Guards against runs that go on for a job whose cancellation and deletion this node has not read. */
+    @Test
+    void listenersLearnOnceOfWhatAReloadShows() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        List<String> results = new ArrayList<>();
+        List<String> cancelled = new ArrayList<>();
+        otherLedger.onResult(result -> results.add(result.getJob() + "/" + result.getItem()));
+        otherLedger.onCancelled(job -> cancelled.add(job.id()));
+        String deleted = jobInPartition(0);
+        accept(jobs, deleted, 2, 0);
+        for (String id : List.of("kept", "cancelled", "ended")) {
+            accept(jobs, id, 2, 0);
+            jobs.addResult(new ItemRef(id, 0), true, "a");
+        }
+        jobs.cancel("ended", TIMEOUT);
+        startStore(otherLedger);
+        results.clear();
+        cancelled.clear();
+        store.holdPolls(true);
+        jobs.cancel(deleted, TIMEOUT);
+        assertTrue(jobs.delete(deleted).result());
+        assertTrue(jobs.delete("ended").result());
+        jobs.cancel("cancelled", TIMEOUT);
+        jobs.addResult(new ItemRef("kept", 1), true, "b");
+        for (int i = 0; i < 2; i++) {
+            store.expireHistory(new Partition(JobStore.TOPIC, i));
+        }
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("kept/1"), results);
+        assertEquals(Set.of(deleted, "cancelled"), Set.copyOf(cancelled));
+        assertEquals(2, cancelled.size());
+        assertEquals(List.of("a", "b"), outputs(otherLedger, "kept"));
+    }
+
+    /** Guards against keys of which the job's id can't be found, so that a deleted job stays or a kept one is lost. */
+    @Test
+    void idWithSlashesIsFoundInKeys() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        List<String> cancelled = new ArrayList<>();
+        otherLedger.onCancelled(job -> cancelled.add(job.id()));
+        accept(jobs, "a/b", 1, 0);
+        startStore(otherLedger);
+        store.holdPolls(true);
+        accept(jobs, "a/b/c", 1, 0);
+        for (int i = 0; i < 2; i++) {
+            store.expireHistory(new Partition(JobStore.TOPIC, i));
+        }
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find("a/b").isPresent());
+        assertEquals(List.of(), cancelled);
+        assertTrue(jobs.delete("a/b").result());
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find("a/b").isEmpty());
+    }
+
+    /** Guards against a node that loses the jobs of one partition when it reads another one again. */
+    @Test
+    void reloadOfOnePartitionKeepsTheJobsOfTheOther() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        String first = jobInPartition(0);
+        String second = jobInPartition(1);
+        accept(jobs, first, 1, 0);
+        accept(jobs, second, 1, 0);
+        startStore(otherLedger);
+        store.holdPolls(true);
+        jobs.cancel(first, TIMEOUT);
+        assertTrue(jobs.delete(first).result());
+        store.expireHistory(new Partition(JobStore.TOPIC, 0));
+        store.releasePolls();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(otherLedger.find(first).isEmpty());
+        assertTrue(otherLedger.find(second).isPresent());
+    }
+
+    /** Guards against a 404 response for an accepted job when this node lags by more than one response of the store. */
+    @Test
+    void refreshFindsJobBeyondTheFirstSlice() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        JobStore other = startStore(otherLedger);
+        store.holdPolls(true);
+        accept(jobs, "j", 3, 0);
+        for (int i = 0; i < 3; i++) {
+            jobs.addResult(new ItemRef("j", i), true, "");
+        }
+        String newJob = "k";
+        while (Math.floorMod(hash(newJob), 2) != Math.floorMod(hash("j"), 2)) {
+            newJob += "k";
+        }
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, newJob, 1, 0).result());
+        store.sliceSize(2);
+        assertTrue(other.refresh(newJob).succeeded());
+        assertTrue(otherLedger.find(newJob).isPresent());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -28,20 +28,26 @@
         /** Not executed; the store reports the rejection. */
         REJECTED,
         /** No response; executed by {@link #executeLateAppends}, if the condition holds then. */
-        LATE
+        LATE,
+        /** Not executed, and neither a response nor a failure arrives. */
+        HANGING
     }
 
     private final Map<Partition, List<KeyedRecord>> logs = new HashMap<>();
     private final Deque<AppendOutcome> nextOutcomes = new ArrayDeque<>();
+    private final Map<String, Deque<AppendOutcome>> nextOutcomesByTopic = new HashMap<>();
     private final List<Runnable> lateAppends = new ArrayList<>();
     private final List<Runnable> waitingPolls = new ArrayList<>();
     private boolean down;
     private boolean holdPolls;
     private final Map<String, Integer> appends = new HashMap<>();
+    private int reads;
     private int pageReads;
     private int readsAt;
     private boolean expired;
     private int pageSize = Integer.MAX_VALUE;
+    private int sliceSize = Integer.MAX_VALUE;
+    private final Map<Partition, Integer> firstOffsets = new HashMap<>();
     private final Set<Integer> failedPageReads = new HashSet<>();
 
     /** Sets the outcome of the next appends; later ones are normal. */
@@ -49,6 +55,11 @@
         nextOutcomes.addAll(List.of(outcomes));
     }
 
+    /** Sets the outcome of the next appends to a topic; later ones are normal. */
+    public void nextAppends(String topic, AppendOutcome... outcomes) {
+        nextOutcomesByTopic.computeIfAbsent(topic, key -> new ArrayDeque<>()).addAll(List.of(outcomes));
+    }
+
     /** Sets whether all calls fail without a response. */
     public void down(boolean value) {
         down = value;
@@ -59,16 +70,34 @@
         holdPolls = value;
     }
 
+    /** Answers the waiting polls; further polls do not wait if records are available. */
+    public void releasePolls() {
+        holdPolls = false;
+        List<Runnable> polls = List.copyOf(waitingPolls);
+        waitingPolls.clear();
+        polls.forEach(Runnable::run);
+    }
+
     /** Sets the largest number of records in a page of newest records. */
     public void pageSize(int records) {
         pageSize = records;
     }
 
+    /** Sets the largest number of records in the response to a read. */
+    public void sliceSize(int records) {
+        sliceSize = records;
+    }
+
     /** Lets reads of pages, counted from 1, fail without a response. */
     public void failPageReads(Integer... reads) {
         failedPageReads.addAll(List.of(reads));
     }
 
+    /** Returns the number of reads, excluding those of pages and those at an offset. */
+    public int reads() {
+        return reads;
+    }
+
     /** Returns the number of reads of pages. */
     public int pageReads() {
         return pageReads;
@@ -92,6 +121,7 @@
 
     @Override
     public Future<LogSlice> read(Partition partition, long from, Duration wait) {
+        reads++;
         if (down) {
             return noResponse();
         }
@@ -101,8 +131,12 @@
             waitingPolls.add(() -> read(partition, from, Duration.ZERO).onComplete(promise));
             return promise.future();
         }
+        if (from < firstOffsets.getOrDefault(partition, 0)) {
+            return Future.failedFuture(new StoreException(StoreException.Reason.EXPIRED, "expired"));
+        }
         int firstOffset = (int) Math.min(from, log.size());
-        return Future.succeededFuture(new LogSlice(firstOffset, log.subList(firstOffset, log.size()), log.size()));
+        int endOffset = (int) Math.min((long) firstOffset + sliceSize, log.size());
+        return Future.succeededFuture(new LogSlice(firstOffset, log.subList(firstOffset, endOffset), log.size()));
     }
 
     @Override
@@ -118,6 +152,11 @@
         return Future.succeededFuture(new LogSlice(offset, List.of(log.get((int) offset)), log.size()));
     }
 
+    /** Lets the records of a partition expire; the newest record of each key is kept. */
+    public void expireHistory(Partition partition) {
+        firstOffsets.put(partition, log(partition).size());
+    }
+
     /** Lets reads at an offset find that the record has expired. */
     public void expireHistory() {
         expired = true;
@@ -153,10 +192,14 @@
         if (down) {
             return noResponse();
         }
-        AppendOutcome outcome = nextOutcomes.isEmpty() ? AppendOutcome.NORMAL : nextOutcomes.poll();
+        Deque<AppendOutcome> outcomes = nextOutcomesByTopic.getOrDefault(partition.topic(), nextOutcomes);
+        AppendOutcome outcome = outcomes.isEmpty() ? AppendOutcome.NORMAL : outcomes.poll();
         if (outcome == AppendOutcome.REJECTED) {
             return Future.failedFuture(new StoreException(StoreException.Reason.REJECTED, "busy"));
         }
+        if (outcome == AppendOutcome.HANGING) {
+            return Promise.<Long>promise().future();
+        }
         if (outcome == AppendOutcome.LATE) {
             lateAppends.add(() -> execute(partition, expectedEnd, records));
             return noResponse();
