Run items where their content is kept while the store is away

A job's record names the node that accepted it, which has the content in memory. The scheduler prefers that node a little, and gives an item whose content could not be read elsewhere to it, after the usual retry delay. A failed read has a release reason of its own and counts as a decline of the node.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -178,7 +178,7 @@
         }
 
         private void contentNotRead(String cause) {
-            finish(ReleaseReason.ITEM_UNKNOWN, true, "content not read: " + cause);
+            finish(ReleaseReason.CONTENT_UNREADABLE, true, cause);
         }
 
         private void send(JobItem content) {
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
@@ -101,6 +101,11 @@
         return metadata.getHost();
     }
 
+    /** Returns the name of the node that accepted the job, empty if unknown. */
+    public String acceptedBy() {
+        return metadata.getAcceptedBy();
+    }
+
     /** Returns whether all parts of the job have been read. */
     public boolean allPartsRead() {
         return partsRead == metadata.getParts();
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -54,6 +54,7 @@
     /** Limit on the outputs read for one response; the platform limits a response to 1 MB. */
     private static final int MAX_RESPONSE_BYTES = 900_000;
 
+    private final String node;
     private final Ticker ticker;
     private final Timers timers;
     private final JobLedger ledger;
@@ -76,6 +77,7 @@
     /**
      * Creates a job store; {@link #start} begins to read.
      *
+     * @param node name of this node
      * @param partitions number of partitions of the job topic; must be the same on all nodes
      * @param payloadPartitions number of partitions of each payload topic; must be the same on all nodes
      * @param maxRecordBytes size limit of a record
@@ -83,6 +85,7 @@
      * @param nonces numbers that no other node or process draws
      */
     public JobStore(
+            String node,
             MetadataStore store,
             JobLedger ledger,
             Ticker ticker,
@@ -93,6 +96,7 @@
             int maxRecordBytes,
             Supplier<Duration> pause,
             LongSupplier nonces) {
+        this.node = node;
         this.ticker = ticker;
         this.timers = timers;
         this.ledger = ledger;
@@ -171,6 +175,7 @@
                 .setDueInMs((int) route.completionTarget().toMillis())
                 .setRetentionMs((int) route.retention().toMillis())
                 .setAttempts(route.attempts())
+                .setAcceptedBy(node)
                 .build();
         if (ledger.find(submission.id()).isPresent()) {
             return Future.succeededFuture(Acceptance.ACCEPTED);
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
@@ -49,7 +49,8 @@
         }
         for (int i = 0; i < job.itemCount(); i++) {
             if (!job.hasResult(i)
-                    && !visitor.test(new BacklogItem(new ItemRef(job.id(), i), weights, job.dueNanos()))) {
+                    && !visitor.test(
+                            new BacklogItem(new ItemRef(job.id(), i), weights, job.dueNanos(), job.acceptedBy()))) {
                 return false;
             }
         }
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -115,6 +115,7 @@
                 () -> UPSTREAMS_POLL_PAUSE);
         JobLedger ledger = new JobLedger(ticker, log);
         this.jobs = new JobStore(
+                settings.self().name(),
                 store,
                 ledger,
                 ticker,
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
@@ -3,8 +3,10 @@
 import dev.lavenderline.core.Ticker;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * State of batch items that is not part of a lease: completed runs whose results are not recorded yet, retry delays,
@@ -18,6 +20,9 @@
     private final Map<ItemRef, Long> earliestStarts = new HashMap<>();
     private final Map<ItemRef, String> partialOutputNodes = new HashMap<>();
 
+    /** Items whose content some node could not read; the node that accepted their job may have it in memory. */
+    private final Set<ItemRef> unreadable = new HashSet<>();
+
     private record AwaitedResult(String node, long deadlineNanos) {}
 
     ItemProgress(Ticker ticker) {
@@ -51,6 +56,16 @@
         }
     }
 
+    /** Records that a node could not read the content of an item. */
+    void contentUnreadable(ItemRef item) {
+        unreadable.add(item);
+    }
+
+    /** Returns whether some node could not read the content of the item. */
+    boolean unreadable(ItemRef item) {
+        return unreadable.contains(item);
+    }
+
     /** Returns the node that keeps partial output of the item, from which a run can resume. */
     Optional<String> partialOutputNode(ItemRef item) {
         return Optional.ofNullable(partialOutputNodes.get(item));
@@ -59,6 +74,7 @@
     /** Forgets an item because its result is recorded. */
     void resultRecorded(ItemRef item) {
         awaitingResult.remove(item);
+        unreadable.remove(item);
         earliestStarts.remove(item);
         partialOutputNodes.remove(item);
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ReleaseReason.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ReleaseReason.java
@@ -20,6 +20,8 @@
     ITEM_FAILED,
     /** The node does not know the job yet. */
     ITEM_UNKNOWN,
+    /** The node could not read the content of the item from the store. */
+    CONTENT_UNREADABLE,
     /** The node is shutting down. */
     NODE_DECLINED
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -142,6 +142,7 @@
             case OUTCOME_ITEM_FAILED -> ReleaseReason.ITEM_FAILED;
             case OUTCOME_UPSTREAM_FAILED -> ReleaseReason.UPSTREAM_FAILED;
             case OUTCOME_ITEM_UNKNOWN -> ReleaseReason.ITEM_UNKNOWN;
+            case OUTCOME_CONTENT_UNREADABLE -> ReleaseReason.CONTENT_UNREADABLE;
             case OUTCOME_NODE_DECLINED -> ReleaseReason.NODE_DECLINED;
             case OUTCOME_CANCELLED, UNRECOGNIZED -> ReleaseReason.CANCELLED;
         };
@@ -158,6 +159,7 @@
             case ITEM_FAILED -> Outcome.OUTCOME_ITEM_FAILED;
             case UPSTREAM_FAILED -> Outcome.OUTCOME_UPSTREAM_FAILED;
             case ITEM_UNKNOWN -> Outcome.OUTCOME_ITEM_UNKNOWN;
+            case CONTENT_UNREADABLE -> Outcome.OUTCOME_CONTENT_UNREADABLE;
             case NODE_DECLINED -> Outcome.OUTCOME_NODE_DECLINED;
         };
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -69,6 +69,9 @@
      */
     private static final double REMOTE_ITEM_LOAD = 2;
 
+    /** Items per unit of capacity subtracted from the load of the node that accepted a job, which saves a read. */
+    private static final double CONTENT_KEPT_ITEM_LOAD = 3;
+
     /** Number of late items at which a round stops reading the backlog; far more than the slots freed in a round. */
     private static final int MAX_LATE_ITEMS = 200;
 
@@ -377,7 +380,9 @@
 
     private void itemReleased(ItemRef item, Lease lease, ReleaseReason reason, int keptEvents) {
         String node = lease.node().name;
-        boolean declined = reason == ReleaseReason.ITEM_UNKNOWN || reason == ReleaseReason.NODE_DECLINED;
+        boolean declined = reason == ReleaseReason.ITEM_UNKNOWN
+                || reason == ReleaseReason.CONTENT_UNREADABLE
+                || reason == ReleaseReason.NODE_DECLINED;
         boolean ran = reason == ReleaseReason.COMPLETED || reason == ReleaseReason.ITEM_FAILED || keptEvents > 0;
         if (ran && !declined) {
             decliningNodes.ran(node, lease.startNanos());
@@ -386,6 +391,11 @@
             case COMPLETED -> progress.runCompleted(item, node, options.resultTimeout());
             case ITEM_UNKNOWN, NODE_DECLINED ->
                 progress.runInterrupted(item, node, keptEvents, declinedItemDelay(lease));
+            case CONTENT_UNREADABLE -> {
+                decliningNodes.declined(node, lease.startNanos());
+                progress.contentUnreadable(item);
+                progress.runInterrupted(item, node, keptEvents, options.itemRetryDelay());
+            }
             case CANCELLED -> progress.runInterrupted(item, node, keptEvents, Duration.ZERO);
             default -> progress.runInterrupted(item, node, keptEvents, options.itemRetryDelay());
         }
@@ -592,7 +602,7 @@
         if (best == null) {
             return false;
         }
-        NodeState node = chooseNode(item.item(), best.failureDomain());
+        NodeState node = chooseNode(item, best.failureDomain());
         boolean resumed = progress.partialOutputNode(item.item()).isPresent();
         Lease lease = new Lease(
                 node, nextItemLease++, best.id(), Optional.of(item.item()), ticker.nanos(), item.dueNanos(), resumed);
@@ -602,17 +612,26 @@
     }
 
     /**
-     * Returns the node with the item's partial output, else the least loaded one, preferably in the failure domain. A
-     * node that declined items recently counts as loaded by many more.
+     * Returns the node with the item's partial output, else the least loaded one, preferably in the failure domain or the
+     * one that accepted the job. A node that declined items recently counts as loaded by many more. An item whose content
+     * could not be read goes to the node that accepted its job, as that may have it in memory.
      */
-    private NodeState chooseNode(ItemRef item, String failureDomain) {
-        return progress.partialOutputNode(item)
-                .flatMap(leases::node)
-                .orElseGet(() -> leases.nodes().stream()
-                        .min(Comparator.comparingDouble((NodeState node) -> node.itemLoad()
-                                        + (node.failureDomain.equals(failureDomain) ? 0 : REMOTE_ITEM_LOAD)
-                                        + decliningNodes.extraItemLoad(node.name))
-                                .thenComparing(node -> node.name))
-                        .orElseThrow());
+    private NodeState chooseNode(BacklogItem item, String failureDomain) {
+        Optional<NodeState> partialOutput =
+                progress.partialOutputNode(item.item()).flatMap(leases::node);
+        if (partialOutput.isPresent()) {
+            return partialOutput.get();
+        }
+        Optional<NodeState> acceptedBy = leases.node(item.acceptedBy());
+        if (acceptedBy.isPresent() && progress.unreadable(item.item())) {
+            return acceptedBy.get();
+        }
+        return leases.nodes().stream()
+                .min(Comparator.comparingDouble((NodeState node) -> node.itemLoad()
+                                + (node.failureDomain.equals(failureDomain) ? 0 : REMOTE_ITEM_LOAD)
+                                - (node.name.equals(item.acceptedBy()) ? CONTENT_KEPT_ITEM_LOAD : 0)
+                                + decliningNodes.extraItemLoad(node.name))
+                        .thenComparing(node -> node.name))
+                .orElseThrow();
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -32,7 +32,17 @@
     private final UpstreamDirectory directory = new UpstreamDirectory(time);
     private final JobLedger ledger = new JobLedger(time, EventLog.NONE);
     private final JobStore store = new JobStore(
-            new FakeStore(), ledger, time, time, EventLog.NONE, 1, 1, 100_000, () -> Duration.ofMillis(100), () -> 1);
+            "n1",
+            new FakeStore(),
+            ledger,
+            time,
+            time,
+            EventLog.NONE,
+            1,
+            1,
+            100_000,
+            () -> Duration.ofMillis(100),
+            () -> 1);
     private final ServingMetrics metrics = new ServingMetrics();
     private final List<ReleaseReason> releases = new ArrayList<>();
     private final List<String> logged = new ArrayList<>();
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/FleetRestartTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/FleetRestartTest.java
@@ -85,6 +85,7 @@
 
     private JobStore startJobStore(MetadataStore target, JobLedger ledger) {
         JobStore created = new JobStore(
+                "n1",
                 target,
                 ledger,
                 time,
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -40,6 +40,7 @@
 
     private JobStore startStore(JobLedger target) {
         JobStore created = new JobStore(
+                "n1",
                 store,
                 target,
                 time,
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
@@ -38,6 +38,7 @@
     private final class Node {
         final JobLedger ledger = new JobLedger(time, EventLog.NONE);
         final JobStore jobs = new JobStore(
+                "n1",
                 store,
                 ledger,
                 time,
--- a/serving/src/test/java/dev/lavenderline/serving/node/JobCleanerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/JobCleanerTest.java
@@ -28,7 +28,17 @@
     private final ManualTime time = new ManualTime();
     private final JobLedger ledger = new JobLedger(time, EventLog.NONE);
     private final JobStore jobs = new JobStore(
-            new FakeStore(), ledger, time, time, EventLog.NONE, 1, 1, 100_000, () -> Duration.ofMillis(100), () -> 1);
+            "n1",
+            new FakeStore(),
+            ledger,
+            time,
+            time,
+            EventLog.NONE,
+            1,
+            1,
+            100_000,
+            () -> Duration.ofMillis(100),
+            () -> 1);
     private final JobCleaner cleaner = new JobCleaner(ledger, jobs, time, RESULT_RETENTION);
 
     @BeforeEach
--- a/serving/src/test/java/dev/lavenderline/serving/slots/ItemsOfUnreadJobsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ItemsOfUnreadJobsTest.java
@@ -94,7 +94,8 @@
             backlog.add(new BacklogItem(
                     new ItemRef("job" + i / 50, i % 50),
                     Map.of("s", 1),
-                    Duration.ofMinutes(5).toNanos() + i));
+                    Duration.ofMinutes(5).toNanos() + i,
+                    ""));
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
@@ -53,7 +53,8 @@
                     if (!visitor.test(new BacklogItem(
                             new ItemRef("job", i),
                             Map.of("s", 1),
-                            time.nanos() + Duration.ofSeconds(18).toNanos()))) {
+                            time.nanos() + Duration.ofSeconds(18).toNanos(),
+                            ""))) {
                         return;
                     }
                 }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
@@ -55,8 +55,8 @@
                 new UpstreamHealth(ticker),
                 visitor -> {
                     for (int i = 0; i < ITEMS; i++) {
-                        if (!visitor.test(
-                                new BacklogItem(new ItemRef("job" + i / 10, i % 10), Map.of("s", 1), Long.MAX_VALUE))) {
+                        if (!visitor.test(new BacklogItem(
+                                new ItemRef("job" + i / 10, i % 10), Map.of("s", 1), Long.MAX_VALUE, ""))) {
                             return;
                         }
                     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -111,7 +111,8 @@
             backlog.add(new BacklogItem(
                     new ItemRef("job", i),
                     Map.of("s", 1),
-                    Duration.ofSeconds(18).toNanos() + i));
+                    Duration.ofSeconds(18).toNanos() + i,
+                    ""));
         }
     }
 
@@ -168,7 +169,8 @@
             backlog.add(new BacklogItem(
                     new ItemRef("late", i),
                     Map.of("s", 1),
-                    Duration.ofSeconds(1).toNanos()));
+                    Duration.ofSeconds(1).toNanos(),
+                    ""));
         }
         items(SLOTS);
         scheduler.schedule();
@@ -182,7 +184,7 @@
 
     @Test
     void lateItemIsPreemptedFirst() {
-        backlog.add(new BacklogItem(new ItemRef("late", 0), Map.of("s", 1), -1));
+        backlog.add(new BacklogItem(new ItemRef("late", 0), Map.of("s", 1), -1, ""));
         items(2 * SLOTS - 1);
         scheduler.schedule();
         Run late = decisions.runs.stream()
