Place requests locally while the search for a scheduler goes on

Callers got 503 at their deadline although nothing had been tried, while several registered hosts were gone without having deregistered.

Cause: SchedulerClient placed a request locally only if no candidate was being connected, and connectionLost tried the next candidate at once. Each unreachable one takes up to 1 s, and requests were held all that time.

The first 250 ms of a search hold requests, as a live scheduler is usually found within two round trips. After that LocalPlacement places the pending ones, and new ones at once, until a scheduler is in use. A request still gets one decision: it leaves the pending requests when it is placed, its slot is in the hello to the next scheduler, and a late grant of a slot that the node holds is ignored. A second test checks this with a scheduler that answers after 400 ms.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -24,7 +24,8 @@
 /**
  * Connects this node to the scheduler that it uses and fails over to another one when that does not respond. The hello
  * on each connection reports the slots that the node holds. While there is no scheduler, {@link LocalPlacement} places
- * online requests and no items start.
+ * online requests and no items start. Requests are held for the first {@link #MAX_SEARCH_WAIT} of the search for the
+ * next one.
  *
  * <p>A preferred scheduler is used only after it has answered a ping, so that the scheduler in use is not left for a
  * dead node that is still registered.
@@ -47,6 +48,13 @@
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
+    /**
+     * Time without a scheduler for which requests are held while the next one is sought. Longer than it takes to
+     * connect to a live node in another region and ping it, and below common latency targets of 300 ms: several
+     * registered nodes may be gone, each of which takes up to 1 s to be found unresponsive.
+     */
+    static final Duration MAX_SEARCH_WAIT = Duration.ofMillis(250);
+
     private final NodeEntry self;
     private final SchedulerSelector selector;
     private final SlotScheduler scheduler;
@@ -64,6 +72,9 @@
     private ItemExecutor executor;
     private Connection current;
     private Connection candidate;
+    private boolean searching;
+    private boolean searchWaitOver;
+    private Timers.Timer searchTimer = () -> {};
     private boolean draining;
     private List<NodeEntry> registeredNodes = List.of();
     private int nodeCount = 1;
@@ -126,6 +137,7 @@
             Connection previous = current;
             current = this;
             candidate = null;
+            endSearch();
             if (previous != null) {
                 previous.close();
             }
@@ -294,10 +306,34 @@
         if (candidate != null) {
             candidate.close();
         }
+        if (current == null) {
+            startSearch();
+        }
         candidate = new Connection(best.get());
         candidate.open();
     }
 
+    private void startSearch() {
+        if (searching) {
+            return;
+        }
+        searching = true;
+        searchTimer = timers.after(MAX_SEARCH_WAIT, () -> {
+            searchWaitOver = true;
+            placePendingLocally();
+        });
+    }
+
+    private void endSearch() {
+        searching = false;
+        searchWaitOver = false;
+        searchTimer.cancel();
+    }
+
+    private void placePendingLocally() {
+        List.copyOf(pending.values()).forEach(this::placeLocally);
+    }
+
     private static boolean connectsTo(Connection connection, NodeEntry target) {
         return connection != null && connection.target.equals(target);
     }
@@ -321,10 +357,11 @@
         }
         if (current == connection) {
             current = null;
+            startSearch();
         }
         check();
         if (current == null && candidate == null) {
-            List.copyOf(pending.values()).forEach(this::placeLocally);
+            placePendingLocally();
         }
     }
 
@@ -349,7 +386,7 @@
         pending.put(request.lease(), entry);
         if (current != null) {
             current.send(request);
-        } else if (candidate == null) {
+        } else if (candidate == null || searchWaitOver) {
             context.runOnContext(now -> {
                 if (pending.containsKey(request.lease())) {
                     placeLocally(entry);
