Give up a silent upstream only once another can take the request

Callers saw a resumable stream end within its events, or got 502 to a safe request, although the upstream was sound and would have completed the response.

Cause: OnlineCall.checkSilence cancelled an exchange after 900 ms without data, before it was known whether another upstream could take over. If none could, rejectWithoutUpstream aborted the started response or sent 502. It also cancelled responses that were too large to be buffered and could not be requested again.

A second lease is now requested while the exchange goes on. When it is granted, the exchange is cancelled and the request sent to the new upstream in the same step, so there is still at most one exchange. Data from the upstream, a failure and the end of the request withdraw the second lease; a rejection is repeated at the next check. The run that was given up counts as before, so the route's attempts are kept. The upstream is reported as suspect once per 900 ms of silence, as before.

Two tests guard against the opposite: a stream that does not move on once another upstream is there, or runs at both; and more runs than the route allows.

--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -23,8 +23,8 @@
  * One request of a caller for a route, from its arrival to the end of its response.
  *
  * <p>Invariants: a request that is not repeatable is resent only if no earlier attempt can have run; it is rejected as
- * not run only if no attempt can have run; at most one exchange is in progress. Not thread-safe; confined to the event
- * loop.
+ * not run only if no attempt can have run; at most one exchange is in progress; an exchange whose upstream is silent is
+ * given up only once another upstream can take the request. Not thread-safe; confined to the event loop.
  */
 final class OnlineCall {
     /** Maximum number of sends of one request; bounds the work while upstreams reject it without running it. */
@@ -33,6 +33,8 @@
     /** Time without data after which an upstream is suspect: four times the wait for a slot in its own queue. */
     private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(900);
 
+    private static final Duration SILENCE_CHECK_PERIOD = Duration.ofMillis(300);
+
     /** Size up to which a response is buffered until it is complete; larger ones are streamed. */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
@@ -66,11 +68,16 @@
     private boolean modelEngines;
     private boolean done;
     private long lease = -1;
+
+    /** Lease with which a slot is requested while the upstream is silent, or -1. */
+    private long replacementLease = -1;
+
     private Upstream upstream;
     private UpstreamExchange exchange;
     private long sentNanos;
     private long firstByteNanos;
     private long lastReceivedNanos;
+    private long lastSuspectNanos;
     private Timers.Timer silenceTimer = () -> {};
     private String failures = "";
 
@@ -140,16 +147,7 @@
             return;
         }
         lease = context.slots().newLease();
-        SlotRequest request = new SlotRequest(
-                context.node(),
-                lease,
-                service,
-                timeToTarget(),
-                remaining(),
-                Set.copyOf(excluded),
-                info.sharedPrefix(),
-                callerRetries() || sends > 0);
-        context.slots().acquire(request, new SlotClient.Listener() {
+        context.slots().acquire(slotRequest(lease, excluded), new SlotClient.Listener() {
             @Override
             public void granted(String upstreamId) {
                 slotGranted(upstreamId);
@@ -163,54 +161,131 @@
         });
     }
 
+    private SlotRequest slotRequest(long number, Set<String> unusable) {
+        return new SlotRequest(
+                context.node(),
+                number,
+                service,
+                timeToTarget(),
+                remaining(),
+                Set.copyOf(unusable),
+                info.sharedPrefix(),
+                callerRetries() || sends > 0);
+    }
+
     private void slotGranted(String upstreamId) {
-        Optional<Upstream> found = context.directory().find(upstreamId);
-        boolean drainingOrRemoved = context.directory().drainingOrRemoved(upstreamId);
-        if (found.isEmpty() || drainingOrRemoved) {
-            // The scheduler's directory may be older than this node's, or newer and have an upstream unknown here.
+        Optional<Upstream> found = usable(upstreamId);
+        if (found.isEmpty()) {
             excluded.add(upstreamId);
-            releaseSlot(drainingOrRemoved ? ReleaseReason.UPSTREAM_GONE : ReleaseReason.CANCELLED);
+            releaseSlot(unusableReason(upstreamId));
             tryUpstream();
             return;
         }
         send(found.get());
     }
 
+    /**
+     * Returns a granted upstream, or empty if this node can't use it: the scheduler's directory may be older than this
+     * node's, or newer and have an upstream unknown here.
+     */
+    private Optional<Upstream> usable(String upstreamId) {
+        return context.directory()
+                .find(upstreamId)
+                .filter(found -> !context.directory().drainingOrRemoved(upstreamId));
+    }
+
+    private ReleaseReason unusableReason(String upstreamId) {
+        return context.directory().drainingOrRemoved(upstreamId)
+                ? ReleaseReason.UPSTREAM_GONE
+                : ReleaseReason.CANCELLED;
+    }
+
     private void send(Upstream target) {
         upstream = target;
         sends++;
         sentNanos = context.ticker().nanos();
         lastReceivedNanos = sentNanos;
+        lastSuspectNanos = sentNanos;
         MultiMap upstreamHeaders =
                 context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), lastEventId);
         UpstreamRequest request = new UpstreamRequest(info.id(), method, uri, upstreamHeaders, body);
         ResponseListener listener = route.kind() == RouteKind.STREAMING
                 ? (route.resumable() ? new ResumableStream() : new PlainStream())
                 : new BufferedResponse();
-        silenceTimer = context.timers().every(Duration.ofMillis(300), this::checkSilence);
+        silenceTimer = context.timers().every(SILENCE_CHECK_PERIOD, this::checkSilence);
         exchange = context.connections().send(target, request, context.wire(), listener);
     }
 
     private void checkSilence() {
-        if (done || exchange == null || context.ticker().nanos() - lastReceivedNanos < SILENCE_TIMEOUT.toNanos()) {
+        long now = context.ticker().nanos();
+        if (done || exchange == null || now - lastReceivedNanos < SILENCE_TIMEOUT.toNanos()) {
             return;
         }
-        boolean canRetry = route.repeatable() && attemptsLeft();
-        if (modelEngines) {
+        if (modelEngines && now - lastSuspectNanos >= SILENCE_TIMEOUT.toNanos()) {
+            lastSuspectNanos = now;
             context.slots().suspect(upstream.id());
         }
-        if (canRetry) {
-            exchange.cancel();
-            attemptFailed(SendFailure.LOST, ReleaseReason.UPSTREAM_UNREACHABLE, "silent");
-        } else {
-            lastReceivedNanos = context.ticker().nanos();
+        if (mayRunAgain()) {
+            seekReplacement();
         }
     }
 
+    /** Seeks another upstream for a request whose upstream is silent, which may still respond meanwhile. */
+    private void seekReplacement() {
+        if (replacementLease >= 0 || remaining().isZero()) {
+            return;
+        }
+        Set<String> unusable = new HashSet<>(excluded);
+        unusable.add(upstream.id());
+        if (!modelEngines) {
+            context.placement().pick(service, unusable).ifPresent(target -> replaceSilentUpstream(target, -1));
+            return;
+        }
+        replacementLease = context.slots().newLease();
+        context.slots().acquire(slotRequest(replacementLease, unusable), new SlotClient.Listener() {
+            @Override
+            public void granted(String upstreamId) {
+                replacementGranted(upstreamId);
+            }
+
+            @Override
+            public void rejected(Duration retryAfter) {
+                // The next check asks again: this request holds a slot already, so the delay for callers is too long.
+                replacementLease = -1;
+            }
+        });
+    }
+
+    private void replacementGranted(String upstreamId) {
+        Optional<Upstream> found = usable(upstreamId);
+        if (found.isEmpty()) {
+            excluded.add(upstreamId);
+            releaseReplacement(unusableReason(upstreamId));
+            return;
+        }
+        long granted = replacementLease;
+        replacementLease = -1;
+        replaceSilentUpstream(found.get(), granted);
+    }
+
+    private void replaceSilentUpstream(Upstream target, long targetLease) {
+        exchange.cancel();
+        recordFailure(SendFailure.LOST, ReleaseReason.UPSTREAM_UNREACHABLE, "silent");
+        possibleRuns++;
+        logSentAgain(SendFailure.LOST, "silent");
+        lease = targetLease;
+        send(target);
+    }
+
     private boolean attemptsLeft() {
         return possibleRuns + 1 < route.attempts() && sends < MAX_SENDS;
     }
 
+    /** Returns whether a request that may have run can be sent to another upstream. */
+    private boolean mayRunAgain() {
+        return route.repeatable() && attemptsLeft() && (!response.started() || route.resumable());
+    }
+
     private void failedWithStatus(int status) {
         attemptFailed(SendFailure.FAILURE_STATUS, ReleaseReason.UPSTREAM_FAILED, "status " + status);
     }
@@ -219,31 +294,16 @@
         if (done) {
             return;
         }
-        endExchange(reason);
-        failures += (failures.isEmpty() ? "" : "; ") + upstream.id() + " " + failure + " " + message;
-        excluded.add(upstream.id());
-        context.metrics().count("lavenderline_upstream_" + failure.name().toLowerCase(Locale.ROOT));
+        recordFailure(failure, reason, message);
         boolean canRetry;
         if (failure.mayHaveRun()) {
-            canRetry = route.repeatable() && attemptsLeft() && (!response.started() || route.resumable());
+            canRetry = mayRunAgain();
             possibleRuns++;
         } else {
             canRetry = sends < MAX_SENDS;
         }
         if (canRetry && !remaining().isZero()) {
-            context.log()
-                    .event(
-                            ServingEvent.REQUEST_SENT_AGAIN,
-                            "request",
-                            info.id(),
-                            "upstream",
-                            upstream.id(),
-                            "cause",
-                            failure,
-                            "message",
-                            message,
-                            "after",
-                            lastEventId.isPresent() ? lastEventId.getAsLong() : null);
+            logSentAgain(failure, message);
             tryUpstream();
             return;
         }
@@ -254,6 +314,29 @@
         }
     }
 
+    private void recordFailure(SendFailure failure, ReleaseReason reason, String message) {
+        endExchange(reason);
+        failures += (failures.isEmpty() ? "" : "; ") + upstream.id() + " " + failure + " " + message;
+        excluded.add(upstream.id());
+        context.metrics().count("lavenderline_upstream_" + failure.name().toLowerCase(Locale.ROOT));
+    }
+
+    private void logSentAgain(SendFailure failure, String message) {
+        context.log()
+                .event(
+                        ServingEvent.REQUEST_SENT_AGAIN,
+                        "request",
+                        info.id(),
+                        "upstream",
+                        upstream.id(),
+                        "cause",
+                        failure,
+                        "message",
+                        message,
+                        "after",
+                        lastEventId.isPresent() ? lastEventId.getAsLong() : null);
+    }
+
     /** Ends a request for which no upstream is available. */
     private void rejectWithoutUpstream(Duration retryAfter) {
         if (done) {
@@ -349,6 +432,7 @@
     private void endExchange(ReleaseReason reason) {
         silenceTimer.cancel();
         exchange = null;
+        releaseReplacement(ReleaseReason.CANCELLED);
         if (modelEngines) {
             releaseSlot(reason);
         } else if (upstream != null) {
@@ -363,8 +447,16 @@
         }
     }
 
+    private void releaseReplacement(ReleaseReason reason) {
+        if (replacementLease >= 0) {
+            context.slots().release(replacementLease, reason, 0);
+            replacementLease = -1;
+        }
+    }
+
     private void markReceived() {
         lastReceivedNanos = context.ticker().nanos();
+        releaseReplacement(ReleaseReason.CANCELLED);
     }
 
     private void markFirstByte() {
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -428,4 +428,64 @@
         assertEquals(200, early.join().statusCode());
         assertEquals(0, stopped.join());
     }
+
+    /**
+     * Guards against ending a stream because its upstream sends nothing for a second while no other upstream can
+     * continue it; the upstream has not failed.
+     */
+    @Test
+    void streamIsCompleteAfterSilenceOfTheOnlyUpstream() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> {
+            request.response().setChunked(true).write(events(1, 2));
+            vertx.setTimer(1500, later -> request.response().end(events(3, ScriptedUpstream.EVENT_COUNT)));
+        };
+        HttpResponse<String> response = post(0, "/resumable/x", "r1", "p").join();
+        assertEquals(events(1, ScriptedUpstream.EVENT_COUNT), response.body());
+        assertEquals(1, first.requests.size());
+    }
+
+    /** Guards against failing a request because its upstream, the only one, works on it for more than a second. */
+    @Test
+    void safeRequestIsAnsweredAfterSilenceOfTheOnlyUpstream() throws IOException {
+        startNode("n1");
+        first.script = (request, body) ->
+                vertx.setTimer(1500, later -> request.response().end("done"));
+        HttpResponse<String> response = post(0, "/safe/x", "r1", "").join();
+        assertEquals("done", response.body());
+        assertEquals(1, first.requests.size());
+    }
+
+    /**
+     * Guards against waiting for a silent upstream until the deadline although another one can continue the stream, and
+     * against running the request at both.
+     */
+    @Test
+    void streamContinuesOnceAnotherUpstreamIsThereAfterSilence() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> request.response().setChunked(true).write(events(1, 2));
+        CompletableFuture<HttpResponse<String>> response = post(0, "/resumable/x", "r1", "p");
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1);
+        await().pollDelay(Duration.ofMillis(1500)).atMost(TIMEOUT).until(() -> true);
+        assertTrue(first.cancelled.isEmpty(), "cancelled before another upstream is there");
+        second.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 300, ScriptedUpstream.EVENT_COUNT);
+        write("upstreams", "e2", "engines " + second.port);
+        await().atMost(TIMEOUT).until(() -> second.requests.size() == 1);
+        await().atMost(Duration.ofMillis(400)).until(() -> first.cancelled.size() == 1);
+        assertEquals(events(1, ScriptedUpstream.EVENT_COUNT), response.join().body());
+        assertEquals(1, second.requests.size());
+    }
+
+    /** Guards against more runs of a safe request than its route allows, while one upstream after another is silent. */
+    @Test
+    void silentUpstreamsGetSafeRequestAtMostAsOftenAsAllowed() throws IOException {
+        write("upstreams", "p2", "plain " + second.port);
+        write("upstreams", "p3", "plain " + second.port);
+        startNode("n1");
+        first.script = (request, body) -> {};
+        second.script = first.script;
+        assertEquals(504, post(0, "/safe/x", "r1", "").join().statusCode());
+        assertEquals(2, first.requests.size() + second.requests.size());
+        await().atMost(Duration.ofMillis(400)).until(() -> first.cancelled.size() + second.cancelled.size() == 2);
+    }
 }
