Reject requests that wait for a slot before the process exits

Callers saw their connection closed without a response, for requests that had been read and never sent, when the grace period ran out before a slot was free.

Cause: ServingNode.drain reported the end of the drain without answering the requests that waited.

From 400 ms before the end of the drain, each check rejects the requests that have no exchange in progress: with 503 and a retry delay if no attempt can have run, else with 502. Checks run every 50 ms, so one that fails at an upstream meanwhile is rejected too instead of waiting again. The test checks status and retry delay now.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -63,6 +63,12 @@
     /** Part of the grace period reserved for the exit after the drain. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
 
+    /**
+     * Time before the end of the drain from which requests that wait for a slot are rejected. Their responses take a
+     * few milliseconds; a request sent to an upstream later than this would mostly be cut by the exit.
+     */
+    private static final Duration WAITING_MARGIN = Duration.ofMillis(400);
+
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
     private final ServingSettings settings;
@@ -227,7 +233,8 @@
     }
 
     /**
-     * Finishes requests in progress, stops batch items and then runs a callback; later calls have no effect.
+     * Finishes requests in progress, stops batch items and then runs a callback; later calls have no effect. Requests
+     * that still wait for a slot shortly before the grace period runs out are rejected.
      *
      * @param onDrained receives the number of requests still in progress, 0 unless the grace period ran out
      */
@@ -241,6 +248,7 @@
         schedulerClient.drain();
         registry.deregister();
         long started = ticker.nanos();
+        Duration limit = settings.gracePeriod().minus(EXIT_MARGIN);
         timers.after(MIN_DRAIN_TIME, () -> {
             callers.refuse();
             runner.stopAll();
@@ -248,8 +256,10 @@
         timers.every(DRAIN_CHECK_PERIOD, () -> {
             long elapsed = ticker.nanos() - started;
             boolean idle = callers.activeRequests() == 0 && jobs.pendingWrites() == 0;
-            boolean timedOut =
-                    elapsed > settings.gracePeriod().minus(EXIT_MARGIN).toNanos();
+            if (elapsed > limit.minus(WAITING_MARGIN).toNanos()) {
+                callers.rejectWaiting();
+            }
+            boolean timedOut = elapsed > limit.toNanos();
             if (timedOut || (idle && elapsed > MIN_DRAIN_TIME.toNanos())) {
                 onDrained.accept(callers.activeRequests());
             }
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -105,6 +105,14 @@
         List.copyOf(openRequests.keySet()).forEach(this::closeIfIdle);
     }
 
+    /** Rejects the requests that wait for a slot, because the process exits before they can be served. */
+    public void rejectWaiting() {
+        callsByConnection.values().stream()
+                .flatMap(Set::stream)
+                .toList()
+                .forEach(call -> call.rejectIfWaiting(DRAINING_RETRY_DELAY));
+    }
+
     private void closeIfIdle(HttpConnection connection) {
         if (openRequests.getOrDefault(connection, 0) == 0) {
             connection.close();
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -375,6 +375,18 @@
         finish("caller closed the connection", ReleaseReason.CANCELLED);
     }
 
+    /** Ends the request if it is not in progress at an upstream, because the process is about to exit. */
+    void rejectIfWaiting(Duration retryAfter) {
+        if (done || exchange != null) {
+            return;
+        }
+        if (possibleRuns > 0) {
+            fail(502, "an upstream failed and this node is leaving", Duration.ZERO);
+        } else {
+            fail(503, "not run: this node is leaving", retryAfter);
+        }
+    }
+
     private void fail(int status, String message, Duration retryAfter) {
         response.sendText(status, message, retryAfter);
         finish(status + " " + message, ReleaseReason.CANCELLED);
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -74,18 +74,23 @@
                             route("unsafe", RouteKind.UNSAFE, "plain", false),
                             route("stream", RouteKind.STREAMING, "engines", false),
                             route("resumable", RouteKind.STREAMING, "engines", true),
+                            route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
                             route("batch", RouteKind.BATCH, "engines", true)),
                     List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
                     CallerLimits.defaults()));
         }
 
         private static Route route(String name, RouteKind kind, String service, boolean resumable) {
+            return route(name, kind, service, resumable, Duration.ofSeconds(4));
+        }
+
+        private static Route route(String name, RouteKind kind, String service, boolean resumable, Duration timeout) {
             return new Route(
                     name,
                     LOOPBACK,
                     "/" + name + "/",
                     kind,
-                    Duration.ofSeconds(4),
+                    timeout,
                     Duration.ofMillis(300),
                     0,
                     List.of(new WeightedService(service, 1)),
@@ -488,4 +493,41 @@
         assertEquals(2, first.requests.size() + second.requests.size());
         await().atMost(Duration.ofMillis(400)).until(() -> first.cancelled.size() + second.cancelled.size() == 2);
     }
+
+    private CompletableFuture<Integer> drain(int node) {
+        CompletableFuture<Integer> stopped = new CompletableFuture<>();
+        context.runOnContext(now -> nodes.get(node).drain(stopped::complete));
+        await().atMost(TIMEOUT).until(() -> !nodes.get(node).ready());
+        return stopped;
+    }
+
+    /** Guards against an exit that leaves requests that were never sent without a response. */
+    @Test
+    void waitingRequestIsAnsweredBeforeTheNodeStops() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> {};
+        List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            HttpRequest request = request(0, "/long/x")
+                    .setHeader("left", "12000")
+                    .header("id", "r" + i)
+                    .timeout(Duration.ofSeconds(15))
+                    .POST(HttpRequest.BodyPublishers.ofString("p"))
+                    .build();
+            sent.add(client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+        }
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 3);
+        CompletableFuture<Integer> stopped = drain(0);
+        stopped.join();
+        await().pollDelay(Duration.ofMillis(100)).atMost(TIMEOUT).until(() -> true);
+        assertEquals(3, first.requests.size());
+        assertEquals(1, sent.stream().filter(CompletableFuture::isDone).count(), "requests answered before the exit");
+        HttpResponse<String> rejected = sent.stream()
+                .filter(CompletableFuture::isDone)
+                .findFirst()
+                .orElseThrow()
+                .join();
+        assertEquals(503, rejected.statusCode());
+        assertTrue(rejected.headers().firstValue("retry").isPresent());
+    }
 }
