Accept a response whose connection closes while reading is paused

Callers that read slowly would see a response cut, or requested again, although the upstream had sent all of it. Upstreams that leave answer with Connection: close.

Cause: the close handler of UpstreamExchange failed the exchange at once, while the rest of the response and its end were queued behind the pause.

Before: responseIsCompleteIfConnectionClosesWhileReadingIsPaused expected: <[response textmore]> but was: <[CUT]> and the same of responseWithoutLengthIsCompleteIfConnectionClosesWhileReadingIsPaused

A close while reading is paused no longer fails the exchange. If all of the response has been received, its end follows after the resume; if not, Vert.x calls the exception handler of the response at the close. The closed connection does not go back to the pool.

--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -29,6 +29,8 @@
     private boolean responseStarted;
     private boolean closeDelimited;
     private boolean connectionReset;
+    private boolean connectionClosed;
+    private boolean paused;
     private boolean done;
 
     UpstreamExchange(
@@ -58,13 +60,24 @@
         }
         connection = open;
         connection.exceptionHandler(failure -> connectionReset = true);
-        connection.closeHandler(closed -> fail(currentFailure(), "connection closed"));
+        connection.closeHandler(closed -> connectionClosed());
         connection
                 .request(new RequestOptions().setMethod(request.method()).setURI(request.uri()))
                 .onSuccess(this::write)
                 .onFailure(failure -> fail(SendFailure.NOT_CONNECTED, failure.getMessage()));
     }
 
+    /**
+     * Fails the exchange unless reading is paused: then the rest of the response, and its end, may be queued. A response
+     * that has not been received completely is reported to its exception handler even so.
+     */
+    private void connectionClosed() {
+        connectionClosed = true;
+        if (!paused) {
+            fail(currentFailure(), "connection closed");
+        }
+    }
+
     private void write(HttpClientRequest httpRequest) {
         if (done) {
             return;
@@ -142,7 +155,7 @@
         HttpClientConnection open = connection;
         open.closeHandler(closed -> {});
         open.exceptionHandler(failure -> open.close());
-        if (closeDelimited) {
+        if (closeDelimited || connectionClosed) {
             open.close();
         } else {
             connections.release(upstream, open, keepAlive);
@@ -191,6 +204,7 @@
     /** Stops reading the response until {@link #resume}. */
     public void pause() {
         if (response != null && !done) {
+            paused = true;
             response.pause();
         }
     }
@@ -198,6 +212,7 @@
     /** Continues to read the response after {@link #pause}. */
     public void resume() {
         if (response != null && !done) {
+            paused = false;
             response.resume();
         }
     }
--- a/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
@@ -191,4 +191,89 @@
         send("r");
         assertEquals(List.of("LOST"), outcomes);
     }
+
+    /** Sends a request, reads the first chunk, pauses for 300 ms and records the outcome. */
+    private void sendAndPause() {
+        Buffer received = Buffer.buffer();
+        context.runOnContext(now -> {
+            UpstreamExchange[] exchange = new UpstreamExchange[1];
+            exchange[0] = connections.send(
+                    upstream,
+                    new UpstreamRequest(
+                            "r", HttpMethod.POST, "/p", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer("body")),
+                    new TestWireFormat(),
+                    new ResponseListener() {
+                        @Override
+                        public void headers(int status, MultiMap headers) {}
+
+                        @Override
+                        public void chunk(Buffer chunk) {
+                            if (received.length() == 0) {
+                                exchange[0].pause();
+                                vertx.setTimer(300, later -> exchange[0].resume());
+                            }
+                            received.appendBuffer(chunk);
+                        }
+
+                        @Override
+                        public void end() {
+                            outcomes.add("response " + received);
+                        }
+
+                        @Override
+                        public void failed(SendFailure failure, String message) {
+                            outcomes.add(failure.name());
+                        }
+                    });
+        });
+        await().atMost(TIMEOUT).until(() -> !outcomes.isEmpty());
+    }
+
+    /**
+     * Guards against taking a complete response for truncated because the upstream closes the connection while the
+     * rest of the response waits for a slow caller.
+     */
+    @Test
+    void responseIsCompleteIfConnectionClosesWhileReadingIsPaused() {
+        upstreamHandler = (socket, request) -> {
+            socket.write("HTTP/1.1 200 OK\r\nid: r\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n");
+            socket.write("4\r\ntext\r\n");
+            vertx.setTimer(50, later -> socket.end(Buffer.buffer("4\r\nmore\r\n0\r\n\r\n")));
+        };
+        sendAndPause();
+        assertEquals(List.of("response textmore"), outcomes);
+    }
+
+    /** Guards against a response without length that looks truncated as its end is queued while reading is paused. */
+    @Test
+    void responseWithoutLengthIsCompleteIfConnectionClosesWhileReadingIsPaused() {
+        upstreamHandler = (socket, request) -> {
+            socket.write("HTTP/1.1 200 OK\r\nid: r\r\n\r\ntext");
+            vertx.setTimer(50, later -> socket.end(Buffer.buffer("more")));
+        };
+        sendAndPause();
+        assertEquals(List.of("response textmore"), outcomes);
+    }
+
+    /** Guards against waiting forever for the end of a response that was truncated while reading was paused. */
+    @Test
+    void responseIsCutIfConnectionClosesEarlyWhileReadingIsPaused() {
+        upstreamHandler = (socket, request) -> {
+            socket.write("HTTP/1.1 200 OK\r\nid: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n");
+            vertx.setTimer(50, later -> socket.end(Buffer.buffer("4\r\nmo")));
+        };
+        sendAndPause();
+        assertEquals(List.of("CUT"), outcomes);
+    }
+
+    /** Guards against taking a response for complete that was truncated while reading was paused. */
+    @Test
+    void responseWithLengthIsCutIfConnectionClosesEarlyWhileReadingIsPaused() {
+        upstreamHandler = (socket, request) -> {
+            socket.write("HTTP/1.1 200 OK\r\nid: r\r\nContent-Length: 20\r\n\r\ntext");
+            vertx.setTimer(50, later -> socket.end(Buffer.buffer("more")));
+        };
+        sendAndPause();
+        assertEquals(List.of("CUT"), outcomes);
+    }
 }
