Do not count the time of a paused response as silence of its upstream

Callers that read slowly made the node take a sound upstream for silent: it was reported as suspect, and the stream was requested again at another upstream.

Cause: while the node itself has paused the response, lastReceivedNanos of OnlineCall does not advance.

Before: streamOfSlowCallerIsNotRequestedAgain expected: <1> but was: <2> requests to the upstreams

checkSilence does nothing while the response is paused, and the silence is counted anew from the resume.

--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -30,7 +30,10 @@
     /** Maximum number of sends of one request; bounds the work while upstreams reject it without running it. */
     private static final int MAX_SENDS = 4;
 
-    /** Time without data after which an upstream is suspect: four times the wait for a slot in its own queue. */
+    /**
+     * Time without data after which an upstream is suspect: four times the wait for a slot in its own queue. The time
+     * while this node does not read the response, because the caller reads slowly, does not count.
+     */
     private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(900);
 
     private static final Duration SILENCE_CHECK_PERIOD = Duration.ofMillis(300);
@@ -78,6 +81,7 @@
     private long firstByteNanos;
     private long lastReceivedNanos;
     private long lastSuspectNanos;
+    private boolean paused;
     private Timers.Timer silenceTimer = () -> {};
     private String failures = "";
 
@@ -206,6 +210,7 @@
         sentNanos = context.ticker().nanos();
         lastReceivedNanos = sentNanos;
         lastSuspectNanos = sentNanos;
+        paused = false;
         MultiMap upstreamHeaders =
                 context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), lastEventId);
         UpstreamRequest request = new UpstreamRequest(info.id(), method, uri, upstreamHeaders, body);
@@ -218,7 +223,7 @@
 
     private void checkSilence() {
         long now = context.ticker().nanos();
-        if (done || exchange == null || now - lastReceivedNanos < SILENCE_TIMEOUT.toNanos()) {
+        if (done || exchange == null || paused || now - lastReceivedNanos < SILENCE_TIMEOUT.toNanos()) {
             return;
         }
         if (modelEngines && now - lastSuspectNanos >= SILENCE_TIMEOUT.toNanos()) {
@@ -481,8 +486,17 @@
     private void applyBackpressure(UpstreamExchange source) {
         if (response.writeQueueFull()) {
             source.pause();
-            response.onDrain(source::resume);
+            paused = true;
+            response.onDrain(() -> resume(source));
+        }
+    }
+
+    private void resume(UpstreamExchange source) {
+        if (source == exchange && paused) {
+            paused = false;
+            lastReceivedNanos = context.ticker().nanos();
         }
+        source.resume();
     }
 
     /** Buffers the response until it is complete, so that a truncated response can be requested again. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -26,7 +26,9 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -530,4 +532,31 @@
         assertEquals(503, rejected.statusCode());
         assertTrue(rejected.headers().firstValue("retry").isPresent());
     }
+
+    /** Guards against taking an upstream for silent while the node itself has stopped reading its response. */
+    @Test
+    void streamOfSlowCallerIsNotRequestedAgain() throws Exception {
+        write("upstreams", "e2", "engines " + second.port);
+        startNode("n1");
+        StringBuilder events = new StringBuilder();
+        for (int i = 1; i <= 1000; i++) {
+            events.append("id: ")
+                    .append(i)
+                    .append("\ndata: ")
+                    .append("x".repeat(20_000))
+                    .append("\n\n");
+        }
+        first.script = (request, body) -> request.response().end(events.toString());
+        second.script = first.script;
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(4096);
+            caller.connect(new InetSocketAddress(LOOPBACK, ports.get(0)));
+            String sent = "POST /resumable/x HTTP/1.1\r\nHost: " + LOOPBACK
+                    + "\r\nid: r\r\nleft: 4000\r\nContent-Length: 0\r\n\r\n";
+            caller.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals('H', caller.getInputStream().read());
+            await().pollDelay(Duration.ofMillis(2000)).atMost(TIMEOUT).until(() -> true);
+            assertEquals(1, first.requests.size() + second.requests.size());
+        }
+    }
 }
