End a request at once if sending it throws

Callers would get their response only at the deadline, although nothing had been sent: an upstream's entry with a port above 65535 makes HttpConnectOptions.setPort throw in OnlineCall.slotGranted, outside any try block, and the request keeps its slot until then.

An unexpected exception in a step of OnlineCall is logged and ends the request: 503 if no attempt can have run, else 502. This releases the slot.

--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -134,7 +134,35 @@
     void start(boolean modelEngines, String service) {
         this.service = service;
         this.modelEngines = modelEngines;
-        tryUpstream();
+        endOnException(this::tryUpstream);
+    }
+
+    /**
+     * Runs a step and ends the request if it throws; otherwise the request would keep its slot and its caller would wait
+     * until the deadline.
+     */
+    private void endOnException(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            context.log().event(ServingEvent.UNEXPECTED, "request", info.id(), "uri", uri, "message", e);
+            endUnexpectedly();
+        }
+    }
+
+    private void endUnexpectedly() {
+        if (done) {
+            return;
+        }
+        if (exchange != null) {
+            possibleRuns += exchange.sent() ? 1 : 0;
+            exchange.cancel();
+        }
+        if (possibleRuns > 0) {
+            fail(502, "internal error", Duration.ZERO);
+        } else {
+            fail(503, "not run: internal error", NO_UPSTREAM_RETRY_DELAY);
+        }
     }
 
     private void tryUpstream() {
@@ -154,7 +182,7 @@
         context.slots().acquire(slotRequest(lease, excluded), new SlotClient.Listener() {
             @Override
             public void granted(String upstreamId) {
-                slotGranted(upstreamId);
+                endOnException(() -> slotGranted(upstreamId));
             }
 
             @Override
@@ -217,7 +245,7 @@
         ResponseListener listener = route.kind() == RouteKind.STREAMING
                 ? (route.resumable() ? new ResumableStream() : new PlainStream())
                 : new BufferedResponse();
-        silenceTimer = context.timers().every(SILENCE_CHECK_PERIOD, this::checkSilence);
+        silenceTimer = context.timers().every(SILENCE_CHECK_PERIOD, () -> endOnException(this::checkSilence));
         exchange = context.connections().send(target, request, context.wire(), listener);
     }
 
@@ -250,7 +278,7 @@
         context.slots().acquire(slotRequest(replacementLease, unusable), new SlotClient.Listener() {
             @Override
             public void granted(String upstreamId) {
-                replacementGranted(upstreamId);
+                endOnException(() -> replacementGranted(upstreamId));
             }
 
             @Override
@@ -309,7 +337,7 @@
         }
         if (canRetry && !remaining().isZero()) {
             logSentAgain(failure, message);
-            tryUpstream();
+            endOnException(this::tryUpstream);
             return;
         }
         if (possibleRuns > 0) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -559,4 +559,15 @@
             assertEquals(1, first.requests.size() + second.requests.size());
         }
     }
+
+    /** Guards against an exception while an upstream is connected, after which the request waits until its deadline. */
+    @Test
+    void upstreamWithInvalidPortDoesNotDelayRequests() throws IOException {
+        write("upstreams", "e1", "engines 70000");
+        startNode("n1");
+        long started = System.nanoTime();
+        assertEquals(503, post(0, "/stream/x", "r1", "").join().statusCode());
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+        assertTrue(millis < 2000, millis + " ms");
+    }
 }
