Wait in a drain until responses are written and close their connections

Callers that read slowly would see a truncated response when a node stops, and callers that reuse a kept connection may see it closed while they send on it.

Cause: CallerServer counted a response as ended once it was queued, so that the process could exit while part of it was not written. Connection: close was set when a request arrived, so responses to requests read before SIGTERM lacked it.

Before: drainWaitsUntilSlowCallerHasReadItsResponse stopped before the caller had read the response responseDuringDrainAsksToCloseTheConnection expected: <close> but was: <none>

A request counts as open until the future of the response's end completes, which is when its last bytes have been handed to the operating system or the connection is closed. drain() sets the header on all responses in progress whose head is not written yet, and later requests get it when they have been read.

--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerResponse.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerResponse.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.online;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -18,6 +19,7 @@
     private final HttpServerResponse response;
     private final WireFormat wire;
     private boolean ended;
+    private Runnable onWritten = () -> {};
 
     CallerResponse(HttpServerRequest request, WireFormat wire) {
         this.request = request;
@@ -35,6 +37,15 @@
         return ended || response.ended() || response.closed();
     }
 
+    /** Sets the task to run once the response has been written to the connection, or the connection is closed. */
+    void onWritten(Runnable task) {
+        onWritten = task;
+    }
+
+    private void written(Future<Void> completion) {
+        completion.onComplete(result -> onWritten.run());
+    }
+
     /** Asks the caller to close the connection after this response. */
     void closeConnectionAfterwards() {
         if (!response.headWritten() && !ended()) {
@@ -51,7 +62,7 @@
         response.setStatusCode(status);
         wire.callerHeaders(headers).forEach((name, value) -> response.headers().add(name, value));
         response.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
-        response.end(body);
+        written(response.end(body));
     }
 
     /** Starts to stream a response of an upstream. */
@@ -85,7 +96,7 @@
     void end() {
         if (!ended()) {
             ended = true;
-            response.end();
+            written(response.end());
         }
     }
 
@@ -115,7 +126,7 @@
             wire.setRetryAfter(response.headers(), retryAfter);
         }
         response.putHeader(HttpHeaders.CONTENT_TYPE, "text/plain");
-        response.end(message + "\n");
+        written(response.end(message + "\n"));
     }
 
     /** Sends a body that a caller has submitted. */
@@ -125,7 +136,7 @@
         }
         ended = true;
         response.putHeader(HttpHeaders.CONTENT_TYPE, "application/octet-stream");
-        response.end(body);
+        written(response.end(body));
     }
 
     /** Sends a JSON response of this node. */
@@ -135,6 +146,6 @@
         }
         ended = true;
         response.putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
-        response.end(body);
+        written(response.end(body));
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -15,7 +15,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -50,7 +49,7 @@
     private final BatchCallHandler batch;
     private final Map<HttpConnection, Set<OnlineCall>> callsByConnection = new HashMap<>();
     private HttpServer server;
-    private final Set<HttpServerResponse> activeResponses = new HashSet<>();
+    private final Set<CallerResponse> activeResponses = new HashSet<>();
     private final Map<HttpConnection, Integer> openRequests = new HashMap<>();
     private boolean draining;
     private boolean refusing;
@@ -94,9 +93,13 @@
         }
     }
 
-    /** Asks callers to close their connections after the next response; requests are still served. */
+    /**
+     * Asks callers to close their connections after the next response, also that to a request in progress; requests are
+     * still served.
+     */
     public void drain() {
         draining = true;
+        activeResponses.forEach(CallerResponse::closeConnectionAfterwards);
     }
 
     /** Rejects further requests, which other nodes can serve, and closes idle connections. */
@@ -119,7 +122,7 @@
         }
     }
 
-    /** Returns the number of requests in progress. */
+    /** Returns the number of requests in progress, including those whose response has not been written completely. */
     public int activeRequests() {
         return activeResponses.size();
     }
@@ -133,9 +136,6 @@
         long arrivalNanos = context.ticker().nanos();
         openRequests.computeIfPresent(request.connection(), (connection, count) -> count + 1);
         CallerResponse response = new CallerResponse(request, context.wire());
-        if (draining) {
-            response.closeConnectionAfterwards();
-        }
         Optional<FleetConfig> current = config.get();
         int maxBodyBytes = current.map(latest -> latest.limits().bodyBytes()).orElse(4 * 1024 * 1024);
         Buffer body = Buffer.buffer();
@@ -149,12 +149,14 @@
             }
         });
         request.endHandler(end -> {
+            trackResponse(request, response);
+            if (draining) {
+                response.closeConnectionAfterwards();
+            }
             if (tooLarge[0]) {
-                trackResponse(request);
                 response.sendText(413, "the body has more than " + maxBodyBytes + " bytes");
                 return;
             }
-            trackResponse(request);
             if (refusing) {
                 response.sendText(503, "not run: this node is leaving", DRAINING_RETRY_DELAY);
                 return;
@@ -168,15 +170,13 @@
         });
     }
 
-    private void trackResponse(HttpServerRequest request) {
-        HttpServerResponse response = request.response();
+    private void trackResponse(HttpServerRequest request, CallerResponse response) {
         activeResponses.add(response);
-        response.closeHandler(closed -> activeResponses.remove(response));
-        response.endHandler(end -> {
+        request.response().closeHandler(closed -> activeResponses.remove(response));
+        response.onWritten(() -> {
             activeResponses.remove(response);
             openRequests.computeIfPresent(request.connection(), (connection, count) -> count - 1);
             if (draining) {
-                // The last bytes are written after this handler returns.
                 context.timers().after(CLOSE_DELAY, () -> closeIfIdle(request.connection()));
             }
         });
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -29,6 +29,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -570,4 +571,54 @@
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
         assertTrue(millis < 2000, millis + " ms");
     }
+
+    /** Guards against an exit before the end of a response has been written, which would truncate it. */
+    @Test
+    void drainWaitsUntilSlowCallerHasReadItsResponse() throws Exception {
+        startNode("n1");
+        int length = 16_000_000;
+        first.script = (request, body) -> request.response().end("id: 1\ndata: " + "x".repeat(length) + "\n\n");
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().length() > length);
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(4096);
+            caller.connect(new InetSocketAddress(LOOPBACK, ports.get(0)));
+            String sent = "GET /jobs/job HTTP/1.1\r\nHost: " + LOOPBACK + "\r\nid: r\r\n\r\n";
+            caller.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals('H', caller.getInputStream().read());
+            CompletableFuture<Integer> stopped = drain(0);
+            await().pollDelay(ServingNode.MIN_DRAIN_TIME.plusMillis(500))
+                    .atMost(TIMEOUT)
+                    .until(() -> true);
+            boolean stoppedEarly = stopped.isDone();
+            int received = 1;
+            byte[] buffer = new byte[65536];
+            caller.setSoTimeout(1000);
+            try {
+                for (int n = caller.getInputStream().read(buffer);
+                        n >= 0;
+                        n = caller.getInputStream().read(buffer)) {
+                    received += n;
+                }
+            } catch (SocketTimeoutException e) {
+                // The connection stays open after the response.
+            }
+            assertTrue(received > length, received + " bytes received");
+            assertFalse(stoppedEarly, "stopped before the caller had read the response");
+        }
+    }
+
+    /** Guards against closing a connection on which the caller may be sending its next request. */
+    @Test
+    void responseDuringDrainAsksToCloseTheConnection() throws IOException {
+        startNode("n1");
+        first.script = (request, body) ->
+                vertx.setTimer(500, later -> request.response().end("done"));
+        CompletableFuture<HttpResponse<String>> early = post(0, "/unsafe/x", "r1", "");
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1);
+        drain(0);
+        CompletableFuture<HttpResponse<String>> late = post(0, "/unsafe/x", "r2", "");
+        assertEquals("close", late.join().headers().firstValue("connection").orElse("none"));
+        assertEquals("close", early.join().headers().firstValue("connection").orElse("none"));
+    }
 }
