--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -26,7 +26,10 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -74,18 +77,23 @@
                             route("unsafe", RouteKind.UNSAFE, "plain", false),
                             route("stream", RouteKind.STREAMING, "engines", false),
                             route("resumable", RouteKind.STREAMING, "engines", true),
+                            route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
                             route("batch", RouteKind.BATCH, "engines", true)),
                     List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
                     CallerLimits.defaults()));
         }
 
         private static Route route(String name, RouteKind kind, String service, boolean resumable) {
+            return route(name, kind, service, resumable, Duration.ofSeconds(4));
+        }
+
+        private static Route route(String name, RouteKind kind, String service, boolean resumable, Duration timeout) {
             return new Route(
                     name,
                     LOOPBACK,
                     "/" + name + "/",
                     kind,
-                    Duration.ofSeconds(4),
+                    timeout,
                     Duration.ofMillis(300),
                     0,
                     List.of(new WeightedService(service, 1)),
@@ -428,4 +436,189 @@
         assertEquals(200, early.join().statusCode());
         assertEquals(0, stopped.join());
     }
+
+    /**
+     * Guards against ending a stream because its upstream sends nothing for a second while no other upstream can
+     * continue it; the upstream has not failed.
+     */
+    @Test
+    void streamIsCompleteAfterSilenceOfTheOnlyUpstream() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> {
+            request.response().setChunked(true).write(events(1, 2));
+            vertx.setTimer(1500, later -> request.response().end(events(3, ScriptedUpstream.EVENT_COUNT)));
+        };
+        HttpResponse<String> response = post(0, "/resumable/x", "r1", "p").join();
+        assertEquals(events(1, ScriptedUpstream.EVENT_COUNT), response.body());
+        assertEquals(1, first.requests.size());
+    }
+
+    /** Guards against failing a request because its upstream, the only one, works on it for more than a second. */
+    @Test
+    void safeRequestIsAnsweredAfterSilenceOfTheOnlyUpstream() throws IOException {
+        startNode("n1");
+        first.script = (request, body) ->
+                vertx.setTimer(1500, later -> request.response().end("done"));
+        HttpResponse<String> response = post(0, "/safe/x", "r1", "").join();
+        assertEquals("done", response.body());
+        assertEquals(1, first.requests.size());
+    }
+
+    /**
+     * Guards against waiting for a silent upstream until the deadline although another one can continue the stream, and
+     * against running the request at both.
+     */
+    @Test
+    void streamContinuesOnceAnotherUpstreamIsThereAfterSilence() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> request.response().setChunked(true).write(events(1, 2));
+        CompletableFuture<HttpResponse<String>> response = post(0, "/resumable/x", "r1", "p");
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1);
+        await().pollDelay(Duration.ofMillis(1500)).atMost(TIMEOUT).until(() -> true);
+        assertTrue(first.cancelled.isEmpty(), "cancelled before another upstream is there");
+        second.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 300, ScriptedUpstream.EVENT_COUNT);
+        write("upstreams", "e2", "engines " + second.port);
+        await().atMost(TIMEOUT).until(() -> second.requests.size() == 1);
+        await().atMost(Duration.ofMillis(400)).until(() -> first.cancelled.size() == 1);
+        assertEquals(events(1, ScriptedUpstream.EVENT_COUNT), response.join().body());
+        assertEquals(1, second.requests.size());
+    }
+
+    /** Guards against more runs of a safe request than its route allows, while one upstream after another is silent. */
+    @Test
+    void silentUpstreamsGetSafeRequestAtMostAsOftenAsAllowed() throws IOException {
+        write("upstreams", "p2", "plain " + second.port);
+        write("upstreams", "p3", "plain " + second.port);
+        startNode("n1");
+        first.script = (request, body) -> {};
+        second.script = first.script;
+        assertEquals(504, post(0, "/safe/x", "r1", "").join().statusCode());
+        assertEquals(2, first.requests.size() + second.requests.size());
+        await().atMost(Duration.ofMillis(400)).until(() -> first.cancelled.size() + second.cancelled.size() == 2);
+    }
+
+    private CompletableFuture<Integer> drain(int node) {
+        CompletableFuture<Integer> stopped = new CompletableFuture<>();
+        context.runOnContext(now -> nodes.get(node).drain(stopped::complete));
+        await().atMost(TIMEOUT).until(() -> !nodes.get(node).ready());
+        return stopped;
+    }
+
+    /** Guards against an exit that leaves requests that were never sent without a response. */
+    @Test
+    void waitingRequestIsAnsweredBeforeTheNodeStops() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> {};
+        List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            HttpRequest request = request(0, "/long/x")
+                    .setHeader("left", "12000")
+                    .header("id", "r" + i)
+                    .timeout(Duration.ofSeconds(15))
+                    .POST(HttpRequest.BodyPublishers.ofString("p"))
+                    .build();
+            sent.add(client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+        }
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 3);
+        CompletableFuture<Integer> stopped = drain(0);
+        stopped.join();
+        await().pollDelay(Duration.ofMillis(100)).atMost(TIMEOUT).until(() -> true);
+        assertEquals(3, first.requests.size());
+        assertEquals(1, sent.stream().filter(CompletableFuture::isDone).count(), "requests answered before the exit");
+        HttpResponse<String> rejected = sent.stream()
+                .filter(CompletableFuture::isDone)
+                .findFirst()
+                .orElseThrow()
+                .join();
+        assertEquals(503, rejected.statusCode());
+        assertTrue(rejected.headers().firstValue("retry").isPresent());
+    }
+
+    /** Guards against taking an upstream for silent while the node itself has stopped reading its response. */
+    @Test
+    void streamOfSlowCallerIsNotRequestedAgain() throws Exception {
+        write("upstreams", "e2", "engines " + second.port);
+        startNode("n1");
+        StringBuilder events = new StringBuilder();
+        for (int i = 1; i <= 1000; i++) {
+            events.append("id: ")
+                    .append(i)
+                    .append("\ndata: ")
+                    .append("x".repeat(20_000))
+                    .append("\n\n");
+        }
+        first.script = (request, body) -> request.response().end(events.toString());
+        second.script = first.script;
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(4096);
+            caller.connect(new InetSocketAddress(LOOPBACK, ports.get(0)));
+            String sent = "POST /resumable/x HTTP/1.1\r\nHost: " + LOOPBACK
+                    + "\r\nid: r\r\nleft: 4000\r\nContent-Length: 0\r\n\r\n";
+            caller.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals('H', caller.getInputStream().read());
+            await().pollDelay(Duration.ofMillis(2000)).atMost(TIMEOUT).until(() -> true);
+            assertEquals(1, first.requests.size() + second.requests.size());
+        }
+    }
+
+    /** Guards against an exception while an upstream is connected, after which the request waits until its deadline. */
+    @Test
+    void upstreamWithInvalidPortDoesNotDelayRequests() throws IOException {
+        write("upstreams", "e1", "engines 70000");
+        startNode("n1");
+        long started = System.nanoTime();
+        assertEquals(503, post(0, "/stream/x", "r1", "").join().statusCode());
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+        assertTrue(millis < 2000, millis + " ms");
+    }
+
+    /** Guards against an exit before the end of a response has been written, which would truncate it. */
+    @Test
+    void drainWaitsUntilSlowCallerHasReadItsResponse() throws Exception {
+        startNode("n1");
+        int length = 16_000_000;
+        first.script = (request, body) -> request.response().end("id: 1\ndata: " + "x".repeat(length) + "\n\n");
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().length() > length);
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(4096);
+            caller.connect(new InetSocketAddress(LOOPBACK, ports.get(0)));
+            String sent = "GET /jobs/job HTTP/1.1\r\nHost: " + LOOPBACK + "\r\nid: r\r\n\r\n";
+            caller.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals('H', caller.getInputStream().read());
+            CompletableFuture<Integer> stopped = drain(0);
+            await().pollDelay(ServingNode.MIN_DRAIN_TIME.plusMillis(500))
+                    .atMost(TIMEOUT)
+                    .until(() -> true);
+            boolean stoppedEarly = stopped.isDone();
+            int received = 1;
+            byte[] buffer = new byte[65536];
+            caller.setSoTimeout(1000);
+            try {
+                for (int n = caller.getInputStream().read(buffer);
+                        n >= 0;
+                        n = caller.getInputStream().read(buffer)) {
+                    received += n;
+                }
+            } catch (SocketTimeoutException e) {
+                // The connection stays open after the response.
+            }
+            assertTrue(received > length, received + " bytes received");
+            assertFalse(stoppedEarly, "stopped before the caller had read the response");
+        }
+    }
+
+    /** Guards against closing a connection on which the caller may be sending its next request. */
+    @Test
+    void responseDuringDrainAsksToCloseTheConnection() throws IOException {
+        startNode("n1");
+        first.script = (request, body) ->
+                vertx.setTimer(500, later -> request.response().end("done"));
+        CompletableFuture<HttpResponse<String>> early = post(0, "/unsafe/x", "r1", "");
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1);
+        drain(0);
+        CompletableFuture<HttpResponse<String>> late = post(0, "/unsafe/x", "r2", "");
+        assertEquals("close", late.join().headers().firstValue("connection").orElse("none"));
+        assertEquals("close", early.join().headers().firstValue("connection").orElse("none"));
+    }
 }
