Answer callers that expect 100 Continue

A caller that sends Expect: 100-continue waits with its body for the permission, which never came; the request ended without an answer. Found by an audit of requests without an answer, whose test timed out after 5 s before.

--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -73,6 +73,7 @@
                 .setTcpNoDelay(true)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                .setHandle100ContinueAutomatically(true)
                 .setIdleTimeout((int) CONNECTION_IDLE_TIMEOUT.toSeconds())
                 .setHttp2ClearTextEnabled(false)
                 .setAcceptBacklog(1024));
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -621,4 +621,21 @@
         assertEquals("close", late.join().headers().firstValue("connection").orElse("none"));
         assertEquals("close", early.join().headers().firstValue("connection").orElse("none"));
     }
+
+    /** Guards against callers that wait for the permission to send the body. */
+    @Test
+    void requestThatExpectsContinueIsAnswered() throws Exception {
+        startNode("n1");
+        first.script = (request, body) -> request.response().end("done");
+        HttpRequest sent = request(0, "/unsafe/x")
+                .header("id", "r1")
+                .expectContinue(true)
+                .POST(HttpRequest.BodyPublishers.ofString("body"))
+                .build();
+        assertEquals(
+                "done",
+                client.sendAsync(sent, HttpResponse.BodyHandlers.ofString())
+                        .get(5, TimeUnit.SECONDS)
+                        .body());
+    }
 }
