--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -138,8 +138,8 @@
     }
 
     /**
-     * Runs a step and ends the request if it throws; otherwise the request would keep its slot and its caller would wait
-     * until the deadline.
+     * Runs a step and ends the request if it throws; otherwise the request would keep its slot, and its caller would
+     * wait until the deadline.
      */
     private void endOnException(Runnable step) {
         try {
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Fails the exchange unless reading is paused: then the rest of the response, and its end, may be queued. A response
-     * that has not been received completely is reported to its exception handler even so.
+     * Fails the exchange unless reading is paused: then the rest of the response, and its end, may be queued. A
+     * response that has not been received completely is reported to its exception handler even so.
      */
     private void connectionClosed() {
         connectionClosed = true;
