Log how a response ended and whether it ended within an event

The end of an event is now found by one scanner, which the parser of resumable streams uses too; empty lines after the last event no longer count as a partial one.

--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -13,8 +13,8 @@
  */
 public final class EventStreamParser {
     private final Consumer<StreamEvent> consumer;
+    private final EventBoundaryScanner boundaries = new EventBoundaryScanner();
     private Buffer pending = Buffer.buffer();
-    private int scannedTo;
 
     public EventStreamParser(Consumer<StreamEvent> consumer) {
         this.consumer = consumer;
@@ -22,42 +22,20 @@
 
     /** Returns whether bytes of an incomplete event are buffered. */
     public boolean hasPartialEvent() {
-        return pending.length() > 0;
+        return boundaries.withinEvent();
     }
 
     /** Parses further bytes and passes each completed event to the consumer. */
     public void feed(Buffer chunk) {
-        pending.appendBuffer(chunk);
         int start = 0;
-        int end;
-        while ((end = eventEnd(start)) >= 0) {
-            Buffer raw = pending.getBuffer(start, end);
-            start = end;
-            scannedTo = end;
-            consumer.accept(parse(raw));
-        }
-        if (start > 0) {
-            pending = pending.getBuffer(start, pending.length());
-            scannedTo = 0;
-        }
-    }
-
-    /** Returns the position after the empty line that ends the event, -1 if the event is incomplete. */
-    private int eventEnd(int start) {
-        for (int i = Math.max(start, scannedTo - 3); i < pending.length(); i++) {
-            if (pending.getByte(i) != '\n' || i == start) {
-                continue;
-            }
-            int before = i - 1;
-            if (pending.getByte(before) == '\r') {
-                before--;
-            }
-            if (before >= start && pending.getByte(before) == '\n') {
-                return i + 1;
+        for (int i = 0; i < chunk.length(); i++) {
+            if (boundaries.scan(chunk.getByte(i))) {
+                consumer.accept(parse(pending.appendBuffer(chunk, start, i + 1 - start)));
+                pending = Buffer.buffer();
+                start = i + 1;
             }
         }
-        scannedTo = pending.length();
-        return -1;
+        pending.appendBuffer(chunk, start, chunk.length() - start);
     }
 
     private static StreamEvent parse(Buffer raw) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -82,6 +82,8 @@
     private long lastReceivedNanos;
     private long lastSuspectNanos;
     private boolean paused;
+    private boolean closeDelimited;
+    private boolean partialEvent;
     private Timers.Timer silenceTimer = () -> {};
     private String failures = "";
 
@@ -467,6 +469,10 @@
                         (deadlineNanos - arrivalNanos) / 1_000_000,
                         "returning",
                         callerRetries(),
+                        "closeDelimited",
+                        closeDelimited,
+                        "partialEvent",
+                        partialEvent,
                         "outcome",
                         outcome,
                         "failures",
@@ -511,6 +517,11 @@
         }
     }
 
+    private void recordBodyEnd(boolean withinEvent) {
+        closeDelimited = exchange.closeDelimited();
+        partialEvent = withinEvent;
+    }
+
     private void applyBackpressure(UpstreamExchange source) {
         if (response.writeQueueFull()) {
             source.pause();
@@ -561,6 +572,7 @@
 
         @Override
         public void end() {
+            recordBodyEnd(false);
             if (!streaming && isFailure(status) && route.repeatable() && attemptsLeft()) {
                 failedWithStatus(status);
                 return;
@@ -581,6 +593,7 @@
 
     /** Forwards a stream that can't be resumed, chunk by chunk. */
     private final class PlainStream implements ResponseListener {
+        private final EventBoundaryScanner boundaries = new EventBoundaryScanner();
         private int status;
         private MultiMap responseHeaders;
 
@@ -601,6 +614,7 @@
         public void chunk(Buffer chunk) {
             markReceived();
             markFirstByte();
+            boundaries.scan(chunk);
             startResponse();
             response.write(chunk);
             applyBackpressure(exchange);
@@ -608,6 +622,7 @@
 
         @Override
         public void end() {
+            recordBodyEnd(boundaries.withinEvent());
             startResponse();
             response.end();
             complete(status);
@@ -673,6 +688,7 @@
 
         @Override
         public void end() {
+            recordBodyEnd(parser.hasPartialEvent());
             if (status == 200 && parser.hasPartialEvent()) {
                 attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, "stream ended within an event");
                 return;
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -201,6 +201,11 @@
         return sent;
     }
 
+    /** Returns whether the response has neither a length nor chunks, so that the end of the connection ends it. */
+    public boolean closeDelimited() {
+        return closeDelimited;
+    }
+
     /** Stops reading the response until {@link #resume}. */
     public void pause() {
         if (response != null && !done) {
--- a/serving/src/test/java/dev/lavenderline/serving/online/EventStreamParserTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/EventStreamParserTest.java
@@ -49,4 +49,14 @@
         assertEquals(2, events.size());
         assertFalse(parser.hasPartialEvent());
     }
+
+    /** Guards against taking an empty line after the last event for an event that was cut. */
+    @Test
+    void emptyLineAfterTheLastEventIsNoPartialEvent() {
+        EventStreamParser parser = new EventStreamParser(event -> {});
+        parser.feed(Buffer.buffer("id: 1\r\ndata: one\r\n\r\n\r\n"));
+        assertFalse(parser.hasPartialEvent());
+        parser.feed(Buffer.buffer("id"));
+        assertTrue(parser.hasPartialEvent());
+    }
 }
