--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -41,6 +41,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -638,4 +639,53 @@
                         .get(5, TimeUnit.SECONDS)
                         .body());
     }
+
+    /** Sends a stream request to an upstream that answers each request with these bytes and closes the connection. */
+    private CompletableFuture<HttpResponse<String>> stream(Function<String, String> rawResponse) throws IOException {
+        RawUpstream raw = new RawUpstream(vertx, (socket, id) -> {
+            socket.write(rawResponse.apply(id));
+            vertx.setTimer(50, later -> socket.close());
+        });
+        write("upstreams", "e1", "engines " + raw.port);
+        startNode("n1");
+        return post(0, "/stream/x", "r1", "p");
+    }
+
+    private static boolean failed(CompletableFuture<HttpResponse<String>> response) {
+        return response.handle((received, failure) -> failure != null).join();
+    }
+
+    /** Guards against a stream that the upstream broke off within an event reaching the caller as complete. */
+    @Test
+    void closeDelimitedStreamThatEndsWithinAnEventIsNotComplete() throws IOException {
+        assertTrue(failed(stream(id -> RawUpstream.closeDelimitedHead(id) + events(1, 2) + "id: 3\ndata: te")));
+    }
+
+    /** Guards against a stream whose last event lacks only its empty line reaching the caller as complete. */
+    @Test
+    void closeDelimitedStreamThatLacksTheLastEmptyLineIsNotComplete() throws IOException {
+        assertTrue(failed(stream(id -> RawUpstream.closeDelimitedHead(id) + events(1, 2) + "id: 3\ndata: text3\n")));
+    }
+
+    /** Guards against a stream that ends within an event reaching the caller as complete because its chunks do. */
+    @Test
+    void chunkedStreamThatEndsWithinAnEventIsNotComplete() throws IOException {
+        assertTrue(failed(stream(id ->
+                RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(1, 2) + "id: 3\ndata: te") + "0\r\n\r\n")));
+    }
+
+    /** Guards against an empty response to a caller whose stream was broken off before its first event. */
+    @Test
+    void closeDelimitedStreamWithoutEventIsNotComplete() throws IOException {
+        assertEquals(502, stream(RawUpstream::closeDelimitedHead).join().statusCode());
+    }
+
+    @Test
+    void closeDelimitedStreamThatEndsAfterAnEventIsComplete() throws IOException {
+        assertEquals(
+                events(1, 2),
+                stream(id -> RawUpstream.closeDelimitedHead(id) + events(1, 2))
+                        .join()
+                        .body());
+    }
 }
