Fail streams that end within an event or before the first one

Cause: a stream that can't be resumed was forwarded by chunks, and the end of the body was taken for the end of the stream. An upstream that breaks off a response without length or chunks and ends its connection in order ends the body, within an event or before the first one. Only resumable streams and items looked at their events, and neither noticed a stream without any.

All three kinds of stream now ask the same scanner whether the stream may be complete; if not, the response ends like one whose connection was reset. A connection that ends in order after an event remains complete: nothing in the stream tells otherwise. Bodies of another content type are not events.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -306,14 +306,20 @@
                 recordItemFailure();
             } else if (status != OK) {
                 finish(ReleaseReason.ANSWER_LOST, true, "status " + status);
-            } else if (parser.hasPartialEvent()) {
-                finish(ReleaseReason.ANSWER_LOST, true, "stream ended within an event");
             } else {
-                store.addResult(ref, true, String.join("\n", output.events));
-                finish(ReleaseReason.COMPLETED, false, "completed");
+                parser.truncation(exchange.closeDelimited()).ifPresentOrElse(this::streamTruncated, this::completed);
             }
         }
 
+        private void streamTruncated(String cause) {
+            finish(ReleaseReason.ANSWER_LOST, true, cause);
+        }
+
+        private void completed() {
+            store.addResult(ref, true, String.join("\n", output.events));
+            finish(ReleaseReason.COMPLETED, false, "completed");
+        }
+
         private void recordItemFailure() {
             int failures = job.failures(ref.index()) + 1;
             if (failures >= job.maxAttempts()) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.online;
 
 import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
 
 /**
  * Finds the ends of server-sent events in a stream of bytes: the empty line after an event, with LF or CRLF.
@@ -10,6 +11,7 @@
 final class EventBoundaryScanner {
     private boolean lineEmpty;
     private boolean withinEvent;
+    private boolean anyEvent;
 
     /** Scans the next byte and returns whether it ends an event. */
     boolean scan(byte next) {
@@ -24,6 +26,7 @@
         boolean end = lineEmpty;
         lineEmpty = !end;
         withinEvent &= !end;
+        anyEvent |= end;
         return end;
     }
 
@@ -38,4 +41,16 @@
     boolean withinEvent() {
         return withinEvent;
     }
+
+    /**
+     * Returns why a stream that ends here is truncated, or empty if it may be complete.
+     *
+     * @param closeDelimited whether only the end of the connection ends the stream, which then proves nothing
+     */
+    Optional<String> truncation(boolean closeDelimited) {
+        if (withinEvent) {
+            return Optional.of("stream ended within an event");
+        }
+        return closeDelimited && !anyEvent ? Optional.of("connection closed before the first event") : Optional.empty();
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
@@ -25,6 +26,11 @@
         return boundaries.withinEvent();
     }
 
+    /** Returns why a stream that ends here is truncated; see {@link EventBoundaryScanner#truncation}. */
+    public Optional<String> truncation(boolean closeDelimited) {
+        return boundaries.truncation(closeDelimited);
+    }
+
     /** Parses further bytes and passes each completed event to the consumer. */
     public void feed(Buffer chunk) {
         int start = 0;
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -11,6 +11,7 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
 import java.util.HashSet;
@@ -41,6 +42,8 @@
     /** Size up to which a response is buffered until it is complete; larger ones are streamed. */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     /** Lowest response status that counts as a failure of the upstream. */
     private static final int MIN_FAILURE_STATUS = 500;
 
@@ -522,6 +525,21 @@
         partialEvent = withinEvent;
     }
 
+    /**
+     * Ends the attempt if the stream that has just ended is truncated. The response may have been delimited correctly:
+     * an upstream may break off a stream and still end its connection, or its last chunk, in order.
+     */
+    private boolean failIfTruncated(Optional<String> truncation) {
+        truncation.ifPresent(cause -> attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause));
+        return truncation.isPresent();
+    }
+
+    /** Returns whether a response consists of events; one without a content type is taken to. */
+    private static boolean isEventStream(MultiMap headers) {
+        String type = headers.get(HttpHeaders.CONTENT_TYPE);
+        return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+    }
+
     private void applyBackpressure(UpstreamExchange source) {
         if (response.writeQueueFull()) {
             source.pause();
@@ -623,6 +641,11 @@
         @Override
         public void end() {
             recordBodyEnd(boundaries.withinEvent());
+            if (status == 200
+                    && isEventStream(responseHeaders)
+                    && failIfTruncated(boundaries.truncation(closeDelimited))) {
+                return;
+            }
             startResponse();
             response.end();
             complete(status);
@@ -689,8 +712,7 @@
         @Override
         public void end() {
             recordBodyEnd(parser.hasPartialEvent());
-            if (status == 200 && parser.hasPartialEvent()) {
-                attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, "stream ended within an event");
+            if (status == 200 && failIfTruncated(parser.truncation(closeDelimited))) {
                 return;
             }
             if (isFailure(status) && attemptsLeft()) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -680,6 +680,37 @@
         assertEquals(502, stream(RawUpstream::closeDelimitedHead).join().statusCode());
     }
 
+    /** Guards against taking a body that is no stream of events for a truncated one. */
+    @Test
+    void closeDelimitedBodyOfAnotherTypeIsComplete() throws IOException {
+        assertEquals(
+                "{}",
+                stream(id -> RawUpstream.closeDelimitedHead(id)
+                                        .replace("\r\n\r\n", "\r\nContent-Type: application/json\r\n\r\n")
+                                + "{}")
+                        .join()
+                        .body());
+    }
+
+    /** Guards against a batch item that is completed although its stream was broken off. */
+    @Test
+    void itemRunsAgainAfterStreamThatIsNotComplete() throws Exception {
+        List<String> truncated = List.of("", events(1, 2) + "id: 3\ndata: te");
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream raw = new RawUpstream(vertx, (socket, id) -> {
+            int run = runs.getAndIncrement();
+            socket.write(RawUpstream.closeDelimitedHead(id)
+                    + (run < truncated.size() ? truncated.get(run) : events(3, ScriptedUpstream.EVENT_COUNT)));
+            vertx.setTimer(50, later -> socket.close());
+        });
+        write("upstreams", "e1", "engines " + raw.port);
+        startNode("n1");
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().lines().count() == 1);
+        assertEquals("a=text1|text2|text3|text4|text5\n", get(0, "/jobs/job").body());
+        assertEquals(3, runs.get());
+    }
+
     @Test
     void closeDelimitedStreamThatEndsAfterAnEventIsComplete() throws IOException {
         assertEquals(
--- a/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
@@ -14,8 +14,15 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
@@ -163,6 +170,29 @@
         assertEquals(List.of("response text"), outcomes);
     }
 
+    /** Guards against taking a response without length for complete although its connection was reset. */
+    @Test
+    void closeDelimitedResponseIsCutIfConnectionIsReset() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            upstream = new Upstream("reset", "s", "127.0.0.1", server.getLocalPort(), "a", 8, false);
+            CompletableFuture<Void> reset = CompletableFuture.runAsync(() -> respondAndReset(server));
+            send("r");
+            reset.join();
+        }
+        assertEquals(List.of("CUT"), outcomes);
+    }
+
+    private static void respondAndReset(ServerSocket server) {
+        try (Socket socket = server.accept()) {
+            socket.getInputStream().read();
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nid: r\r\n\r\ntext".getBytes(StandardCharsets.UTF_8));
+            await().pollDelay(Duration.ofMillis(50)).until(() -> true);
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     void rejectedRequestHasNotRun() {
         upstreamHandler = (socket, request) ->
