Test that a response without length is broken if its connection is reset

Looked at with the incident of truncated streams: the client of the product's own interface reports such a response as broken already. Its streams of engines end with a marker, without which they are broken.

--- a/http/src/test/java/dev/lavenderline/http/UpstreamClientTest.java
+++ b/http/src/test/java/dev/lavenderline/http/UpstreamClientTest.java
@@ -6,13 +6,22 @@
 
 import dev.lavenderline.core.config.Upstream;
 import io.vertx.core.Context;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -198,4 +207,53 @@
         assertFalse(failures.get(1).maybeSent());
         assertEquals(UpstreamFailure.Kind.CONNECT, failures.get(1).kind());
     }
+
+    /** Guards against a response without length that counts as complete although its connection was reset. */
+    @Test
+    void closeDelimitedResponseIsBrokenIfConnectionIsReset() throws Exception {
+        serve(UpstreamClient.Options.defaults(), request -> {});
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String address = "127.0.0.1:" + server.getLocalPort();
+            upstream = new Upstream("s1", Upstream.Kind.SERVICE, "g", address, "r", "d", 1, true);
+            CompletableFuture<Void> reset = CompletableFuture.runAsync(() -> respondAndReset(server));
+            call("r1");
+            Awaitility.await().until(() -> !events.isEmpty());
+            reset.join();
+        }
+        assertEquals(List.of("failed:BROKEN"), events);
+    }
+
+    private static void respondAndReset(ServerSocket server) {
+        try (Socket socket = server.accept()) {
+            socket.getInputStream().read();
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\ntext".getBytes(StandardCharsets.UTF_8));
+            Awaitility.await().pollDelay(Duration.ofMillis(50)).until(() -> true);
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void call(String id) {
+        Duration limit = Duration.ofSeconds(20);
+        CallRequest request = new CallRequest(
+                id, HttpMethod.GET, "/", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer(), true, limit, limit);
+        eventLoop.runOnContext(run -> client.call(upstream, request, new CallListener() {
+            @Override
+            public void head(int status, MultiMap headers) {}
+
+            @Override
+            public void data(Buffer chunk) {}
+
+            @Override
+            public void end() {
+                events.add("end");
+            }
+
+            @Override
+            public void failed(UpstreamFailure failure) {
+                events.add("failed:" + failure.kind());
+            }
+        }));
+    }
 }
