Read the versions of upstreams and log them with what a request resumes

The logs of the incident of mixed versions tell neither the version of an upstream nor that a request resumes a stream.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -204,6 +204,8 @@
                             item.getId(),
                             "upstream",
                             upstream.id(),
+                            "version",
+                            upstream.version(),
                             "after",
                             resumedEvents);
             MultiMap headers = context.wire().itemHeaders(content, job.host(), upstream.id(), output.lastEventId);
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -10,8 +10,14 @@
  * @param id id of the caller's attempt, the empty string if the caller sent none
  * @param timeout time for which the caller waits for the response, empty if the caller set none
  * @param lastEventId id of the last event that the caller received of the stream that it resumes
+ * @param resumedAttempt id of the attempt that brought the first event of the stream that the caller resumes
  * @param sharedPrefix hash of the prompt prefix shared with other requests, 0 if there is none
  * @param maxWait longest time for which a long poll may wait for new results
  */
 public record RequestInfo(
-        String id, Optional<Duration> timeout, OptionalLong lastEventId, long sharedPrefix, Duration maxWait) {}
+        String id,
+        Optional<Duration> timeout,
+        OptionalLong lastEventId,
+        Optional<String> resumedAttempt,
+        long sharedPrefix,
+        Duration maxWait) {}
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/Upstream.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/Upstream.java
@@ -10,6 +10,14 @@
  * @param failureDomain failure domain in which it runs
  * @param slots number of requests that it processes concurrently
  * @param draining whether it is shutting down and gets no new requests
+ * @param version version of its software; a stream can't continue on another one
  */
 public record Upstream(
-        String id, String service, String host, int port, String failureDomain, int slots, boolean draining) {}
+        String id,
+        String service,
+        String host,
+        int port,
+        String failureDomain,
+        int slots,
+        boolean draining,
+        String version) {}
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -20,7 +20,7 @@
 import java.util.OptionalLong;
 
 /**
- * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), instance,
+ * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, instance,
  * not-run, retry (milliseconds). A job's body is a comma-separated list of item ids. Stateless and thread-safe.
  */
 public final class TestWireFormat implements WireFormat {
@@ -35,6 +35,7 @@
                 Optional.ofNullable(headers.get("id")).orElse(""),
                 left.isPresent() ? Optional.of(Duration.ofMillis(left.getAsLong())) : Optional.empty(),
                 parseLong(headers.get("after")),
+                Optional.ofNullable(headers.get("resumes")),
                 0,
                 Duration.ZERO);
     }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -86,8 +86,8 @@
 
     DeclinedItemsTest() {
         store.start();
-        directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 4, false));
-        directory.put(new Upstream("e2", "s", "10.0.0.2", 80, "a", 4, true));
+        directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 4, false, "v1"));
+        directory.put(new Upstream("e2", "s", "10.0.0.2", 80, "a", 4, true, "v1"));
     }
 
     private void acceptJob() {
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -61,7 +61,10 @@
     private ScriptedUpstream first;
     private ScriptedUpstream second;
 
-    /** Decodes text; a configuration is its version, an upstream its service, its port and optionally a drain flag. */
+    /**
+     * Decodes text. A configuration is its version; an upstream its service, its port, and optionally its version and
+     * "draining".
+     */
     private static final class TextRecordDecoder implements ControlRecordDecoder {
         @Override
         public String configKey() {
@@ -113,9 +116,14 @@
 
         @Override
         public Either<String, Upstream> upstream(String id, byte[] value) {
-            String[] words = new String(value, StandardCharsets.UTF_8).split(" ");
-            return Either.right(
-                    new Upstream(id, words[0], LOOPBACK, Integer.parseInt(words[1]), "a", 2, words.length > 2));
+            List<String> words = List.of(new String(value, StandardCharsets.UTF_8).split(" "));
+            String version = words.stream()
+                    .filter(word -> word.startsWith("v"))
+                    .findFirst()
+                    .orElse("v1");
+            boolean draining = words.contains("draining");
+            int port = Integer.parseInt(words.get(1));
+            return Either.right(new Upstream(id, words.get(0), LOOPBACK, port, "a", 2, draining, version));
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
@@ -44,7 +44,7 @@
             String state = new String(value, 0, value.length - 1, StandardCharsets.UTF_8);
             return state.equals("broken")
                     ? Either.left("broken")
-                    : Either.right(new Upstream(id, "s", "10.0.0.1", 80, "a", 2, state.equals("draining")));
+                    : Either.right(new Upstream(id, "s", "10.0.0.1", 80, "a", 2, state.equals("draining"), "v1"));
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
@@ -57,7 +57,7 @@
                 .toCompletableFuture()
                 .join()
                 .actualPort();
-        upstream = new Upstream("i", "s", "127.0.0.1", port, "a", 8, false);
+        upstream = new Upstream("i", "s", "127.0.0.1", port, "a", 8, false, "v1");
     }
 
     @AfterEach
@@ -174,7 +174,7 @@
     @Test
     void closeDelimitedResponseIsCutIfConnectionIsReset() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            upstream = new Upstream("reset", "s", "127.0.0.1", server.getLocalPort(), "a", 8, false);
+            upstream = new Upstream("reset", "s", "127.0.0.1", server.getLocalPort(), "a", 8, false, "v1");
             CompletableFuture<Void> reset = CompletableFuture.runAsync(() -> respondAndReset(server));
             send("r");
             reset.join();
@@ -210,7 +210,7 @@
 
     @Test
     void requestHasNotRunAfterRefusedConnection() {
-        upstream = new Upstream("j", "s", "127.0.0.1", 1, "a", 8, false);
+        upstream = new Upstream("j", "s", "127.0.0.1", 1, "a", 8, false, "v1");
         send("r");
         assertEquals(List.of("NOT_CONNECTED"), outcomes);
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/ItemsOfUnreadJobsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ItemsOfUnreadJobsTest.java
@@ -84,7 +84,7 @@
 
     ItemsOfUnreadJobsTest() {
         for (int i = 0; i < UPSTREAMS; i++) {
-            directory.put(new Upstream("e" + i, "s", "10.0.0.1", 80, domain(i), SLOTS, false));
+            directory.put(new Upstream("e" + i, "s", "10.0.0.1", 80, domain(i), SLOTS, false, "v1"));
         }
         directory.recordStoreResponse();
         for (int i = 0; i < NODES; i++) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
@@ -72,7 +72,7 @@
                     Duration.ofMillis(1000)));
 
     SchedulerChangeTest() {
-        directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", SLOTS, false));
+        directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", SLOTS, false, "v1"));
         directory.recordStoreResponse();
         scheduler.joined("n1", "a", 1, List.of());
         scheduler.joined("n2", "a", 1, List.of());
@@ -99,7 +99,7 @@
 
     @Test
     void itemsOfNodesThatMovedAreNotStartedAgain() {
-        directory.put(new Upstream("e2", "s", "10.0.0.2", 80, "a", SLOTS, false));
+        directory.put(new Upstream("e2", "s", "10.0.0.2", 80, "a", SLOTS, false, "v1"));
         scheduler.moved("n1");
         schedule(Duration.ofMillis(1500));
         Set<ItemRef> distinct = new HashSet<>(started);
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
@@ -59,7 +59,7 @@
     private SchedulerClient newClient(NodeEntry self) {
         Ticker ticker = Ticker.system();
         UpstreamDirectory directory = new UpstreamDirectory(ticker);
-        directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 4, false));
+        directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 4, false, "v1"));
         UpstreamHealth health = new UpstreamHealth(ticker);
         LocalPlacement placement = new LocalPlacement(directory, health, "a", () -> 0.5);
         SlotService slots = new SlotService(
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
@@ -47,7 +47,7 @@
         Ticker ticker = Ticker.system();
         UpstreamDirectory directory = new UpstreamDirectory(ticker);
         for (int i = 0; i < engines; i++) {
-            directory.put(new Upstream("engine-" + i, "s", "10.0.0.1", 80, "d" + i % 6, SLOTS, false));
+            directory.put(new Upstream("engine-" + i, "s", "10.0.0.1", 80, "d" + i % 6, SLOTS, false, "v1"));
         }
         SlotScheduler scheduler = new SlotScheduler(
                 ticker,
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -93,7 +93,7 @@
     }
 
     private void upstream(String id, boolean draining) {
-        directory.put(new Upstream(id, "s", "10.0.0.1", 80, id.equals("e1") ? "a" : "b", SLOTS, draining));
+        directory.put(new Upstream(id, "s", "10.0.0.1", 80, id.equals("e1") ? "a" : "b", SLOTS, draining, "v1"));
     }
 
     private long acquire(String node, Duration target, boolean retry) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/UnreadableContentTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/UnreadableContentTest.java
@@ -68,7 +68,7 @@
                 EventLog.NONE,
                 () -> 0.5,
                 SlotScheduler.Options.defaults());
-        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", SLOTS, false));
+        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", SLOTS, false, "v1"));
         directory.recordStoreResponse();
         for (int i = 0; i < NODES; i++) {
             scheduler.joined("n" + i, "a", 1, List.of());
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
@@ -15,7 +15,7 @@
     private final UpstreamDirectory directory = new UpstreamDirectory(time);
 
     private static Upstream upstream(String id) {
-        return new Upstream(id, "s", "10.0.0.1", 80, "a", 8, false);
+        return new Upstream(id, "s", "10.0.0.1", 80, "a", 8, false, "v1");
     }
 
     private void pollEachSecond(int seconds) {
@@ -77,7 +77,7 @@
     @Test
     void drainingUpstreamIsRemovedAtOnceAfterAnOutage() {
         pollEachSecond(3);
-        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true));
+        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true, "v1"));
         time.advance(Duration.ofSeconds(5));
         directory.recordStoreResponse();
         directory.remove("e");
@@ -98,7 +98,7 @@
 
     @Test
     void drainingUpstreamIsNotOpen() {
-        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true));
+        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, true, "v1"));
         assertTrue(directory.open("s").isEmpty());
         assertTrue(directory.find("e").isPresent());
     }
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamHealthTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamHealthTest.java
@@ -175,6 +175,6 @@
     }
 
     private static Upstream upstream(String id) {
-        return new Upstream(id, "s", "10.0.0.1", 80, "a", 2, false);
+        return new Upstream(id, "s", "10.0.0.1", 80, "a", 2, false, "v1");
     }
 }
