Add failing tests of streams that continue on another software version

A cut stream, a stream that its caller resumes at another node, and a batch item continue on an upstream of another version; a stream of unknown origin continues on any. Two further tests, which pass, guard against giving up what can continue.

--- a/serving/src/test/java/dev/lavenderline/serving/node/ScriptedUpstream.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ScriptedUpstream.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
 
@@ -13,6 +14,10 @@
     final String id;
     final int port;
     final List<String> requests = new CopyOnWriteArrayList<>();
+
+    /** The events after which requests asked to continue. */
+    final List<String> resumedAfter = new CopyOnWriteArrayList<>();
+
     final List<String> cancelled = new CopyOnWriteArrayList<>();
     volatile BiConsumer<HttpServerRequest, String> script;
 
@@ -22,6 +27,7 @@
         this.port = vertx.createHttpServer()
                 .requestHandler(request -> request.body().onSuccess(body -> {
                     requests.add(request.uri() + " " + body);
+                    Optional.ofNullable(request.getHeader("after")).ifPresent(resumedAfter::add);
                     request.response().closeHandler(closed -> {
                         if (!request.response().ended()) {
                             cancelled.add(request.uri());
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -727,4 +727,107 @@
                         .join()
                         .body());
     }
+
+    /** Sends a stream that begins at version v1 and is cut there after two events, once there is an upstream of v2. */
+    private CompletableFuture<HttpResponse<String>> streamCutBesideOtherVersion() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 300, 2);
+        CompletableFuture<HttpResponse<String>> response = post(0, "/resumable/x", "r", "p");
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1);
+        write("upstreams", "e2", "engines " + second.port + " v2");
+        return response;
+    }
+
+    /** Guards against one response with events of two software versions. */
+    @Test
+    void cutStreamDoesNotContinueOnAnotherVersion() throws IOException {
+        assertTrue(failed(streamCutBesideOtherVersion()));
+        assertEquals(List.of(), second.requests);
+    }
+
+    /** Guards against giving up a cut stream although another upstream of its software version is there. */
+    @Test
+    void cutStreamContinuesOnItsVersion() throws IOException {
+        CompletableFuture<HttpResponse<String>> response = streamCutBesideOtherVersion();
+        ScriptedUpstream third = new ScriptedUpstream(vertx, "e3");
+        write("upstreams", "e3", "engines " + third.port + " v1");
+        assertEquals(events(1, ScriptedUpstream.EVENT_COUNT), response.join().body());
+        assertEquals(List.of(), second.requests);
+        assertEquals(List.of("2"), third.resumedAfter);
+    }
+
+    /** Starts a stream that is cut after two events at version v1, at the first node. */
+    private void beginStream(String id) {
+        first.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 10, 2);
+        assertTrue(failed(post(0, "/resumable/x", id, "p")));
+        first.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 10, 5);
+    }
+
+    private CompletableFuture<HttpResponse<String>> resume(int node, String id, String resumedAttempt) {
+        HttpRequest sent = request(node, "/resumable/x")
+                .header("id", id)
+                .header("after", "2")
+                .header("resumes", resumedAttempt)
+                .POST(HttpRequest.BodyPublishers.ofString("p"))
+                .build();
+        return client.sendAsync(sent, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Guards against a caller that resumes a stream at another node and gets events of another software version. */
+    @Test
+    void resumedStreamContinuesOnItsVersion() throws IOException {
+        write("upstreams", "e1", "engines " + first.port + " v1");
+        startNode("n1");
+        startNode("n2");
+        for (int i = 0; i < 4; i++) {
+            beginStream("r" + i);
+        }
+        // Would be chosen before e1, as it has the same load.
+        write("upstreams", "e5", "engines " + second.port + " v2");
+        await().pollDelay(Duration.ofMillis(500)).atMost(TIMEOUT).until(() -> true);
+        for (int i = 0; i < 4; i++) {
+            HttpResponse<String> resumed = resume(1, "again" + i, "r" + i).join();
+            assertEquals(200, resumed.statusCode());
+            assertEquals(events(3, ScriptedUpstream.EVENT_COUNT), resumed.body());
+        }
+        assertEquals(List.of(), second.requests);
+    }
+
+    /** Guards against continuing a stream at random if no node knows the version that began it. */
+    @Test
+    void resumedStreamOfUnknownVersionIsRejectedWhileVersionsDiffer() throws IOException {
+        write("upstreams", "e1", "engines " + first.port + " v1");
+        write("upstreams", "e2", "engines " + second.port + " v2");
+        startNode("n1");
+        HttpResponse<String> rejected = resume(0, "again", "unknown").join();
+        assertEquals(503, rejected.statusCode());
+        assertTrue(rejected.headers().firstValue("retry").isPresent());
+        assertEquals(List.of(), first.requests);
+        assertEquals(List.of(), second.requests);
+    }
+
+    /** Guards against rejecting resumed streams after a restart of all nodes while there is only one version. */
+    @Test
+    void resumedStreamOfUnknownVersionContinuesOnTheOnlyVersion() throws IOException {
+        write("upstreams", "e1", "engines " + first.port + " v1");
+        startNode("n1");
+        assertEquals(
+                events(3, ScriptedUpstream.EVENT_COUNT),
+                resume(0, "again", "unknown").join().body());
+    }
+
+    /** Guards against an output of a batch item with events of two software versions. */
+    @Test
+    void itemStartsAnewOnAnotherVersion() throws Exception {
+        write("upstreams", "e1", "engines " + first.port + " v1");
+        startNode("n1");
+        first.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 500, 2);
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1);
+        write("upstreams", "e1", "engines " + first.port + " v1 draining");
+        write("upstreams", "e2", "engines " + second.port + " v2");
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().lines().count() == 1);
+        assertEquals(List.of(), second.resumedAfter);
+        assertEquals("a=text1|text2|text3|text4|text5\n", get(0, "/jobs/job").body());
+    }
 }
