Continue a cut stream only on the software version that began it

Cause: an entry's version was not read, and the failover within a response took any engine of the service. A request for a slot now carries the version of the first event; the scheduler and the placement without a scheduler choose among its engines. Such a request waits until its deadline, as half of its response is delivered, and is rejected at once when no engine of its version is left, so that the caller can resume elsewhere.

--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.serving.slots.ReleaseReason;
 import dev.lavenderline.serving.slots.SlotClient;
 import dev.lavenderline.serving.slots.SlotRequest;
+import dev.lavenderline.serving.slots.StreamOrigin;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -71,6 +72,10 @@
     private int sends;
     private int possibleRuns;
     private OptionalLong lastEventId;
+
+    /** Where the stream began that is continued if the request is sent again; empty before the first event. */
+    private Optional<StreamOrigin> origin = Optional.empty();
+
     private boolean modelEngines;
     private boolean done;
     private long lease = -1;
@@ -175,7 +180,7 @@
             return;
         }
         if (!modelEngines) {
-            Optional<Upstream> picked = context.placement().pick(service, excluded);
+            Optional<Upstream> picked = context.placement().pick(service, excluded, requiredVersion());
             if (picked.isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
             } else {
@@ -207,7 +212,13 @@
                 remaining(),
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
-                callerRetries() || sends > 0);
+                callerRetries() || sends > 0,
+                origin);
+    }
+
+    /** Returns the software version on which the request has to continue, empty if any will do. */
+    private Optional<String> requiredVersion() {
+        return origin.flatMap(StreamOrigin::version);
     }
 
     private void slotGranted(String upstreamId) {
@@ -228,7 +239,8 @@
     private Optional<Upstream> usable(String upstreamId) {
         return context.directory()
                 .find(upstreamId)
-                .filter(found -> !context.directory().drainingOrRemoved(upstreamId));
+                .filter(found -> !context.directory().drainingOrRemoved(upstreamId))
+                .filter(found -> found.version().equals(requiredVersion().orElse(found.version())));
     }
 
     private ReleaseReason unusableReason(String upstreamId) {
@@ -276,7 +288,9 @@
         Set<String> unusable = new HashSet<>(excluded);
         unusable.add(upstream.id());
         if (!modelEngines) {
-            context.placement().pick(service, unusable).ifPresent(target -> replaceSilentUpstream(target, -1));
+            context.placement()
+                    .pick(service, unusable, requiredVersion())
+                    .ifPresent(target -> replaceSilentUpstream(target, -1));
             return;
         }
         replacementLease = context.slots().newLease();
@@ -709,6 +723,9 @@
                 return;
             }
             markFirstByte();
+            if (origin.isEmpty()) {
+                origin = Optional.of(StreamOrigin.ofVersion(upstream.version()));
+            }
             startResponse();
             response.write(event.raw());
             lastEventId = event.id().isPresent() ? event.id() : lastEventId;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
@@ -37,13 +37,19 @@
         this.random = random;
     }
 
-    /** Returns the upstream for a request and counts the request, or empty if no upstream can take it. */
-    public Optional<Upstream> pick(String service, Set<String> excluded) {
+    /**
+     * Returns the upstream for a request and counts the request, or empty if no upstream can take it.
+     *
+     * @param version software version that the upstream must have, empty if any will do
+     */
+    public Optional<Upstream> pick(String service, Set<String> excluded, Optional<String> version) {
         Upstream best = null;
         double lowestLoad = Double.POSITIVE_INFINITY;
         List<Upstream> open = directory.open(service);
         for (Upstream upstream : open) {
-            if (excluded.contains(upstream.id()) || !health.usable(upstream.id())) {
+            if (excluded.contains(upstream.id())
+                    || !health.usable(upstream.id())
+                    || !upstream.version().equals(version.orElse(upstream.version()))) {
                 continue;
             }
             double load = inFlight.getOrDefault(upstream.id(), 0)
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -416,8 +416,10 @@
     private void placeLocally(Pending entry) {
         long lease = entry.request().lease();
         pending.remove(lease);
-        Optional<Upstream> upstream =
-                placement.pick(entry.request().service(), entry.request().excluded());
+        Optional<Upstream> upstream = placement.pick(
+                entry.request().service(),
+                entry.request().excluded(),
+                entry.request().origin().flatMap(StreamOrigin::version));
         if (upstream.isEmpty()) {
             entry.listener().rejected(Duration.ofSeconds(1));
             return;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.proto.slots.Granted;
 import dev.lavenderline.proto.slots.Hello;
 import dev.lavenderline.proto.slots.Leaving;
+import dev.lavenderline.proto.slots.Origin;
 import dev.lavenderline.proto.slots.Outcome;
 import dev.lavenderline.proto.slots.Ping;
 import dev.lavenderline.proto.slots.Pong;
@@ -59,16 +60,31 @@
     }
 
     static Buffer acquire(SlotRequest request) {
-        return frame(SlotFrame.newBuilder()
-                .setAcquire(Acquire.newBuilder()
-                        .setLease(request.lease())
-                        .setService(request.service())
-                        .setTargetLeftMs((int) request.timeToTarget().toMillis())
-                        .setDeadlineLeftMs(
-                                (int) Math.max(0, request.timeToDeadline().toMillis()))
-                        .addAllExcluded(request.excluded())
-                        .setPrefix(request.prefix())
-                        .setReturning(request.retry())));
+        Acquire.Builder acquire = Acquire.newBuilder()
+                .setLease(request.lease())
+                .setService(request.service())
+                .setTargetLeftMs((int) request.timeToTarget().toMillis())
+                .setDeadlineLeftMs((int) Math.max(0, request.timeToDeadline().toMillis()))
+                .addAllExcluded(request.excluded())
+                .setPrefix(request.prefix())
+                .setReturning(request.retry());
+        request.origin()
+                .ifPresent(origin -> acquire.setOrigin(Origin.newBuilder()
+                        .setVersion(origin.version().orElse(""))
+                        .setAttempt(origin.attempt().orElse(""))));
+        return frame(SlotFrame.newBuilder().setAcquire(acquire));
+    }
+
+    private static Optional<StreamOrigin> origin(Acquire acquire) {
+        if (!acquire.hasOrigin()) {
+            return Optional.empty();
+        }
+        Origin origin = acquire.getOrigin();
+        return Optional.of(new StreamOrigin(nonEmpty(origin.getVersion()), nonEmpty(origin.getAttempt())));
+    }
+
+    private static Optional<String> nonEmpty(String text) {
+        return text.isEmpty() ? Optional.empty() : Optional.of(text);
     }
 
     static SlotRequest request(String node, Acquire acquire) {
@@ -80,7 +96,8 @@
                 Duration.ofMillis(acquire.getDeadlineLeftMs()),
                 Set.copyOf(acquire.getExcludedList()),
                 acquire.getPrefix(),
-                acquire.getReturning());
+                acquire.getReturning(),
+                origin(acquire));
     }
 
     static Buffer release(long lease, ReleaseReason reason, int keptEvents) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.slots;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -14,6 +15,7 @@
  * @param excluded upstreams that must not get the request, for example because they failed it
  * @param prefix hash of the shared prompt prefix, 0 if there is none
  * @param retry whether an earlier attempt was rejected or failed
+ * @param origin where the stream began that the request continues, empty for a new one
  */
 public record SlotRequest(
         String node,
@@ -23,4 +25,5 @@
         Duration timeToDeadline,
         Set<String> excluded,
         long prefix,
-        boolean retry) {}
+        boolean retry,
+        Optional<StreamOrigin> origin) {}
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -227,6 +227,10 @@
         if (tryPlace(request)) {
             return;
         }
+        if (request.origin().isPresent()) {
+            acquireForStartedStream(request);
+            return;
+        }
         Duration wait = expectedWait(request.service());
         Duration maxWait = request.retry()
                 ? request.timeToDeadline()
@@ -235,6 +239,23 @@
             decisions.rejected(request.node(), request.lease(), retryAfter(wait));
             return;
         }
+        enqueue(request);
+    }
+
+    /** Queues a request for the rest of a stream until its deadline, unless no upstream may continue the stream. */
+    private void acquireForStartedStream(SlotRequest request) {
+        if (mayContinue(request)) {
+            enqueue(request);
+        } else {
+            decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+        }
+    }
+
+    private boolean mayContinue(SlotRequest request) {
+        return directory.open(request.service()).stream().anyMatch(upstream -> eligible(upstream, request));
+    }
+
+    private void enqueue(SlotRequest request) {
         long now = ticker.nanos();
         waiting.add(new WaitingRequest(
                 request,
@@ -291,8 +312,15 @@
         return true;
     }
 
+    /** Returns whether a request may be sent to an upstream once that has room. */
+    private static boolean eligible(Upstream upstream, SlotRequest request) {
+        Optional<String> version = request.origin().flatMap(StreamOrigin::version);
+        return !request.excluded().contains(upstream.id())
+                && (version.isEmpty() || version.get().equals(upstream.version()));
+    }
+
     private boolean hasCapacity(Upstream upstream, SlotRequest request) {
-        if (request.excluded().contains(upstream.id()) || !health.usable(upstream.id())) {
+        if (!eligible(upstream, request) || !health.usable(upstream.id())) {
             return false;
         }
         int queued = health.suspected(upstream.id()) ? 0 : options.queuedPerUpstream();
@@ -515,7 +543,8 @@
         order.sort(Comparator.comparing((WaitingRequest entry) -> entry.targetNanos() - now < 0)
                 .thenComparingLong(WaitingRequest::targetNanos));
         for (WaitingRequest entry : order) {
-            if (entry.deadlineNanos() - now <= 0) {
+            boolean stranded = entry.request().origin().isPresent() && !mayContinue(entry.request());
+            if (stranded || entry.deadlineNanos() - now <= 0) {
                 waiting.remove(entry);
                 decisions.rejected(entry.request().node(), entry.request().lease(), options.minRetryAfter());
             } else if (tryPlace(entry.request())) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -92,7 +93,15 @@
             client.replaceNodes(nodes);
             long started = System.nanoTime();
             SlotRequest request = new SlotRequest(
-                    "self", client.newLease(), "s", Duration.ofMillis(300), DEADLINE, Set.of(), 0, false);
+                    "self",
+                    client.newLease(),
+                    "s",
+                    Duration.ofMillis(300),
+                    DEADLINE,
+                    Set.of(),
+                    0,
+                    false,
+                    Optional.empty());
             client.acquire(request, new SlotClient.Listener() {
                 @Override
                 public void granted(String upstream) {
@@ -173,7 +182,8 @@
     }
 
     private static SlotRequest request(long lease) {
-        return new SlotRequest("self", lease, "s", Duration.ofMillis(300), DEADLINE, Set.of(), 0, false);
+        return new SlotRequest(
+                "self", lease, "s", Duration.ofMillis(300), DEADLINE, Set.of(), 0, false, Optional.empty());
     }
 
     private static SlotClient.Listener listener(String name, List<String> decisions) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** Measures the time of one scheduling decision at several numbers of engines; run manually. */
@@ -70,7 +71,15 @@
         long startNanos = System.nanoTime();
         for (long lease = 0; lease < REQUESTS; lease++) {
             scheduler.acquire(new SlotRequest(
-                    "n", lease, "s", Duration.ofMillis(300), Duration.ofSeconds(5), Set.of(), lease % 40 + 1, false));
+                    "n",
+                    lease,
+                    "s",
+                    Duration.ofMillis(300),
+                    Duration.ofSeconds(5),
+                    Set.of(),
+                    lease % 40 + 1,
+                    false,
+                    Optional.empty()));
             if (lease >= heldSlots) {
                 scheduler.released("n", lease - heldSlots, ReleaseReason.COMPLETED, 0);
             }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -98,7 +98,7 @@
 
     private long acquire(String node, Duration target, boolean retry) {
         long lease = nextLease++;
-        scheduler.acquire(new SlotRequest(node, lease, "s", target, DEADLINE, Set.of(), 0, retry));
+        scheduler.acquire(new SlotRequest(node, lease, "s", target, DEADLINE, Set.of(), 0, retry, Optional.empty()));
         return lease;
     }
 
@@ -400,7 +400,8 @@
         scheduler.released("n1", nextLease - 2, ReleaseReason.COMPLETED, 0);
         long leaseOfN1 = nextLease - 4;
         long leaseOfN2 = nextLease++;
-        scheduler.acquire(new SlotRequest("n2", leaseOfN2, "s", TARGET, DEADLINE, Set.of("e2"), 0, false));
+        scheduler.acquire(
+                new SlotRequest("n2", leaseOfN2, "s", TARGET, DEADLINE, Set.of("e2"), 0, false, Optional.empty()));
         items(6);
         scheduler.schedule();
         time.advance(Duration.ofMillis(1600));
