Continue a stream that its caller resumes on the version that began it

Cause: nothing kept where a stream began beyond its node, and the caller names only the attempt that brought the first event. A node now reports the version at a stream's first event to its scheduler, which copies it to two other nodes, preferably those that would succeed it, in different failure domains; a node that joins a scheduler sends all that it knows. A request for a slot names the attempt, so that a resumption costs no further message.

--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -26,6 +26,7 @@
     NODE_JOINED("LL-1432", "node joined this scheduler"),
     NODE_LEFT("LL-1433", "node left this scheduler"),
     FRAME_MALFORMED("LL-1434", "malformed frame; connection closed"),
+    STREAM_NOT_CONTINUED("LL-1435", "no upstream may continue a stream"),
     UPSTREAM_EJECTED("LL-1440", "upstream ejected temporarily"),
     UPSTREAM_SLOW("LL-1441", "slow upstream temporarily limited to few requests"),
     REQUEST_ENDED("LL-1450", "request ended"),
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -73,8 +73,8 @@
     private int possibleRuns;
     private OptionalLong lastEventId;
 
-    /** Where the stream began that is continued if the request is sent again; empty before the first event. */
-    private Optional<StreamOrigin> origin = Optional.empty();
+    /** Where the stream began that the next send continues; empty if the caller has not received an event. */
+    private Optional<StreamOrigin> origin;
 
     private boolean modelEngines;
     private boolean done;
@@ -116,6 +116,9 @@
         this.response = response;
         this.onDone = onDone;
         this.lastEventId = info.lastEventId();
+        this.origin = resumedByCaller()
+                ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
+                : Optional.empty();
         this.arrivalNanos = arrivalNanos;
         Duration timeout = info.timeout()
                 .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
@@ -180,6 +183,11 @@
             return;
         }
         if (!modelEngines) {
+            origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
+            if (origin.isPresent() && requiredVersion().isEmpty()) {
+                rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+                return;
+            }
             Optional<Upstream> picked = context.placement().pick(service, excluded, requiredVersion());
             if (picked.isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
@@ -212,10 +220,26 @@
                 remaining(),
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
-                callerRetries() || sends > 0,
+                callerRetries() || sends > 0 || origin.isPresent(),
                 origin);
     }
 
+    /** Returns whether the caller has received events of this stream in an earlier attempt. */
+    private boolean resumedByCaller() {
+        return info.lastEventId().isPresent() && route.kind() == RouteKind.STREAMING && route.resumable();
+    }
+
+    /** Records that the stream has to continue on the version of the upstream that has sent an event. */
+    private void recordOrigin() {
+        if (requiredVersion().isPresent()) {
+            return;
+        }
+        origin = Optional.of(StreamOrigin.ofVersion(upstream.version()));
+        if (!resumedByCaller() && !info.id().isEmpty()) {
+            context.slots().streamBegan(info.id(), upstream.version());
+        }
+    }
+
     /** Returns the software version on which the request has to continue, empty if any will do. */
     private Optional<String> requiredVersion() {
         return origin.flatMap(StreamOrigin::version);
@@ -723,9 +747,7 @@
                 return;
             }
             markFirstByte();
-            if (origin.isEmpty()) {
-                origin = Optional.of(StreamOrigin.ofVersion(upstream.version()));
-            }
+            recordOrigin();
             startResponse();
             response.write(event.raw());
             lastEventId = event.id().isPresent() ? event.id() : lastEventId;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -59,6 +59,8 @@
     private final NodeEntry self;
     private final SchedulerSelector selector;
     private final SlotScheduler scheduler;
+    private final StreamVersions streamVersions;
+    private final SlotServer server;
     private final LocalPlacement placement;
     private final Ticker ticker;
     private final Timers timers;
@@ -146,7 +148,7 @@
             if (local()) {
                 scheduler.joined(self.name(), self.failureDomain(), self.capacity(), List.copyOf(heldSlots.values()));
             } else {
-                socket.write(SlotFrames.hello(self, heldSlots.values()));
+                socket.write(SlotFrames.hello(self, heldSlots.values(), streamVersions.groups()));
             }
             log.event(ServingEvent.SCHEDULER_CHANGED, "scheduler", target.name(), "holdings", heldSlots.size());
             List.copyOf(pending.values()).forEach(entry -> send(entry.request()));
@@ -183,6 +185,7 @@
                                     frame.getRunItem().getJob(),
                                     frame.getRunItem().getItem()));
                 case PREEMPT -> preempt(self.name(), frame.getPreempt().getLease());
+                case STREAMS_BEGAN -> streamVersions.record(SlotFrames.streams(frame.getStreamsBegan()));
                 default ->
                     log.event(ServingEvent.FRAME_MALFORMED, "peer", target.name(), "message", frame.getBodyCase());
             }
@@ -241,6 +244,7 @@
             Vertx vertx,
             NodeEntry self,
             SlotScheduler scheduler,
+            SlotServer server,
             LocalPlacement placement,
             Ticker ticker,
             Timers timers,
@@ -250,6 +254,8 @@
         this.self = self;
         this.selector = new SchedulerSelector(ticker);
         this.scheduler = scheduler;
+        this.streamVersions = scheduler.streamVersions();
+        this.server = server;
         this.placement = placement;
         this.ticker = ticker;
         this.timers = timers;
@@ -292,6 +298,11 @@
                 .toList();
     }
 
+    /** Returns the names of the registered nodes in the order in which their schedulers are preferred. */
+    List<String> preferredNodes() {
+        return selector.orderedNames();
+    }
+
     /** Returns the number of registered nodes; empty if they have not been read. */
     OptionalInt registeredCount() {
         return nodesKnown ? OptionalInt.of(nodeCount) : OptionalInt.empty();
@@ -414,12 +425,15 @@
     }
 
     private void placeLocally(Pending entry) {
-        long lease = entry.request().lease();
+        SlotRequest request = entry.request();
+        Optional<String> version = request.origin().flatMap(origin -> versionOf(request.service(), origin));
+        if (request.origin().isPresent() && version.isEmpty()) {
+            // Stays pending until the next scheduler is found, which may know where the stream began.
+            return;
+        }
+        long lease = request.lease();
         pending.remove(lease);
-        Optional<Upstream> upstream = placement.pick(
-                entry.request().service(),
-                entry.request().excluded(),
-                entry.request().origin().flatMap(StreamOrigin::version));
+        Optional<Upstream> upstream = placement.pick(request.service(), request.excluded(), version);
         if (upstream.isEmpty()) {
             entry.listener().rejected(Duration.ofSeconds(1));
             return;
@@ -447,6 +461,25 @@
         }
     }
 
+    @Override
+    public void streamBegan(String attempt, String version) {
+        streamVersions.record(attempt, version);
+        if (current == null) {
+            return;
+        }
+        StreamVersions.Group began = new StreamVersions.Group(version, List.of(attempt));
+        if (current.local()) {
+            server.replicate(began);
+        } else {
+            current.socket.write(SlotFrames.streamsBegan(began));
+        }
+    }
+
+    @Override
+    public Optional<String> versionOf(String service, StreamOrigin origin) {
+        return streamVersions.resolve(service, origin);
+    }
+
     @Override
     public void suspect(String upstream) {
         if (current == null) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerSelector.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerSelector.java
@@ -62,6 +62,11 @@
         backoffs.keySet().retainAll(registered.stream().map(NodeEntry::name).toList());
     }
 
+    /** Returns the names of the nodes in the order of selection. */
+    List<String> orderedNames() {
+        return orderedNodes.stream().map(NodeEntry::name).toList();
+    }
+
     private static long hash(String name) {
         return Hashing.murmur3_128().hashString(name, StandardCharsets.UTF_8).asLong();
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.slots;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /** Client of the scheduler for a node's requests and items. Called on the event loop. */
 public interface SlotClient {
@@ -26,6 +27,12 @@
      */
     void release(long lease, ReleaseReason reason, int keptEvents);
 
+    /** Reports that the first event of an attempt was generated on a software version. */
+    void streamBegan(String attempt, String version);
+
+    /** Returns the software version on which a stream has to continue, empty if this node does not know it. */
+    Optional<String> versionOf(String service, StreamOrigin origin);
+
     /** Reports that an upstream has stopped responding. */
     void suspect(String upstream);
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -14,6 +14,7 @@
 import dev.lavenderline.proto.slots.Release;
 import dev.lavenderline.proto.slots.RunItem;
 import dev.lavenderline.proto.slots.SlotFrame;
+import dev.lavenderline.proto.slots.StreamsBegan;
 import dev.lavenderline.proto.slots.Suspect;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
@@ -35,8 +36,9 @@
         return Buffer.buffer(bytes.length + 4).appendInt(bytes.length).appendBytes(bytes);
     }
 
-    static Buffer hello(NodeEntry self, Collection<Holding> holdings) {
+    static Buffer hello(NodeEntry self, Collection<Holding> holdings, List<StreamVersions.Group> streams) {
         Hello.Builder hello = Hello.newBuilder()
+                .addAllStreams(streams.stream().map(SlotFrames::encode).toList())
                 .setNode(self.name())
                 .setZone(self.failureDomain())
                 .setCapacityMilli((int) Math.round(self.capacity() * 1000));
@@ -48,6 +50,21 @@
         return frame(SlotFrame.newBuilder().setHello(hello));
     }
 
+    private static StreamsBegan encode(StreamVersions.Group streams) {
+        return StreamsBegan.newBuilder()
+                .setVersion(streams.version())
+                .addAllAttempts(streams.attempts())
+                .build();
+    }
+
+    static Buffer streamsBegan(StreamVersions.Group streams) {
+        return frame(SlotFrame.newBuilder().setStreamsBegan(encode(streams)));
+    }
+
+    static StreamVersions.Group streams(StreamsBegan frame) {
+        return new StreamVersions.Group(frame.getVersion(), frame.getAttemptsList());
+    }
+
     static List<Holding> holdings(Hello hello) {
         return hello.getHoldingsList().stream()
                 .map(entry -> new Holding(
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -26,4 +26,23 @@
         Set<String> excluded,
         long prefix,
         boolean retry,
-        Optional<StreamOrigin> origin) {}
+        Optional<StreamOrigin> origin) {
+    /** Returns whether the request continues a stream of which it is not known where it began. */
+    boolean originUnknown() {
+        return origin.isPresent() && origin.get().version().isEmpty();
+    }
+
+    /** Returns this request for a stream that began on a version. */
+    SlotRequest withOriginVersion(String version) {
+        return new SlotRequest(
+                node,
+                lease,
+                service,
+                timeToTarget,
+                timeToDeadline,
+                excluded,
+                prefix,
+                retry,
+                Optional.of(StreamOrigin.ofVersion(version)));
+    }
+}
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -96,9 +96,11 @@
     private final HoldTimeEstimate itemHoldTimes = new HoldTimeEstimate(INITIAL_ITEM_SECONDS);
     private final PrefixCacheIndex prefixCache = new PrefixCacheIndex();
     private final SlowUpstreamDetector slowUpstreams;
+    private final StreamVersions streamVersions;
     private long lastSlowCheckNanos;
     private BooleanSupplier mayStartItems = () -> true;
     private BooleanSupplier mustStopItems = () -> false;
+    private BooleanSupplier mayLearnOrigins = () -> false;
     private long activeSinceNanos;
     private long nextItemLease;
 
@@ -158,6 +160,7 @@
         this.decliningNodes = new DecliningNodes(ticker);
         this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
+        this.streamVersions = new StreamVersions(ticker, directory);
         this.lastSlowCheckNanos = ticker.nanos();
         // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
         // scheduler.
@@ -174,6 +177,16 @@
         mustStopItems = condition;
     }
 
+    /** Sets the condition for holding requests of streams whose origin may still be reported by nodes that join. */
+    void learnOriginsWhile(BooleanSupplier condition) {
+        mayLearnOrigins = condition;
+    }
+
+    /** Returns where recent streams began. */
+    StreamVersions streamVersions() {
+        return streamVersions;
+    }
+
     /** Returns the time since the scheduler last went from no nodes to one. */
     Duration activeFor() {
         return Duration.ofNanos(ticker.nanos() - activeSinceNanos);
@@ -224,13 +237,13 @@
             decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
             return;
         }
-        if (tryPlace(request)) {
-            return;
-        }
         if (request.origin().isPresent()) {
             acquireForStartedStream(request);
             return;
         }
+        if (tryPlace(request)) {
+            return;
+        }
         Duration wait = expectedWait(request.service());
         Duration maxWait = request.retry()
                 ? request.timeToDeadline()
@@ -243,18 +256,48 @@
     }
 
     /** Queues a request for the rest of a stream until its deadline, unless no upstream may continue the stream. */
-    private void acquireForStartedStream(SlotRequest request) {
-        if (mayContinue(request)) {
+    private void acquireForStartedStream(SlotRequest received) {
+        SlotRequest request = resolveOrigin(received);
+        if (!mayContinue(request)) {
+            rejectStartedStream(request);
+        } else if (!tryPlace(request)) {
             enqueue(request);
-        } else {
-            decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
         }
     }
 
+    private SlotRequest resolveOrigin(SlotRequest request) {
+        if (!request.originUnknown()) {
+            return request;
+        }
+        return streamVersions
+                .resolve(request.service(), request.origin().orElseThrow())
+                .map(request::withOriginVersion)
+                .orElse(request);
+    }
+
+    /** Returns whether an upstream that may continue the stream of a request is there, or may be found. */
     private boolean mayContinue(SlotRequest request) {
+        if (request.originUnknown()) {
+            return mayLearnOrigins.getAsBoolean();
+        }
         return directory.open(request.service()).stream().anyMatch(upstream -> eligible(upstream, request));
     }
 
+    private void rejectStartedStream(SlotRequest request) {
+        StreamOrigin origin = request.origin().orElseThrow();
+        log.event(
+                ServingEvent.STREAM_NOT_CONTINUED,
+                "peer",
+                request.node(),
+                "service",
+                request.service(),
+                "resumes",
+                origin.attempt().orElse(null),
+                "version",
+                origin.version().orElse(null));
+        decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+    }
+
     private void enqueue(SlotRequest request) {
         long now = ticker.nanos();
         waiting.add(new WaitingRequest(
@@ -314,9 +357,11 @@
 
     /** Returns whether a request may be sent to an upstream once that has room. */
     private static boolean eligible(Upstream upstream, SlotRequest request) {
-        Optional<String> version = request.origin().flatMap(StreamOrigin::version);
-        return !request.excluded().contains(upstream.id())
-                && (version.isEmpty() || version.get().equals(upstream.version()));
+        if (request.excluded().contains(upstream.id())) {
+            return false;
+        }
+        return request.origin().isEmpty()
+                || request.origin().flatMap(StreamOrigin::version).equals(Optional.of(upstream.version()));
     }
 
     private boolean hasCapacity(Upstream upstream, SlotRequest request) {
@@ -543,11 +588,14 @@
         order.sort(Comparator.comparing((WaitingRequest entry) -> entry.targetNanos() - now < 0)
                 .thenComparingLong(WaitingRequest::targetNanos));
         for (WaitingRequest entry : order) {
-            boolean stranded = entry.request().origin().isPresent() && !mayContinue(entry.request());
-            if (stranded || entry.deadlineNanos() - now <= 0) {
+            SlotRequest request = resolveOrigin(entry.request());
+            if (request.origin().isPresent() && !mayContinue(request)) {
+                waiting.remove(entry);
+                rejectStartedStream(request);
+            } else if (entry.deadlineNanos() - now <= 0) {
                 waiting.remove(entry);
-                decisions.rejected(entry.request().node(), entry.request().lease(), options.minRetryAfter());
-            } else if (tryPlace(entry.request())) {
+                decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+            } else if (tryPlace(request)) {
                 waiting.remove(entry);
             }
         }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -12,9 +12,11 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Supplier;
 
 /**
@@ -27,11 +29,20 @@
     /** A connection without a frame for this long is closed; nodes ping several times a second. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMillis(2500);
 
+    /** Time for which the origins of streams are collected before they are copied; bounds the number of frames. */
+    private static final Duration REPLICATION_DELAY = Duration.ofMillis(50);
+
+    /** Nodes that get copies of the origins of streams, besides the scheduler and the node that reports them. */
+    private static final int REPLICAS = 2;
+
     private final Vertx vertx;
     private final Ticker ticker;
     private final EventLog log;
     private final Supplier<Duration> jobStateAge;
     private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<String, List<String>> unreplicatedStreams = new HashMap<>();
+    private Supplier<List<String>> preferredNodes = List::of;
+    private Timers timers;
     private SlotScheduler scheduler;
     private String selfName = "";
     private SlotDecisionListener localListener;
@@ -40,6 +51,7 @@
     private final class Peer {
         final NetSocket socket;
         String node = "";
+        String failureDomain = "";
         long lastFrameNanos = ticker.nanos();
 
         Peer(NetSocket socket) {
@@ -65,6 +77,11 @@
                             SlotFrames.releaseReason(frame.getRelease().getOutcome()),
                             frame.getRelease().getEvents());
                 case LEAVING -> scheduler.moved(node);
+                case STREAMS_BEGAN -> {
+                    StreamVersions.Group began = SlotFrames.streams(frame.getStreamsBegan());
+                    scheduler.streamVersions().record(began);
+                    replicate(began);
+                }
                 case SUSPECT -> scheduler.suspected(frame.getSuspect().getUpstream());
                 default -> log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", frame.getBodyCase());
             }
@@ -84,7 +101,12 @@
     }
 
     /** Sets the scheduler and the listener for this node's own decisions; call it before {@link #listen}. */
-    void attach(SlotScheduler scheduler, String selfName, SlotDecisionListener localListener) {
+    void attach(
+            SlotScheduler scheduler,
+            String selfName,
+            SlotDecisionListener localListener,
+            Supplier<List<String>> preferredNodes) {
+        this.preferredNodes = preferredNodes;
         this.scheduler = scheduler;
         this.selfName = selfName;
         this.localListener = localListener;
@@ -92,6 +114,7 @@
 
     /** Starts accepting connections; returns the port. */
     Future<Integer> listen(String host, int port, Timers timers) {
+        this.timers = timers;
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
         server.connectHandler(Peer::new);
         timers.every(Duration.ofMillis(500), this::closeIdle);
@@ -114,6 +137,10 @@
         if (previous != null && previous != peer) {
             previous.socket.close();
         }
+        peer.failureDomain = frame.getHello().getZone();
+        frame.getHello()
+                .getStreamsList()
+                .forEach(group -> scheduler.streamVersions().record(SlotFrames.streams(group)));
         List<Holding> holdings = SlotFrames.holdings(frame.getHello());
         scheduler.joined(peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
         log.event(ServingEvent.NODE_JOINED, "peer", peer.node, "holdings", holdings.size());
@@ -126,6 +153,48 @@
         }
     }
 
+    /** Copies the origins of streams to other nodes, in batches. */
+    void replicate(StreamVersions.Group began) {
+        if (unreplicatedStreams.isEmpty()) {
+            timers.after(REPLICATION_DELAY, this::sendReplicas);
+        }
+        unreplicatedStreams
+                .computeIfAbsent(began.version(), version -> new ArrayList<>())
+                .addAll(began.attempts());
+    }
+
+    private void sendReplicas() {
+        List<Buffer> frames = unreplicatedStreams.entrySet().stream()
+                .map(group -> SlotFrames.streamsBegan(new StreamVersions.Group(group.getKey(), group.getValue())))
+                .toList();
+        unreplicatedStreams.clear();
+        replicas().forEach(peer -> frames.forEach(peer.socket::write));
+    }
+
+    /**
+     * Returns the nodes that get the copies: those whose schedulers are preferred, as one of them succeeds this one,
+     * but in different failure domains if there are any.
+     */
+    private List<Peer> replicas() {
+        List<Peer> preferred = preferredNodes.get().stream()
+                .map(peers::get)
+                .filter(Objects::nonNull)
+                .toList();
+        List<Peer> chosen = new ArrayList<>();
+        for (Peer peer : preferred) {
+            boolean newDomain = chosen.stream().noneMatch(other -> other.failureDomain.equals(peer.failureDomain));
+            if (newDomain && chosen.size() < REPLICAS) {
+                chosen.add(peer);
+            }
+        }
+        for (Peer peer : preferred) {
+            if (chosen.size() < REPLICAS && !chosen.contains(peer)) {
+                chosen.add(peer);
+            }
+        }
+        return chosen;
+    }
+
     private void send(String node, Buffer frame) {
         Peer peer = peers.get(node);
         if (peer != null) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -46,12 +46,13 @@
         this.server = new SlotServer(vertx, ticker, log, jobStateAge);
         UpstreamHealth health = new UpstreamHealth(ticker);
         this.scheduler = new SlotScheduler(ticker, directory, health, backlog, server, log, random, options);
-        this.client = new SchedulerClient(vertx, self, scheduler, placement, ticker, timers, log, jobStateAge);
+        this.client = new SchedulerClient(vertx, self, scheduler, server, placement, ticker, timers, log, jobStateAge);
         // A node that is partitioned from the store and the other nodes would run the same items as they do.
         scheduler.startItemsWhile(() -> mayStartItems(
                 scheduler.nodeCount(), client.registeredCount(), scheduler.activeFor(), jobStateAge.get()));
         scheduler.stopItemsWhile(() -> !hasMajority() && !fresh(jobStateAge));
-        server.attach(scheduler, self.name(), client);
+        scheduler.learnOriginsWhile(() -> !allJoined() && scheduler.activeFor().compareTo(JOIN_PERIOD) < 0);
+        server.attach(scheduler, self.name(), client, client::preferredNodes);
         directory.onChange(() -> {
             health.retain(directory.all().stream().map(Upstream::id).toList());
             scheduler.schedule();
@@ -76,6 +77,10 @@
         return activeFor.compareTo(JOIN_PERIOD) > 0 && (majority || jobStateAge.compareTo(MAX_FRESH_AGE) < 0);
     }
 
+    private boolean allJoined() {
+        return scheduler.nodeCount() >= client.nodeCount();
+    }
+
     private boolean hasMajority() {
         return 2 * scheduler.nodeCount() > client.nodeCount();
     }
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -42,6 +42,7 @@
         }
     });
     private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Map<ServiceVersion, Long> removedVersions = new HashMap<>();
     private final Set<String> unconfirmedRemovals = new HashSet<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private long lastResponseNanos;
@@ -49,6 +50,8 @@
     private boolean outageSeen;
     private boolean loaded;
 
+    private record ServiceVersion(String service, String version) {}
+
     public UpstreamDirectory(Ticker ticker) {
         this.ticker = ticker;
         this.lastResponseNanos = ticker.nanos();
@@ -76,6 +79,7 @@
         removedIds.remove(upstream.id());
         Upstream previous = upstreams.put(upstream.id(), upstream);
         if (!upstream.equals(previous)) {
+            recordRemovedVersion(previous);
             notifyListeners();
         }
     }
@@ -90,11 +94,21 @@
             unconfirmedRemovals.add(id);
             return;
         }
-        upstreams.remove(id);
-        removedIds.add(id);
+        drop(id);
         notifyListeners();
     }
 
+    private void drop(String id) {
+        recordRemovedVersion(upstreams.remove(id));
+        removedIds.add(id);
+    }
+
+    private void recordRemovedVersion(Upstream removed) {
+        if (removed != null) {
+            removedVersions.put(new ServiceVersion(removed.service(), removed.version()), ticker.nanos());
+        }
+    }
+
     /** Replaces all entries with a complete list; a missing entry counts as removed. */
     public void replaceAll(Collection<Upstream> current) {
         List<String> missing = new ArrayList<>(upstreams.keySet());
@@ -112,8 +126,7 @@
         if (unconfirmedRemovals.isEmpty() || inRenewalGrace()) {
             return;
         }
-        upstreams.keySet().removeAll(unconfirmedRemovals);
-        removedIds.addAll(unconfirmedRemovals);
+        unconfirmedRemovals.forEach(this::drop);
         unconfirmedRemovals.clear();
         notifyListeners();
     }
@@ -152,6 +165,22 @@
         return open;
     }
 
+    /**
+     * Returns the software version of all upstreams of a service, empty if they differ or there are none. Upstreams that
+     * were removed within the period count.
+     */
+    public Optional<String> onlyVersion(String service, Duration period) {
+        Set<String> versions = new HashSet<>();
+        upstreams.values().stream()
+                .filter(upstream -> upstream.service().equals(service))
+                .forEach(upstream -> versions.add(upstream.version()));
+        removedVersions.values().removeIf(removedNanos -> ticker.nanos() - removedNanos > period.toNanos());
+        removedVersions.keySet().stream()
+                .filter(removed -> removed.service().equals(service))
+                .forEach(removed -> versions.add(removed.version()));
+        return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
+    }
+
     /** Returns the upstreams of the same service that are not draining; none if the id is unknown. */
     public List<Upstream> openInSameService(String id) {
         return find(id).map(upstream -> open(upstream.service())).orElse(List.of());
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -16,12 +16,14 @@
 import dev.lavenderline.serving.slots.ReleaseReason;
 import dev.lavenderline.serving.slots.SlotClient;
 import dev.lavenderline.serving.slots.SlotRequest;
+import dev.lavenderline.serving.slots.StreamOrigin;
 import dev.lavenderline.serving.store.FakeStore;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a node that returns items to the scheduler without a trace in its log and metrics. */
@@ -68,6 +70,16 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public void streamBegan(String attempt, String version) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Optional<String> versionOf(String service, StreamOrigin origin) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public void acquire(SlotRequest request, Listener listener) {
             throw new UnsupportedOperationException();
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** Tests placement, preemption, queueing and rejection under the load patterns that the scheduler handles. */
@@ -555,4 +556,49 @@
     void itemsCompleteByTheirDueTimeAlthoughOneNodeDeclinesThem() {
         assertItemsCompleteByDueTime(ReleaseReason.NODE_DECLINED);
     }
+
+    private void resume(String attempt) {
+        StreamOrigin origin = new StreamOrigin(Optional.empty(), Optional.of(attempt));
+        scheduler.acquire(
+                new SlotRequest("n1", nextLease++, "s", TARGET, DEADLINE, Set.of(), 0, true, Optional.of(origin)));
+    }
+
+    private void otherVersion(String id) {
+        directory.put(new Upstream(id, "s", "10.0.0.1", 80, "a", SLOTS, false, "v2"));
+    }
+
+    /** Guards against rejecting a resumed stream before the nodes that know its version have joined. */
+    @Test
+    void resumedStreamWaitsForNodesThatMayKnowItsVersion() {
+        otherVersion("e3");
+        AtomicBoolean joining = new AtomicBoolean(true);
+        scheduler.learnOriginsWhile(joining::get);
+        resume("r");
+        resume("unknown");
+        scheduler.schedule();
+        assertTrue(decisions.granted.isEmpty());
+        scheduler.streamVersions().record("r", "v2");
+        scheduler.schedule();
+        assertEquals(List.of("e3"), decisions.granted);
+        joining.set(false);
+        scheduler.schedule();
+        assertEquals(1, decisions.rejected.size());
+    }
+
+    /** Guards against a resumed stream that waits until its deadline although no engine of its version is left. */
+    @Test
+    void resumedStreamIsRejectedOnceNoUpstreamOfItsVersionIsLeft() {
+        otherVersion("e3");
+        for (int i = 0; i < SLOTS + 1; i++) {
+            scheduler.streamVersions().record("r" + i, "v2");
+            resume("r" + i);
+        }
+        scheduler.streamVersions().record("last", "v2");
+        resume("last");
+        assertEquals(SLOTS + 1, decisions.granted.size());
+        assertTrue(decisions.rejected.isEmpty());
+        directory.remove("e3");
+        scheduler.schedule();
+        assertEquals(1, decisions.rejected.size());
+    }
 }
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
@@ -0,0 +1,68 @@
+package dev.lavenderline.serving.slots;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.lavenderline.serving.ManualTime;
+import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Guards against continuing a stream on a guessed version, and against a table that grows without limit. */
+class StreamVersionsTest {
+    private final ManualTime time = new ManualTime();
+    private final UpstreamDirectory directory = new UpstreamDirectory(time);
+    private final StreamVersions streams = new StreamVersions(time, directory);
+
+    private static StreamOrigin attempt(String id) {
+        return new StreamOrigin(Optional.empty(), Optional.of(id));
+    }
+
+    private void upstream(String id, String version) {
+        directory.put(new Upstream(id, "s", "10.0.0.1", 80, "a", 8, false, version));
+    }
+
+    @Test
+    void firstReportOfAnAttemptCounts() {
+        streams.record("r", "v1");
+        streams.record("r", "v2");
+        assertEquals(Optional.of("v1"), streams.resolve("s", attempt("r")));
+    }
+
+    @Test
+    void unknownOriginIsTheOnlyVersion() {
+        upstream("e1", "v1");
+        upstream("e2", "v1");
+        assertEquals(Optional.of("v1"), streams.resolve("s", attempt("r")));
+        upstream("e3", "v2");
+        assertEquals(Optional.empty(), streams.resolve("s", attempt("r")));
+    }
+
+    /** Guards against guessing the new version just after the last upstream of the old one is gone. */
+    @Test
+    void versionOfARemovedUpstreamCountsForTheRetention() {
+        directory.recordStoreResponse();
+        upstream("e1", "v1");
+        upstream("e2", "v2");
+        directory.remove("e1");
+        time.advance(StreamVersions.RETENTION.minusSeconds(1));
+        assertEquals(Optional.empty(), streams.resolve("s", attempt("r")));
+        time.advance(Duration.ofSeconds(2));
+        assertEquals(Optional.of("v2"), streams.resolve("s", attempt("r")));
+    }
+
+    @Test
+    void entriesExpireAndAreLimited() {
+        streams.record("old", "v1");
+        time.advance(StreamVersions.RETENTION.plusSeconds(1));
+        for (int i = 0; i <= StreamVersions.MAX_ENTRIES; i++) {
+            streams.record("r" + i, "v1");
+        }
+        assertEquals(Optional.empty(), streams.resolve("s", attempt("old")));
+        List<StreamVersions.Group> groups = streams.groups();
+        assertEquals(1, groups.size());
+        assertEquals(StreamVersions.MAX_ENTRIES - 1, groups.get(0).attempts().size(), 1);
+    }
+}
