Resume a batch item only on the software version of its partial output

Cause: neither the scheduler nor the runner knew versions. The scheduler now resumes an item on an engine of the version that generated its partial output if one has a free slot; else, or if the engine that is chosen has another version, the runner starts the item anew, which an item may always.

The runner's check alone keeps outputs from mixing; the scheduler's choice saves work.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -30,8 +30,8 @@
  * Runs the batch items assigned by the scheduler. Keeps the partial output of interrupted runs, from which a
  * later run continues.
  *
- * <p>Invariant: a partial output consists of events with consecutive ids, each from a run that was asked to continue
- * after the previous event. Not thread-safe; confined to the event loop.
+ * <p>Invariant: a partial output consists of events with consecutive ids, each from a run on the same software version
+ * that was asked to continue after the previous event. Not thread-safe; confined to the event loop.
  */
 public final class ItemRunner implements ItemExecutor {
     private static final int UNPROCESSABLE_CONTENT = 422;
@@ -52,10 +52,15 @@
     private final Map<Long, Run> runs = new HashMap<>();
     private final Map<ItemRef, PartialOutput> partialOutputs = new HashMap<>();
 
-    /** The events that an item has generated so far. */
+    /** The events that an item has generated so far, all on upstreams of the same software version. */
     private static final class PartialOutput {
+        final String version;
         final List<String> events = new ArrayList<>();
         OptionalLong lastEventId = OptionalLong.empty();
+
+        PartialOutput(String version) {
+            this.version = version;
+        }
     }
 
     public ItemRunner(CallContext context, JobLedger ledger, JobStore store) {
@@ -166,7 +171,11 @@
             this.job = job;
             this.item = item;
             this.upstream = upstream;
-            this.output = partialOutputs.computeIfAbsent(ref, key -> new PartialOutput());
+            this.output = partialOutputs.compute(
+                    ref,
+                    (key, kept) -> kept != null && kept.version.equals(upstream.version())
+                            ? kept
+                            : new PartialOutput(upstream.version()));
             this.resumedEvents = output.events.size();
         }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
@@ -18,13 +18,21 @@
     private final Ticker ticker;
     private final Map<ItemRef, AwaitedResult> awaitingResult = new HashMap<>();
     private final Map<ItemRef, Long> earliestStarts = new HashMap<>();
-    private final Map<ItemRef, String> partialOutputNodes = new HashMap<>();
+    private final Map<ItemRef, PartialOutput> partialOutputs = new HashMap<>();
 
     /** Items whose content some node could not read; the node that accepted their job may have it in memory. */
     private final Set<ItemRef> unreadable = new HashSet<>();
 
     private record AwaitedResult(String node, long deadlineNanos) {}
 
+    /**
+     * Partial output of an interrupted run.
+     *
+     * @param node node that keeps it
+     * @param version software version that generated it, on which alone a run can resume; empty if it is not known
+     */
+    record PartialOutput(String node, Optional<String> version) {}
+
     ItemProgress(Ticker ticker) {
         this.ticker = ticker;
     }
@@ -43,17 +51,13 @@
     /** Records a completed run; the item may run again if its node records no result within the timeout. */
     void runCompleted(ItemRef item, String node, Duration timeout) {
         awaitingResult.put(item, new AwaitedResult(node, ticker.nanos() + timeout.toNanos()));
-        partialOutputNodes.remove(item);
+        partialOutputs.remove(item);
     }
 
     /** Records a run that ended without a result; the item may run again after the delay. */
-    void runInterrupted(ItemRef item, String node, int keptEvents, Duration delay) {
+    void runInterrupted(ItemRef item, Optional<PartialOutput> kept, Duration delay) {
         earliestStarts.put(item, ticker.nanos() + delay.toNanos());
-        if (keptEvents > 0) {
-            partialOutputNodes.put(item, node);
-        } else {
-            partialOutputNodes.remove(item);
-        }
+        kept.ifPresentOrElse(output -> partialOutputs.put(item, output), () -> partialOutputs.remove(item));
     }
 
     /** Records that a node could not read the content of an item. */
@@ -66,9 +70,9 @@
         return unreadable.contains(item);
     }
 
-    /** Returns the node that keeps partial output of the item, from which a run can resume. */
-    Optional<String> partialOutputNode(ItemRef item) {
-        return Optional.ofNullable(partialOutputNodes.get(item));
+    /** Returns the partial output of the item, from which a run can resume. */
+    Optional<PartialOutput> partialOutput(ItemRef item) {
+        return Optional.ofNullable(partialOutputs.get(item));
     }
 
     /** Forgets an item because its result is recorded. */
@@ -76,12 +80,12 @@
         awaitingResult.remove(item);
         unreadable.remove(item);
         earliestStarts.remove(item);
-        partialOutputNodes.remove(item);
+        partialOutputs.remove(item);
     }
 
     /** Forgets a node's partial outputs and the results that it has not recorded. */
     void nodeLeft(String node) {
         awaitingResult.values().removeIf(entry -> entry.node().equals(node));
-        partialOutputNodes.values().removeIf(node::equals);
+        partialOutputs.values().removeIf(output -> output.node().equals(node));
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 
 /**
  * Places online requests and batch items on the slots of engines.
@@ -460,17 +461,20 @@
         if (ran && !declined) {
             decliningNodes.ran(node, lease.startNanos());
         }
+        Optional<ItemProgress.PartialOutput> kept = keptEvents == 0
+                ? Optional.empty()
+                : Optional.of(new ItemProgress.PartialOutput(
+                        node, directory.find(lease.upstream()).map(Upstream::version)));
         switch (reason) {
             case COMPLETED -> progress.runCompleted(item, node, options.resultTimeout());
-            case ITEM_UNKNOWN, NODE_DECLINED ->
-                progress.runInterrupted(item, node, keptEvents, declinedItemDelay(lease));
+            case ITEM_UNKNOWN, NODE_DECLINED -> progress.runInterrupted(item, kept, declinedItemDelay(lease));
             case CONTENT_UNREADABLE -> {
                 decliningNodes.declined(node, lease.startNanos());
                 progress.contentUnreadable(item);
-                progress.runInterrupted(item, node, keptEvents, options.itemRetryDelay());
+                progress.runInterrupted(item, kept, options.itemRetryDelay());
             }
-            case CANCELLED -> progress.runInterrupted(item, node, keptEvents, Duration.ZERO);
-            default -> progress.runInterrupted(item, node, keptEvents, options.itemRetryDelay());
+            case CANCELLED -> progress.runInterrupted(item, kept, Duration.ZERO);
+            default -> progress.runInterrupted(item, kept, options.itemRetryDelay());
         }
     }
 
@@ -625,7 +629,7 @@
      */
     private boolean willBeLate(BacklogItem item) {
         long left = item.dueNanos() - ticker.nanos();
-        if (progress.partialOutputNode(item.item()).isPresent()) {
+        if (progress.partialOutput(item.item()).isPresent()) {
             return left < 0;
         }
         double needed = item.services().keySet().stream()
@@ -666,21 +670,33 @@
         return health.usable(upstream.id()) && !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
     }
 
-    private boolean tryStart(BacklogItem item, String service) {
+    /** Returns the upstream of a service with the most free slots for items, empty if none is free. */
+    private Optional<Upstream> freestForItems(String service, Predicate<Upstream> condition) {
         Upstream best = null;
         int bestFree = 0;
         for (Upstream upstream : directory.open(service)) {
             int free = freeForItems(upstream);
-            if (free > bestFree && mayRunItems(upstream)) {
+            if (free > bestFree && mayRunItems(upstream) && condition.test(upstream)) {
                 best = upstream;
                 bestFree = free;
             }
         }
-        if (best == null) {
+        return Optional.ofNullable(best);
+    }
+
+    /** Starts an item, on the software version that generated its partial output if that has a free slot. */
+    private boolean tryStart(BacklogItem item, String service) {
+        Optional<Upstream> resumable = progress.partialOutput(item.item())
+                .flatMap(ItemProgress.PartialOutput::version)
+                .flatMap(version ->
+                        freestForItems(service, upstream -> upstream.version().equals(version)));
+        Optional<Upstream> freest = resumable.or(() -> freestForItems(service, upstream -> true));
+        if (freest.isEmpty()) {
             return false;
         }
+        Upstream best = freest.get();
         NodeState node = chooseNode(item, best.failureDomain());
-        boolean resumed = progress.partialOutputNode(item.item()).isPresent();
+        boolean resumed = resumable.isPresent();
         Lease lease = new Lease(
                 node, nextItemLease++, best.id(), Optional.of(item.item()), ticker.nanos(), item.dueNanos(), resumed);
         leases.add(lease);
@@ -695,7 +711,7 @@
      */
     private NodeState chooseNode(BacklogItem item, String failureDomain) {
         Optional<NodeState> partialOutput =
-                progress.partialOutputNode(item.item()).flatMap(leases::node);
+                progress.partialOutput(item.item()).flatMap(output -> leases.node(output.node()));
         if (partialOutput.isPresent()) {
             return partialOutput.get();
         }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -601,4 +601,18 @@
         scheduler.schedule();
         assertEquals(1, decisions.rejected.size());
     }
+
+    /** Guards against discarding the output of an interrupted item although an engine of its version is free. */
+    @Test
+    void interruptedItemResumesOnItsVersion() {
+        items(1);
+        scheduler.schedule();
+        Run run = decisions.runs.get(0);
+        // More free slots than the engines of the other version.
+        directory.put(new Upstream("e3", "s", "10.0.0.1", 80, "a", 2 * SLOTS, false, "v2"));
+        scheduler.released(run.node(), run.lease(), ReleaseReason.CANCELLED, 7);
+        scheduler.schedule();
+        assertEquals(2, decisions.runs.size());
+        assertTrue(Set.of("e1", "e2").contains(decisions.runs.get(1).upstream()), decisions.runs.toString());
+    }
 }
