Count failed runs of a batch item that can't be recorded

Cause: failures were counted from the ledger alone, and a node to which the store does not respond can't add to it: each run submitted the same count, and the item started again after 0.3 s. Nodes without the ledger's count would each begin at zero.

A node now adds the failures that it has submitted to those recorded, and runs an item no more once it has submitted its result. The scheduler runs a failed item again on the node that counted the failure.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -108,6 +108,11 @@
             context.slots().release(lease, ReleaseReason.ITEM_UNKNOWN, 0);
             return;
         }
+        if (store.resultSubmitted(ref)) {
+            logDeclined(ref, upstreamId, "result waits for the store");
+            context.slots().release(lease, ReleaseReason.ITEM_FAILED, 0);
+            return;
+        }
         if (!job.get().open() || job.get().hasResult(ref.index())) {
             logDeclined(ref, upstreamId, "item is already settled");
             context.slots().release(lease, ReleaseReason.CANCELLED, 0);
@@ -332,13 +337,15 @@
         }
 
         private void recordItemFailure() {
-            int failures = job.failures(ref.index()) + 1;
+            int failures = store.failures(ref) + 1;
+            String outcome = "status " + status + ", failure " + failures;
             if (failures >= job.maxAttempts()) {
                 store.addResult(ref, false, "");
+                finish(ReleaseReason.COMPLETED, false, outcome);
             } else {
                 store.addFailure(ref);
+                finish(ReleaseReason.ITEM_FAILED, false, outcome);
             }
-            finish(ReleaseReason.ITEM_FAILED, false, "status " + status + ", failure " + failures);
         }
 
         @Override
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -26,8 +26,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -63,6 +65,12 @@
     private final List<PartitionFollower> followers = new ArrayList<>();
     private final List<ConditionalWriter> writers = new ArrayList<>();
 
+    /** Failure counts of this node's runs, which the ledger may lack while the store does not respond. */
+    private final Map<ItemRef, Integer> submittedFailures = new HashMap<>();
+
+    /** Items whose result this node has submitted. */
+    private final Set<ItemRef> submittedResults = new HashSet<>();
+
     /** Outcome of submitting a job. */
     public enum Acceptance {
         ACCEPTED,
@@ -109,6 +117,9 @@
             followers.add(follower);
             writers.add(new ConditionalWriter(store, partition, follower, ticker, timers));
         }
+        ledger.onResult(result -> submittedFailures.remove(new ItemRef(result.getJob(), result.getItem())));
+        ledger.onCancelled(
+                job -> submittedFailures.keySet().removeIf(item -> item.job().equals(job.id())));
     }
 
     private KeyedListener listener(Partition partition) {
@@ -381,6 +392,16 @@
 
     /** Appends the result of an item unless it has one or the job was cancelled; false if not confirmed in time. */
     public Future<Boolean> addResult(ItemRef item, boolean completed, String output) {
+        submittedResults.add(item);
+        return submitResult(item, completed, output).onComplete(added -> submittedResults.remove(item));
+    }
+
+    /** Returns whether a result of the item that this node has submitted waits for the store. */
+    public boolean resultSubmitted(ItemRef item) {
+        return submittedResults.contains(item);
+    }
+
+    private Future<Boolean> submitResult(ItemRef item, boolean completed, String output) {
         ItemResult.Builder result =
                 ItemResult.newBuilder().setJob(item.job()).setItem(item.index()).setCompleted(completed);
         byte[] content = output.getBytes(StandardCharsets.UTF_8);
@@ -440,10 +461,17 @@
                 });
     }
 
+    /** Returns the number of failed runs of an item that are recorded or that this node has submitted. */
+    public int failures(ItemRef item) {
+        int recorded =
+                ledger.find(item.job()).map(job -> job.failures(item.index())).orElse(0);
+        return Math.max(recorded, submittedFailures.getOrDefault(item, 0));
+    }
+
     /** Increments the failure count of an item; false if not confirmed in time. */
     public Future<Boolean> addFailure(ItemRef item) {
-        int newCount =
-                ledger.find(item.job()).map(job -> job.failures(item.index())).orElse(0) + 1;
+        int newCount = failures(item) + 1;
+        submittedFailures.put(item, newCount);
         ConditionalWriter.Change change = reservations -> {
             Optional<Job> job = ledger.find(item.job());
             if (job.isEmpty() || job.get().hasResult(item.index()) || job.get().failures(item.index()) >= newCount) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
@@ -20,6 +20,9 @@
     private final Map<ItemRef, Long> earliestStarts = new HashMap<>();
     private final Map<ItemRef, PartialOutput> partialOutputs = new HashMap<>();
 
+    /** By item, the node of its last run that failed. */
+    private final Map<ItemRef, String> failedNodes = new HashMap<>();
+
     /** Items whose content some node could not read; the node that accepted their job may have it in memory. */
     private final Set<ItemRef> unreadable = new HashSet<>();
 
@@ -60,6 +63,16 @@
         kept.ifPresentOrElse(output -> partialOutputs.put(item, output), () -> partialOutputs.remove(item));
     }
 
+    /** Records that a run of an item failed on a node. */
+    void runFailed(ItemRef item, String node) {
+        failedNodes.put(item, node);
+    }
+
+    /** Returns the node of the last run that failed, which counts the failures even if it can't record them. */
+    Optional<String> failedNode(ItemRef item) {
+        return Optional.ofNullable(failedNodes.get(item));
+    }
+
     /** Records that a node could not read the content of an item. */
     void contentUnreadable(ItemRef item) {
         unreadable.add(item);
@@ -79,6 +92,7 @@
     void resultRecorded(ItemRef item) {
         awaitingResult.remove(item);
         unreadable.remove(item);
+        failedNodes.remove(item);
         earliestStarts.remove(item);
         partialOutputs.remove(item);
     }
@@ -86,6 +100,7 @@
     /** Forgets a node's partial outputs and the results that it has not recorded. */
     void nodeLeft(String node) {
         awaitingResult.values().removeIf(entry -> entry.node().equals(node));
+        failedNodes.values().removeIf(node::equals);
         partialOutputs.values().removeIf(output -> output.node().equals(node));
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -474,6 +474,10 @@
                 progress.runInterrupted(item, kept, options.itemRetryDelay());
             }
             case CANCELLED -> progress.runInterrupted(item, kept, Duration.ZERO);
+            case ITEM_FAILED -> {
+                progress.runFailed(item, node);
+                progress.runInterrupted(item, kept, options.itemRetryDelay());
+            }
             default -> progress.runInterrupted(item, kept, options.itemRetryDelay());
         }
     }
@@ -705,7 +709,8 @@
     }
 
     /**
-     * Returns the node with the item's partial output, else the least loaded one, preferably in the failure domain or the
+     * Returns the node with the item's partial output, else the one on which its last run failed, as that counts the
+     * failures even while the store does not respond, else the least loaded one, preferably in the failure domain or the
      * one that accepted the job. A node that declined items recently counts as loaded by many more. An item whose content
      * could not be read goes to the node that accepted its job, as that may have it in memory.
      */
@@ -715,6 +720,10 @@
         if (partialOutput.isPresent()) {
             return partialOutput.get();
         }
+        Optional<NodeState> failedNode = progress.failedNode(item.item()).flatMap(leases::node);
+        if (failedNode.isPresent()) {
+            return failedNode.get();
+        }
         Optional<NodeState> acceptedBy = leases.node(item.acceptedBy());
         if (acceptedBy.isPresent() && progress.unreadable(item.item())) {
             return acceptedBy.get();
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -830,4 +830,20 @@
         assertEquals(List.of(), second.resumedAfter);
         assertEquals("a=text1|text2|text3|text4|text5\n", get(0, "/jobs/job").body());
     }
+
+    /** Guards against running a failing item over and over while its failures can't be recorded in the store. */
+    @Test
+    void failingItemIsGivenUpWhileTheStoreDoesNotRespond() throws Exception {
+        startNode("n1");
+        first.script = (request, body) -> vertx.setTimer(
+                300, later -> request.response().setStatusCode(500).end());
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        context.runOnContext(now -> store.down(true));
+        await().pollDelay(Duration.ofSeconds(4)).atMost(TIMEOUT).until(() -> true);
+        assertEquals(2, first.requests.size());
+        context.runOnContext(now -> store.down(false));
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().lines().count() == 1);
+        assertEquals("a!\n", get(0, "/jobs/job").body());
+        assertEquals(2, first.requests.size());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -615,4 +615,30 @@
         assertEquals(2, decisions.runs.size());
         assertTrue(Set.of("e1", "e2").contains(decisions.runs.get(1).upstream()), decisions.runs.toString());
     }
+
+    /** Guards against runs of a failing item at one node after another, none of which knows of the others' failures. */
+    @Test
+    void failedItemRunsAgainOnTheNodeThatCountedTheFailure() {
+        items(1);
+        scheduler.schedule();
+        Run failed = decisions.runs.get(0);
+        scheduler.released(failed.node(), failed.lease(), ReleaseReason.ITEM_FAILED, 0);
+        // Makes the other node the less loaded one.
+        for (int i = 0; i < 5; i++) {
+            backlog.add(
+                    0,
+                    new BacklogItem(
+                            new ItemRef("other", i),
+                            Map.of("s", 1),
+                            Duration.ofSeconds(17).toNanos(),
+                            failed.node()));
+        }
+        time.advance(Duration.ofMillis(400));
+        scheduler.schedule();
+        Run again = decisions.runs.stream()
+                .filter(run -> run.item().equals(failed.item()) && run.lease() != failed.lease())
+                .findFirst()
+                .orElseThrow();
+        assertEquals(failed.node(), again.node());
+    }
 }
