--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -733,7 +733,13 @@
         startNode("n1");
         first.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 300, 2);
         CompletableFuture<HttpResponse<String>> response = post(0, "/resumable/x", "r", "p");
-        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1);
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 1 || response.isDone());
+        assertEquals(
+                1,
+                first.requests.size(),
+                () -> "ended early: "
+                        + response.handle((received, failure) -> received + " " + failure)
+                                .join());
         write("upstreams", "e2", "engines " + second.port + " v2");
         return response;
     }
