Run a failed item elsewhere once its node declines it

A node that drains or can't read the item's content would get it again and again, since a failed item stays with the node that counted the failure.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
@@ -68,6 +68,11 @@
         failedNodes.put(item, node);
     }
 
+    /** Records that a node did not run an item, so that any node may run it again. */
+    void declined(ItemRef item) {
+        failedNodes.remove(item);
+    }
+
     /** Returns the node of the last run that failed, which counts the failures even if it can't record them. */
     Optional<String> failedNode(ItemRef item) {
         return Optional.ofNullable(failedNodes.get(item));
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -465,6 +465,9 @@
                 ? Optional.empty()
                 : Optional.of(new ItemProgress.PartialOutput(
                         node, directory.find(lease.upstream()).map(Upstream::version)));
+        if (declined) {
+            progress.declined(item);
+        }
         switch (reason) {
             case COMPLETED -> progress.runCompleted(item, node, options.resultTimeout());
             case ITEM_UNKNOWN, NODE_DECLINED -> progress.runInterrupted(item, kept, declinedItemDelay(lease));
