--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -43,6 +43,6 @@
                 excluded,
                 prefix,
                 retry,
-                Optional.of(StreamOrigin.ofVersion(version)));
+                origin.map(known -> new StreamOrigin(Optional.of(version), known.attempt())));
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -37,12 +37,12 @@
 
     private final Vertx vertx;
     private final Ticker ticker;
+    private final Timers timers;
     private final EventLog log;
     private final Supplier<Duration> jobStateAge;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, List<String>> unreplicatedStreams = new HashMap<>();
     private Supplier<List<String>> preferredNodes = List::of;
-    private Timers timers;
     private SlotScheduler scheduler;
     private String selfName = "";
     private SlotDecisionListener localListener;
@@ -93,7 +93,8 @@
      *
      * @param jobStateAge returns the time since this node last read all jobs from the store
      */
-    public SlotServer(Vertx vertx, Ticker ticker, EventLog log, Supplier<Duration> jobStateAge) {
+    public SlotServer(Vertx vertx, Ticker ticker, Timers timers, EventLog log, Supplier<Duration> jobStateAge) {
+        this.timers = timers;
         this.jobStateAge = jobStateAge;
         this.vertx = vertx;
         this.ticker = ticker;
@@ -113,8 +114,7 @@
     }
 
     /** Starts accepting connections; returns the port. */
-    Future<Integer> listen(String host, int port, Timers timers) {
-        this.timers = timers;
+    Future<Integer> listen(String host, int port) {
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
         server.connectHandler(Peer::new);
         timers.every(Duration.ofMillis(500), this::closeIdle);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -43,7 +43,7 @@
             Supplier<Duration> jobStateAge,
             SlotScheduler.Options options) {
         this.timers = timers;
-        this.server = new SlotServer(vertx, ticker, log, jobStateAge);
+        this.server = new SlotServer(vertx, ticker, timers, log, jobStateAge);
         UpstreamHealth health = new UpstreamHealth(ticker);
         this.scheduler = new SlotScheduler(ticker, directory, health, backlog, server, log, random, options);
         this.client = new SchedulerClient(vertx, self, scheduler, server, placement, ticker, timers, log, jobStateAge);
@@ -91,7 +91,7 @@
 
     /** Starts accepting connections of other nodes; returns the port. */
     public Future<Integer> listen(String host, int port) {
-        return server.listen(host, port, timers);
+        return server.listen(host, port);
     }
 
     public SlotScheduler scheduler() {
