--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -30,8 +30,8 @@
  * Runs the batch items assigned by the scheduler. Keeps the partial output of interrupted runs, from which a
  * later run continues.
  *
- * <p>Invariant: a partial output consists of events with consecutive ids, each from a run that was asked to continue
- * after the previous event. Not thread-safe; confined to the event loop.
+ * <p>Invariant: a partial output consists of events with consecutive ids, each from a run on the same software version
+ * that was asked to continue after the previous event. Not thread-safe; confined to the event loop.
  */
 public final class ItemRunner implements ItemExecutor {
     private static final int UNPROCESSABLE_CONTENT = 422;
@@ -52,10 +52,15 @@
     private final Map<Long, Run> runs = new HashMap<>();
     private final Map<ItemRef, PartialOutput> partialOutputs = new HashMap<>();
 
-    /** The events that an item has generated so far. */
+    /** The events that an item has generated so far, all on upstreams of the same software version. */
     private static final class PartialOutput {
+        final String version;
         final List<String> events = new ArrayList<>();
         OptionalLong lastEventId = OptionalLong.empty();
+
+        PartialOutput(String version) {
+            this.version = version;
+        }
     }
 
     public ItemRunner(CallContext context, JobLedger ledger, JobStore store) {
@@ -103,6 +108,11 @@
             context.slots().release(lease, ReleaseReason.ITEM_UNKNOWN, 0);
             return;
         }
+        if (store.resultSubmitted(ref)) {
+            logDeclined(ref, upstreamId, "result waits for the store");
+            context.slots().release(lease, ReleaseReason.ITEM_FAILED, 0);
+            return;
+        }
         if (!job.get().open() || job.get().hasResult(ref.index())) {
             logDeclined(ref, upstreamId, "item is already settled");
             context.slots().release(lease, ReleaseReason.CANCELLED, 0);
@@ -166,7 +176,11 @@
             this.job = job;
             this.item = item;
             this.upstream = upstream;
-            this.output = partialOutputs.computeIfAbsent(ref, key -> new PartialOutput());
+            this.output = partialOutputs.compute(
+                    ref,
+                    (key, kept) -> kept != null && kept.version.equals(upstream.version())
+                            ? kept
+                            : new PartialOutput(upstream.version()));
             this.resumedEvents = output.events.size();
         }
 
@@ -204,6 +218,8 @@
                             item.getId(),
                             "upstream",
                             upstream.id(),
+                            "version",
+                            upstream.version(),
                             "after",
                             resumedEvents);
             MultiMap headers = context.wire().itemHeaders(content, job.host(), upstream.id(), output.lastEventId);
@@ -321,13 +337,15 @@
         }
 
         private void recordItemFailure() {
-            int failures = job.failures(ref.index()) + 1;
+            int failures = store.failures(ref) + 1;
+            String outcome = "status " + status + ", failure " + failures;
             if (failures >= job.maxAttempts()) {
                 store.addResult(ref, false, "");
+                finish(ReleaseReason.COMPLETED, false, outcome);
             } else {
                 store.addFailure(ref);
+                finish(ReleaseReason.ITEM_FAILED, false, outcome);
             }
-            finish(ReleaseReason.ITEM_FAILED, false, "status " + status + ", failure " + failures);
         }
 
         @Override
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.proto.slots.Granted;
 import dev.lavenderline.proto.slots.Hello;
 import dev.lavenderline.proto.slots.Leaving;
+import dev.lavenderline.proto.slots.Origin;
 import dev.lavenderline.proto.slots.Outcome;
 import dev.lavenderline.proto.slots.Ping;
 import dev.lavenderline.proto.slots.Pong;
@@ -13,6 +14,7 @@
 import dev.lavenderline.proto.slots.Release;
 import dev.lavenderline.proto.slots.RunItem;
 import dev.lavenderline.proto.slots.SlotFrame;
+import dev.lavenderline.proto.slots.StreamsBegan;
 import dev.lavenderline.proto.slots.Suspect;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
@@ -34,8 +36,9 @@
         return Buffer.buffer(bytes.length + 4).appendInt(bytes.length).appendBytes(bytes);
     }
 
-    static Buffer hello(NodeEntry self, Collection<Holding> holdings) {
+    static Buffer hello(NodeEntry self, Collection<Holding> holdings, List<StreamVersions.Group> streams) {
         Hello.Builder hello = Hello.newBuilder()
+                .addAllStreams(streams.stream().map(SlotFrames::encode).toList())
                 .setNode(self.name())
                 .setZone(self.failureDomain())
                 .setCapacityMilli((int) Math.round(self.capacity() * 1000));
@@ -47,6 +50,21 @@
         return frame(SlotFrame.newBuilder().setHello(hello));
     }
 
+    private static StreamsBegan encode(StreamVersions.Group streams) {
+        return StreamsBegan.newBuilder()
+                .setVersion(streams.version())
+                .addAllAttempts(streams.attempts())
+                .build();
+    }
+
+    static Buffer streamsBegan(StreamVersions.Group streams) {
+        return frame(SlotFrame.newBuilder().setStreamsBegan(encode(streams)));
+    }
+
+    static StreamVersions.Group streams(StreamsBegan frame) {
+        return new StreamVersions.Group(frame.getVersion(), frame.getAttemptsList());
+    }
+
     static List<Holding> holdings(Hello hello) {
         return hello.getHoldingsList().stream()
                 .map(entry -> new Holding(
@@ -59,16 +77,31 @@
     }
 
     static Buffer acquire(SlotRequest request) {
-        return frame(SlotFrame.newBuilder()
-                .setAcquire(Acquire.newBuilder()
-                        .setLease(request.lease())
-                        .setService(request.service())
-                        .setTargetLeftMs((int) request.timeToTarget().toMillis())
-                        .setDeadlineLeftMs(
-                                (int) Math.max(0, request.timeToDeadline().toMillis()))
-                        .addAllExcluded(request.excluded())
-                        .setPrefix(request.prefix())
-                        .setReturning(request.retry())));
+        Acquire.Builder acquire = Acquire.newBuilder()
+                .setLease(request.lease())
+                .setService(request.service())
+                .setTargetLeftMs((int) request.timeToTarget().toMillis())
+                .setDeadlineLeftMs((int) Math.max(0, request.timeToDeadline().toMillis()))
+                .addAllExcluded(request.excluded())
+                .setPrefix(request.prefix())
+                .setReturning(request.retry());
+        request.origin()
+                .ifPresent(origin -> acquire.setOrigin(Origin.newBuilder()
+                        .setVersion(origin.version().orElse(""))
+                        .setAttempt(origin.attempt().orElse(""))));
+        return frame(SlotFrame.newBuilder().setAcquire(acquire));
+    }
+
+    private static Optional<StreamOrigin> origin(Acquire acquire) {
+        if (!acquire.hasOrigin()) {
+            return Optional.empty();
+        }
+        Origin origin = acquire.getOrigin();
+        return Optional.of(new StreamOrigin(nonEmpty(origin.getVersion()), nonEmpty(origin.getAttempt())));
+    }
+
+    private static Optional<String> nonEmpty(String text) {
+        return text.isEmpty() ? Optional.empty() : Optional.of(text);
     }
 
     static SlotRequest request(String node, Acquire acquire) {
@@ -80,7 +113,8 @@
                 Duration.ofMillis(acquire.getDeadlineLeftMs()),
                 Set.copyOf(acquire.getExcludedList()),
                 acquire.getPrefix(),
-                acquire.getReturning());
+                acquire.getReturning(),
+                origin(acquire));
     }
 
     static Buffer release(long lease, ReleaseReason reason, int keptEvents) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** Measures the time of one scheduling decision at several numbers of engines; run manually. */
@@ -47,7 +48,7 @@
         Ticker ticker = Ticker.system();
         UpstreamDirectory directory = new UpstreamDirectory(ticker);
         for (int i = 0; i < engines; i++) {
-            directory.put(new Upstream("engine-" + i, "s", "10.0.0.1", 80, "d" + i % 6, SLOTS, false));
+            directory.put(new Upstream("engine-" + i, "s", "10.0.0.1", 80, "d" + i % 6, SLOTS, false, "v1"));
         }
         SlotScheduler scheduler = new SlotScheduler(
                 ticker,
@@ -70,7 +71,15 @@
         long startNanos = System.nanoTime();
         for (long lease = 0; lease < REQUESTS; lease++) {
             scheduler.acquire(new SlotRequest(
-                    "n", lease, "s", Duration.ofMillis(300), Duration.ofSeconds(5), Set.of(), lease % 40 + 1, false));
+                    "n",
+                    lease,
+                    "s",
+                    Duration.ofMillis(300),
+                    Duration.ofSeconds(5),
+                    Set.of(),
+                    lease % 40 + 1,
+                    false,
+                    Optional.empty()));
             if (lease >= heldSlots) {
                 scheduler.released("n", lease - heldSlots, ReleaseReason.COMPLETED, 0);
             }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /** Tests placement, preemption, queueing and rejection under the load patterns that the scheduler handles. */
@@ -93,12 +94,12 @@
     }
 
     private void upstream(String id, boolean draining) {
-        directory.put(new Upstream(id, "s", "10.0.0.1", 80, id.equals("e1") ? "a" : "b", SLOTS, draining));
+        directory.put(new Upstream(id, "s", "10.0.0.1", 80, id.equals("e1") ? "a" : "b", SLOTS, draining, "v1"));
     }
 
     private long acquire(String node, Duration target, boolean retry) {
         long lease = nextLease++;
-        scheduler.acquire(new SlotRequest(node, lease, "s", target, DEADLINE, Set.of(), 0, retry));
+        scheduler.acquire(new SlotRequest(node, lease, "s", target, DEADLINE, Set.of(), 0, retry, Optional.empty()));
         return lease;
     }
 
@@ -400,7 +401,8 @@
         scheduler.released("n1", nextLease - 2, ReleaseReason.COMPLETED, 0);
         long leaseOfN1 = nextLease - 4;
         long leaseOfN2 = nextLease++;
-        scheduler.acquire(new SlotRequest("n2", leaseOfN2, "s", TARGET, DEADLINE, Set.of("e2"), 0, false));
+        scheduler.acquire(
+                new SlotRequest("n2", leaseOfN2, "s", TARGET, DEADLINE, Set.of("e2"), 0, false, Optional.empty()));
         items(6);
         scheduler.schedule();
         time.advance(Duration.ofMillis(1600));
@@ -554,4 +556,89 @@
     void itemsCompleteByTheirDueTimeAlthoughOneNodeDeclinesThem() {
         assertItemsCompleteByDueTime(ReleaseReason.NODE_DECLINED);
     }
+
+    private void resume(String attempt) {
+        StreamOrigin origin = new StreamOrigin(Optional.empty(), Optional.of(attempt));
+        scheduler.acquire(
+                new SlotRequest("n1", nextLease++, "s", TARGET, DEADLINE, Set.of(), 0, true, Optional.of(origin)));
+    }
+
+    private void otherVersion(String id) {
+        directory.put(new Upstream(id, "s", "10.0.0.1", 80, "a", SLOTS, false, "v2"));
+    }
+
+    /** Guards against rejecting a resumed stream before the nodes that know its version have joined. */
+    @Test
+    void resumedStreamWaitsForNodesThatMayKnowItsVersion() {
+        otherVersion("e3");
+        AtomicBoolean joining = new AtomicBoolean(true);
+        scheduler.learnOriginsWhile(joining::get);
+        resume("r");
+        resume("unknown");
+        scheduler.schedule();
+        assertTrue(decisions.granted.isEmpty());
+        scheduler.streamVersions().record("r", "v2");
+        scheduler.schedule();
+        assertEquals(List.of("e3"), decisions.granted);
+        joining.set(false);
+        scheduler.schedule();
+        assertEquals(1, decisions.rejected.size());
+    }
+
+    /** Guards against a resumed stream that waits until its deadline although no engine of its version is left. */
+    @Test
+    void resumedStreamIsRejectedOnceNoUpstreamOfItsVersionIsLeft() {
+        otherVersion("e3");
+        for (int i = 0; i < SLOTS + 1; i++) {
+            scheduler.streamVersions().record("r" + i, "v2");
+            resume("r" + i);
+        }
+        scheduler.streamVersions().record("last", "v2");
+        resume("last");
+        assertEquals(SLOTS + 1, decisions.granted.size());
+        assertTrue(decisions.rejected.isEmpty());
+        directory.remove("e3");
+        scheduler.schedule();
+        assertEquals(1, decisions.rejected.size());
+    }
+
+    /** Guards against discarding the output of an interrupted item although an engine of its version is free. */
+    @Test
+    void interruptedItemResumesOnItsVersion() {
+        items(1);
+        scheduler.schedule();
+        Run run = decisions.runs.get(0);
+        // More free slots than the engines of the other version.
+        directory.put(new Upstream("e3", "s", "10.0.0.1", 80, "a", 2 * SLOTS, false, "v2"));
+        scheduler.released(run.node(), run.lease(), ReleaseReason.CANCELLED, 7);
+        scheduler.schedule();
+        assertEquals(2, decisions.runs.size());
+        assertTrue(Set.of("e1", "e2").contains(decisions.runs.get(1).upstream()), decisions.runs.toString());
+    }
+
+    /** Guards against runs of a failing item at one node after another, none of which knows of the others' failures. */
+    @Test
+    void failedItemRunsAgainOnTheNodeThatCountedTheFailure() {
+        items(1);
+        scheduler.schedule();
+        Run failed = decisions.runs.get(0);
+        scheduler.released(failed.node(), failed.lease(), ReleaseReason.ITEM_FAILED, 0);
+        // Makes the other node the less loaded one.
+        for (int i = 0; i < 5; i++) {
+            backlog.add(
+                    0,
+                    new BacklogItem(
+                            new ItemRef("other", i),
+                            Map.of("s", 1),
+                            Duration.ofSeconds(17).toNanos(),
+                            failed.node()));
+        }
+        time.advance(Duration.ofMillis(400));
+        scheduler.schedule();
+        Run again = decisions.runs.stream()
+                .filter(run -> run.item().equals(failed.item()) && run.lease() != failed.lease())
+                .findFirst()
+                .orElseThrow();
+        assertEquals(failed.node(), again.node());
+    }
 }
