--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.serving.slots.ReleaseReason;
 import dev.lavenderline.serving.slots.SlotClient;
 import dev.lavenderline.serving.slots.SlotRequest;
+import dev.lavenderline.serving.slots.StreamOrigin;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -71,6 +72,10 @@
     private int sends;
     private int possibleRuns;
     private OptionalLong lastEventId;
+
+    /** Where the stream began that the next send continues; empty if the caller has not received an event. */
+    private Optional<StreamOrigin> origin;
+
     private boolean modelEngines;
     private boolean done;
     private long lease = -1;
@@ -111,6 +116,9 @@
         this.response = response;
         this.onDone = onDone;
         this.lastEventId = info.lastEventId();
+        this.origin = resumedByCaller()
+                ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
+                : Optional.empty();
         this.arrivalNanos = arrivalNanos;
         Duration timeout = info.timeout()
                 .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
@@ -175,7 +183,12 @@
             return;
         }
         if (!modelEngines) {
-            Optional<Upstream> picked = context.placement().pick(service, excluded);
+            origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
+            if (origin.isPresent() && requiredVersion().isEmpty()) {
+                rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+                return;
+            }
+            Optional<Upstream> picked = context.placement().pick(service, excluded, requiredVersion());
             if (picked.isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
             } else {
@@ -207,7 +220,29 @@
                 remaining(),
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
-                callerRetries() || sends > 0);
+                callerRetries() || sends > 0 || origin.isPresent(),
+                origin);
+    }
+
+    /** Returns whether the caller has received events of this stream in an earlier attempt. */
+    private boolean resumedByCaller() {
+        return info.lastEventId().isPresent() && route.kind() == RouteKind.STREAMING && route.resumable();
+    }
+
+    /** Records that the stream has to continue on the version of the upstream that has sent an event. */
+    private void recordOrigin() {
+        if (requiredVersion().isPresent()) {
+            return;
+        }
+        origin = Optional.of(StreamOrigin.ofVersion(upstream.version()));
+        if (!resumedByCaller() && !info.id().isEmpty()) {
+            context.slots().streamBegan(info.id(), upstream.version());
+        }
+    }
+
+    /** Returns the software version on which the request has to continue, empty if any will do. */
+    private Optional<String> requiredVersion() {
+        return origin.flatMap(StreamOrigin::version);
     }
 
     private void slotGranted(String upstreamId) {
@@ -228,7 +263,8 @@
     private Optional<Upstream> usable(String upstreamId) {
         return context.directory()
                 .find(upstreamId)
-                .filter(found -> !context.directory().drainingOrRemoved(upstreamId));
+                .filter(found -> !context.directory().drainingOrRemoved(upstreamId))
+                .filter(found -> found.version().equals(requiredVersion().orElse(found.version())));
     }
 
     private ReleaseReason unusableReason(String upstreamId) {
@@ -276,7 +312,9 @@
         Set<String> unusable = new HashSet<>(excluded);
         unusable.add(upstream.id());
         if (!modelEngines) {
-            context.placement().pick(service, unusable).ifPresent(target -> replaceSilentUpstream(target, -1));
+            context.placement()
+                    .pick(service, unusable, requiredVersion())
+                    .ifPresent(target -> replaceSilentUpstream(target, -1));
             return;
         }
         replacementLease = context.slots().newLease();
@@ -367,6 +405,8 @@
                         info.id(),
                         "upstream",
                         upstream.id(),
+                        "version",
+                        upstream.version(),
                         "cause",
                         failure,
                         "message",
@@ -458,6 +498,10 @@
                         service,
                         "upstream",
                         upstream == null ? null : upstream.id(),
+                        "version",
+                        upstream == null ? null : upstream.version(),
+                        "resumes",
+                        info.resumedAttempt().orElse(null),
                         "sends",
                         sends,
                         "mayHaveRun",
@@ -703,6 +747,7 @@
                 return;
             }
             markFirstByte();
+            recordOrigin();
             startResponse();
             response.write(event.raw());
             lastEventId = event.id().isPresent() ? event.id() : lastEventId;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 
 /**
  * Places online requests and batch items on the slots of engines.
@@ -96,9 +97,11 @@
     private final HoldTimeEstimate itemHoldTimes = new HoldTimeEstimate(INITIAL_ITEM_SECONDS);
     private final PrefixCacheIndex prefixCache = new PrefixCacheIndex();
     private final SlowUpstreamDetector slowUpstreams;
+    private final StreamVersions streamVersions;
     private long lastSlowCheckNanos;
     private BooleanSupplier mayStartItems = () -> true;
     private BooleanSupplier mustStopItems = () -> false;
+    private BooleanSupplier mayLearnOrigins = () -> false;
     private long activeSinceNanos;
     private long nextItemLease;
 
@@ -158,6 +161,7 @@
         this.decliningNodes = new DecliningNodes(ticker);
         this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
+        this.streamVersions = new StreamVersions(ticker, directory);
         this.lastSlowCheckNanos = ticker.nanos();
         // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
         // scheduler.
@@ -174,6 +178,16 @@
         mustStopItems = condition;
     }
 
+    /** Sets the condition for holding requests of streams whose origin may still be reported by nodes that join. */
+    void learnOriginsWhile(BooleanSupplier condition) {
+        mayLearnOrigins = condition;
+    }
+
+    /** Returns where recent streams began. */
+    StreamVersions streamVersions() {
+        return streamVersions;
+    }
+
     /** Returns the time since the scheduler last went from no nodes to one. */
     Duration activeFor() {
         return Duration.ofNanos(ticker.nanos() - activeSinceNanos);
@@ -224,6 +238,10 @@
             decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
             return;
         }
+        if (request.origin().isPresent()) {
+            acquireForStartedStream(request);
+            return;
+        }
         if (tryPlace(request)) {
             return;
         }
@@ -235,6 +253,53 @@
             decisions.rejected(request.node(), request.lease(), retryAfter(wait));
             return;
         }
+        enqueue(request);
+    }
+
+    /** Queues a request for the rest of a stream until its deadline, unless no upstream may continue the stream. */
+    private void acquireForStartedStream(SlotRequest received) {
+        SlotRequest request = resolveOrigin(received);
+        if (!mayContinue(request)) {
+            rejectStartedStream(request);
+        } else if (!tryPlace(request)) {
+            enqueue(request);
+        }
+    }
+
+    private SlotRequest resolveOrigin(SlotRequest request) {
+        if (!request.originUnknown()) {
+            return request;
+        }
+        return streamVersions
+                .resolve(request.service(), request.origin().orElseThrow())
+                .map(request::withOriginVersion)
+                .orElse(request);
+    }
+
+    /** Returns whether an upstream that may continue the stream of a request is there, or may be found. */
+    private boolean mayContinue(SlotRequest request) {
+        if (request.originUnknown()) {
+            return mayLearnOrigins.getAsBoolean();
+        }
+        return directory.open(request.service()).stream().anyMatch(upstream -> eligible(upstream, request));
+    }
+
+    private void rejectStartedStream(SlotRequest request) {
+        StreamOrigin origin = request.origin().orElseThrow();
+        log.event(
+                ServingEvent.STREAM_NOT_CONTINUED,
+                "peer",
+                request.node(),
+                "service",
+                request.service(),
+                "resumes",
+                origin.attempt().orElse(null),
+                "version",
+                origin.version().orElse(null));
+        decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+    }
+
+    private void enqueue(SlotRequest request) {
         long now = ticker.nanos();
         waiting.add(new WaitingRequest(
                 request,
@@ -291,8 +356,17 @@
         return true;
     }
 
+    /** Returns whether a request may be sent to an upstream once that has room. */
+    private static boolean eligible(Upstream upstream, SlotRequest request) {
+        if (request.excluded().contains(upstream.id())) {
+            return false;
+        }
+        return request.origin().isEmpty()
+                || request.origin().flatMap(StreamOrigin::version).equals(Optional.of(upstream.version()));
+    }
+
     private boolean hasCapacity(Upstream upstream, SlotRequest request) {
-        if (request.excluded().contains(upstream.id()) || !health.usable(upstream.id())) {
+        if (!eligible(upstream, request) || !health.usable(upstream.id())) {
             return false;
         }
         int queued = health.suspected(upstream.id()) ? 0 : options.queuedPerUpstream();
@@ -387,17 +461,24 @@
         if (ran && !declined) {
             decliningNodes.ran(node, lease.startNanos());
         }
+        Optional<ItemProgress.PartialOutput> kept = keptEvents == 0
+                ? Optional.empty()
+                : Optional.of(new ItemProgress.PartialOutput(
+                        node, directory.find(lease.upstream()).map(Upstream::version)));
         switch (reason) {
             case COMPLETED -> progress.runCompleted(item, node, options.resultTimeout());
-            case ITEM_UNKNOWN, NODE_DECLINED ->
-                progress.runInterrupted(item, node, keptEvents, declinedItemDelay(lease));
+            case ITEM_UNKNOWN, NODE_DECLINED -> progress.runInterrupted(item, kept, declinedItemDelay(lease));
             case CONTENT_UNREADABLE -> {
                 decliningNodes.declined(node, lease.startNanos());
                 progress.contentUnreadable(item);
-                progress.runInterrupted(item, node, keptEvents, options.itemRetryDelay());
+                progress.runInterrupted(item, kept, options.itemRetryDelay());
+            }
+            case CANCELLED -> progress.runInterrupted(item, kept, Duration.ZERO);
+            case ITEM_FAILED -> {
+                progress.runFailed(item, node);
+                progress.runInterrupted(item, kept, options.itemRetryDelay());
             }
-            case CANCELLED -> progress.runInterrupted(item, node, keptEvents, Duration.ZERO);
-            default -> progress.runInterrupted(item, node, keptEvents, options.itemRetryDelay());
+            default -> progress.runInterrupted(item, kept, options.itemRetryDelay());
         }
     }
 
@@ -515,10 +596,14 @@
         order.sort(Comparator.comparing((WaitingRequest entry) -> entry.targetNanos() - now < 0)
                 .thenComparingLong(WaitingRequest::targetNanos));
         for (WaitingRequest entry : order) {
-            if (entry.deadlineNanos() - now <= 0) {
+            SlotRequest request = resolveOrigin(entry.request());
+            if (request.origin().isPresent() && !mayContinue(request)) {
                 waiting.remove(entry);
-                decisions.rejected(entry.request().node(), entry.request().lease(), options.minRetryAfter());
-            } else if (tryPlace(entry.request())) {
+                rejectStartedStream(request);
+            } else if (entry.deadlineNanos() - now <= 0) {
+                waiting.remove(entry);
+                decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+            } else if (tryPlace(request)) {
                 waiting.remove(entry);
             }
         }
@@ -548,7 +633,7 @@
      */
     private boolean willBeLate(BacklogItem item) {
         long left = item.dueNanos() - ticker.nanos();
-        if (progress.partialOutputNode(item.item()).isPresent()) {
+        if (progress.partialOutput(item.item()).isPresent()) {
             return left < 0;
         }
         double needed = item.services().keySet().stream()
@@ -589,21 +674,33 @@
         return health.usable(upstream.id()) && !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
     }
 
-    private boolean tryStart(BacklogItem item, String service) {
+    /** Returns the upstream of a service with the most free slots for items, empty if none is free. */
+    private Optional<Upstream> freestForItems(String service, Predicate<Upstream> condition) {
         Upstream best = null;
         int bestFree = 0;
         for (Upstream upstream : directory.open(service)) {
             int free = freeForItems(upstream);
-            if (free > bestFree && mayRunItems(upstream)) {
+            if (free > bestFree && mayRunItems(upstream) && condition.test(upstream)) {
                 best = upstream;
                 bestFree = free;
             }
         }
-        if (best == null) {
+        return Optional.ofNullable(best);
+    }
+
+    /** Starts an item, on the software version that generated its partial output if that has a free slot. */
+    private boolean tryStart(BacklogItem item, String service) {
+        Optional<Upstream> resumable = progress.partialOutput(item.item())
+                .flatMap(ItemProgress.PartialOutput::version)
+                .flatMap(version ->
+                        freestForItems(service, upstream -> upstream.version().equals(version)));
+        Optional<Upstream> freest = resumable.or(() -> freestForItems(service, upstream -> true));
+        if (freest.isEmpty()) {
             return false;
         }
+        Upstream best = freest.get();
         NodeState node = chooseNode(item, best.failureDomain());
-        boolean resumed = progress.partialOutputNode(item.item()).isPresent();
+        boolean resumed = resumable.isPresent();
         Lease lease = new Lease(
                 node, nextItemLease++, best.id(), Optional.of(item.item()), ticker.nanos(), item.dueNanos(), resumed);
         leases.add(lease);
@@ -612,16 +709,21 @@
     }
 
     /**
-     * Returns the node with the item's partial output, else the least loaded one, preferably in the failure domain or the
+     * Returns the node with the item's partial output, else the one on which its last run failed, as that counts the
+     * failures even while the store does not respond, else the least loaded one, preferably in the failure domain or the
      * one that accepted the job. A node that declined items recently counts as loaded by many more. An item whose content
      * could not be read goes to the node that accepted its job, as that may have it in memory.
      */
     private NodeState chooseNode(BacklogItem item, String failureDomain) {
         Optional<NodeState> partialOutput =
-                progress.partialOutputNode(item.item()).flatMap(leases::node);
+                progress.partialOutput(item.item()).flatMap(output -> leases.node(output.node()));
         if (partialOutput.isPresent()) {
             return partialOutput.get();
         }
+        Optional<NodeState> failedNode = progress.failedNode(item.item()).flatMap(leases::node);
+        if (failedNode.isPresent()) {
+            return failedNode.get();
+        }
         Optional<NodeState> acceptedBy = leases.node(item.acceptedBy());
         if (acceptedBy.isPresent() && progress.unreadable(item.item())) {
             return acceptedBy.get();
