--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -713,9 +713,9 @@
 
     /**
      * Returns the node with the item's partial output, else the one on which its last run failed, as that counts the
-     * failures even while the store does not respond, else the least loaded one, preferably in the failure domain or the
-     * one that accepted the job. A node that declined items recently counts as loaded by many more. An item whose content
-     * could not be read goes to the node that accepted its job, as that may have it in memory.
+     * failures even while the store does not respond, else the least loaded one, preferably in the failure domain or
+     * the one that accepted the job. A node that declined items recently counts as loaded by many more. An item whose
+     * content could not be read goes to the node that accepted its job, as that may have it in memory.
      */
     private NodeState chooseNode(BacklogItem item, String failureDomain) {
         Optional<NodeState> partialOutput =
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -166,8 +166,8 @@
     }
 
     /**
-     * Returns the software version of all upstreams of a service, empty if they differ or there are none. Upstreams that
-     * were removed within the period count.
+     * Returns the software version of all upstreams of a service, empty if they differ or there are none. Upstreams
+     * that were removed within the period count.
      */
     public Optional<String> onlyVersion(String service, Duration period) {
         Set<String> versions = new HashSet<>();
