Add an emulator of the fleet that runs the scheduler under virtual time

Change: bin/experiment plays YAML load patterns against the real decision classes: engines with batching, prefill and a prefix cache, callers with swings and retries, batch jobs, a lost scheduler and lost engines. Items in the backlog carry their tokens.

--- /dev/null
+++ b/emulator/src/test/java/dev/lavenderline/emulator/OverloadTest.java
@@ -0,0 +1,53 @@
+package dev.lavenderline.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.serving.slots.SlotScheduler;
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+/** Plays load patterns against the scheduler. */
+class OverloadTest {
+    private static final Path PATTERNS = Path.of("../examples/patterns");
+    private static final int SEEDS = 4;
+
+    private static Outcome play(String pattern, long seed) throws IOException {
+        LoadPattern loaded = LoadPattern.read(PATTERNS.resolve(pattern));
+        return Emulation.run(loaded, SlotScheduler.Options.defaults(), Draws.draw(loaded, seed));
+    }
+
+    @Test
+    void sameSeedGivesSameOutcome() throws IOException {
+        Outcome first = play("overload.yaml", 7);
+        Outcome second = play("overload.yaml", 7);
+        assertEquals(first.kind("diagnose").inTime(), second.kind("diagnose").inTime());
+        assertEquals(first.itemRuns, second.itemRuns);
+        assertEquals(first.preemptions, second.preemptions);
+    }
+
+    @Test
+    void boundIsNotBelowTheOutcome() throws IOException {
+        LoadPattern pattern = LoadPattern.read(PATTERNS.resolve("overload.yaml"));
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Draws draws = Draws.draw(pattern, seed);
+            Outcome outcome = Emulation.run(pattern, SlotScheduler.Options.defaults(), draws);
+            int inTime = outcome.kind(Emulation.ITEMS).inTime();
+            assertTrue(inTime <= Bound.itemsInTime(pattern, draws, outcome), "seed " + seed + ": " + inTime);
+        }
+    }
+
+    /** Every request has exactly one outcome, also when its scheduler and engines are lost. */
+    @Test
+    void requestsAreCountedOnceDespiteFaults() throws IOException {
+        LoadPattern pattern = LoadPattern.read(PATTERNS.resolve("faults.yaml"));
+        Draws draws = Draws.draw(pattern, 1);
+        Outcome outcome = Emulation.run(pattern, SlotScheduler.Options.defaults(), draws);
+        int items = outcome.kind(Emulation.ITEMS).sent();
+        int requests =
+                outcome.kinds().values().stream().mapToInt(Outcome.Kind::sent).sum() - items;
+        assertEquals(draws.items().size(), items);
+        assertEquals(draws.requests().size(), requests);
+    }
+}
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.node;
 
+import dev.lavenderline.proto.jobs.JobItem;
 import dev.lavenderline.serving.jobs.Job;
 import dev.lavenderline.serving.jobs.JobLedger;
 import dev.lavenderline.serving.routes.FleetConfig;
@@ -48,9 +49,12 @@
             weights.put(service.service(), service.weight());
         }
         for (int i = 0; i < job.itemCount(); i++) {
-            if (!job.hasResult(i)
-                    && !visitor.test(
-                            new BacklogItem(new ItemRef(job.id(), i), weights, job.dueNanos(), job.acceptedBy()))) {
+            if (job.hasResult(i)) {
+                continue;
+            }
+            int tokens = job.item(i).map(JobItem::getTokens).orElse(0);
+            ItemRef ref = new ItemRef(job.id(), i);
+            if (!visitor.test(new BacklogItem(ref, weights, job.dueNanos(), job.acceptedBy(), tokens))) {
                 return false;
             }
         }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/ItemsOfUnreadJobsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ItemsOfUnreadJobsTest.java
@@ -95,7 +95,8 @@
                     new ItemRef("job" + i / 50, i % 50),
                     Map.of("s", 1),
                     Duration.ofMinutes(5).toNanos() + i,
-                    ""));
+                    "",
+                    0));
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
@@ -54,7 +54,8 @@
                             new ItemRef("job", i),
                             Map.of("s", 1),
                             time.nanos() + Duration.ofSeconds(18).toNanos(),
-                            ""))) {
+                            "",
+                            0))) {
                         return;
                     }
                 }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerMeasurement.java
@@ -57,7 +57,7 @@
                 visitor -> {
                     for (int i = 0; i < ITEMS; i++) {
                         if (!visitor.test(new BacklogItem(
-                                new ItemRef("job" + i / 10, i % 10), Map.of("s", 1), Long.MAX_VALUE, ""))) {
+                                new ItemRef("job" + i / 10, i % 10), Map.of("s", 1), Long.MAX_VALUE, "", 0))) {
                             return;
                         }
                     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -113,7 +113,8 @@
                     new ItemRef("job", i),
                     Map.of("s", 1),
                     Duration.ofSeconds(18).toNanos() + i,
-                    ""));
+                    "",
+                    0));
         }
     }
 
@@ -171,7 +172,8 @@
                     new ItemRef("late", i),
                     Map.of("s", 1),
                     Duration.ofSeconds(1).toNanos(),
-                    ""));
+                    "",
+                    0));
         }
         items(SLOTS);
         scheduler.schedule();
@@ -185,7 +187,7 @@
 
     @Test
     void lateItemIsPreemptedFirst() {
-        backlog.add(new BacklogItem(new ItemRef("late", 0), Map.of("s", 1), -1, ""));
+        backlog.add(new BacklogItem(new ItemRef("late", 0), Map.of("s", 1), -1, "", 0));
         items(2 * SLOTS - 1);
         scheduler.schedule();
         Run late = decisions.runs.stream()
@@ -631,7 +633,8 @@
                             new ItemRef("other", i),
                             Map.of("s", 1),
                             Duration.ofSeconds(17).toNanos(),
-                            failed.node()));
+                            failed.node(),
+                            0));
         }
         time.advance(Duration.ofMillis(400));
         scheduler.schedule();
--- a/serving/src/test/java/dev/lavenderline/serving/slots/UnreadableContentTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/UnreadableContentTest.java
@@ -45,7 +45,8 @@
                                 new ItemRef("job" + i % 3, i),
                                 Map.of("s", 1),
                                 Duration.ofMinutes(5).toNanos(),
-                                acceptedBy(i)))) {
+                                acceptedBy(i),
+                                0))) {
                             return;
                         }
                     }
