Start the items that can still complete in time before all late ones

Cause: a round stopped reading the backlog, which is in order of due times, at 200 late items. Once as many were late, no item that could be in time was reached, and the late ones were run oldest first. Besides, an item counted as in time by the mean of uninterrupted runs, whatever its length.

Change: a round reads on past late items and keeps at most 200 for the slots left. The time an item needs is estimated from its tokens, less the time for which its interrupted runs held slots; for one that has not started, times the factor by which preemptions lengthen items, which is learned. A round ends at once while no slot is free.

--- a/emulator/src/test/java/dev/lavenderline/emulator/OverloadTest.java
+++ b/emulator/src/test/java/dev/lavenderline/emulator/OverloadTest.java
@@ -13,11 +13,24 @@
     private static final Path PATTERNS = Path.of("../examples/patterns");
     private static final int SEEDS = 4;
 
+    /** Items in time of about 1,000, of which any scheduler could complete some 460. */
+    private static final int MIN_ITEMS_IN_TIME = 200;
+
     private static Outcome play(String pattern, long seed) throws IOException {
         LoadPattern loaded = LoadPattern.read(PATTERNS.resolve(pattern));
         return Emulation.run(loaded, SlotScheduler.Options.defaults(), Draws.draw(loaded, seed));
     }
 
+    /** Guards against an order under which lasting overload makes nearly every item late. */
+    @Test
+    void itemsCompleteInTimeAlthoughMoreArriveThanEnginesCanRun() throws IOException {
+        int inTime = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            inTime += play("batch-flood.yaml", seed).kind(Emulation.ITEMS).inTime();
+        }
+        assertTrue(inTime >= SEEDS * MIN_ITEMS_IN_TIME, "items in time: " + inTime);
+    }
+
     @Test
     void sameSeedGivesSameOutcome() throws IOException {
         Outcome first = play("overload.yaml", 7);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
@@ -33,8 +33,10 @@
      *
      * @param node node that keeps it
      * @param version software version that generated it, on which alone a run can resume; empty if it is not known
+     * @param ranFor time for which the interrupted runs held slots
+     * @param firstStartNanos start of the first of these runs
      */
-    record PartialOutput(String node, Optional<String> version) {}
+    record PartialOutput(String node, Optional<String> version, Duration ranFor, long firstStartNanos) {}
 
     ItemProgress(Ticker ticker) {
         this.ticker = ticker;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
@@ -47,6 +47,7 @@
      *
      * @param startNanos time of the grant, or of the hello that reported the slot
      * @param dueNanos time at which the item's result is due; {@code Long.MAX_VALUE} if unknown or an online request
+     * @param tokens tokens of the item, 0 if they are not known or for an online request
      * @param partialRun whether the hold time covers only part of a run: the run resumed partial output, or began
      *     before the node joined this scheduler
      */
@@ -57,6 +58,7 @@
             Optional<ItemRef> item,
             long startNanos,
             long dueNanos,
+            int tokens,
             boolean partialRun) {
         @Override
         public boolean equals(Object other) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -73,11 +73,11 @@
     /** Items per unit of capacity subtracted from the load of the node that accepted a job, which saves a read. */
     private static final double CONTENT_KEPT_ITEM_LOAD = 3;
 
-    /** Number of late items at which a round stops reading the backlog; far more than the slots freed in a round. */
+    /** Number of late items that a round keeps for the slots left; far more than the slots freed in a round. */
     private static final int MAX_LATE_ITEMS = 200;
 
-    /** Initial estimate of the hold time of an item. */
-    private static final double INITIAL_ITEM_SECONDS = 4;
+    /** Time from the end of a run until callers can read its result, in seconds. */
+    private static final double RESULT_RECORDING_SECONDS = 0.3;
 
     private final Ticker ticker;
     private final UpstreamDirectory directory;
@@ -94,7 +94,7 @@
     private final MovedSlots movedSlots;
     private final List<WaitingRequest> waiting = new ArrayList<>();
     private final HoldTimeEstimate onlineHoldTimes = new HoldTimeEstimate(INITIAL_ONLINE_SECONDS);
-    private final HoldTimeEstimate itemHoldTimes = new HoldTimeEstimate(INITIAL_ITEM_SECONDS);
+    private final ItemTimeEstimate itemTimes = new ItemTimeEstimate();
     private final PrefixCacheIndex prefixCache = new PrefixCacheIndex();
     private final SlowUpstreamDetector slowUpstreams;
     private final StreamVersions streamVersions;
@@ -203,7 +203,14 @@
         NodeState node = leases.addNode(name, failureDomain, capacity);
         for (Holding holding : holdings) {
             leases.add(new Lease(
-                    node, holding.lease(), holding.upstream(), holding.item(), ticker.nanos(), Long.MAX_VALUE, true));
+                    node,
+                    holding.lease(),
+                    holding.upstream(),
+                    holding.item(),
+                    ticker.nanos(),
+                    Long.MAX_VALUE,
+                    0,
+                    true));
         }
     }
 
@@ -400,7 +407,7 @@
 
     private void grant(SlotRequest request, NodeState node, Upstream upstream) {
         leases.add(new Lease(
-                node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE, false));
+                node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE, 0, false));
         health.sent(upstream.id());
         if (request.prefix() != 0) {
             prefixCache.record(request.prefix(), upstream.id());
@@ -438,7 +445,10 @@
         leases.remove(lease);
         recordHealth(lease, reason);
         recordHoldTime(lease, reason);
-        lease.item().ifPresent(item -> itemReleased(item, lease, reason, keptEvents));
+        lease.item().ifPresent(item -> {
+            recordStretch(item, lease, reason);
+            itemReleased(item, lease, reason, keptEvents);
+        });
         schedule();
     }
 
@@ -446,10 +456,29 @@
         if (reason != ReleaseReason.COMPLETED || lease.partialRun() || slowUpstreams.slow(lease.upstream())) {
             return;
         }
-        HoldTimeEstimate estimate = lease.item().isPresent() ? itemHoldTimes : onlineHoldTimes;
+        long heldNanos = ticker.nanos() - lease.startNanos();
+        directory.find(lease.upstream()).map(Upstream::service).ifPresent(service -> {
+            if (lease.item().isPresent()) {
+                itemTimes.record(service, lease.tokens(), heldNanos);
+            } else {
+                onlineHoldTimes.record(service, heldNanos);
+            }
+        });
+    }
+
+    /** Records how much longer than its runs an item took from its first start, because it was preempted. */
+    private void recordStretch(ItemRef item, Lease lease, ReleaseReason reason) {
+        Optional<ItemProgress.PartialOutput> resumed = progress.partialOutput(item);
+        if (reason != ReleaseReason.COMPLETED || lease.partialRun() != resumed.isPresent()) {
+            return;
+        }
+        long firstStart =
+                resumed.map(ItemProgress.PartialOutput::firstStartNanos).orElse(lease.startNanos());
+        double elapsed = ticker.nanos() - firstStart;
+        double ran = ranFor(item, lease).toNanos();
         directory
                 .find(lease.upstream())
-                .ifPresent(upstream -> estimate.record(upstream.service(), ticker.nanos() - lease.startNanos()));
+                .ifPresent(upstream -> itemTimes.recordStretch(upstream.service(), elapsed / ran));
     }
 
     private void itemReleased(ItemRef item, Lease lease, ReleaseReason reason, int keptEvents) {
@@ -464,7 +493,10 @@
         Optional<ItemProgress.PartialOutput> kept = keptEvents == 0
                 ? Optional.empty()
                 : Optional.of(new ItemProgress.PartialOutput(
-                        node, directory.find(lease.upstream()).map(Upstream::version)));
+                        node,
+                        directory.find(lease.upstream()).map(Upstream::version),
+                        ranFor(item, lease),
+                        firstStart(item, lease)));
         if (declined) {
             progress.declined(item);
         }
@@ -485,6 +517,25 @@
         }
     }
 
+    private long firstStart(ItemRef item, Lease lease) {
+        return progress.partialOutput(item)
+                .filter(output -> lease.partialRun())
+                .map(ItemProgress.PartialOutput::firstStartNanos)
+                .orElse(lease.startNanos());
+    }
+
+    /** Returns the time for which the runs that generated the partial output of an item held slots. */
+    private Duration ranFor(ItemRef item, Lease lease) {
+        Duration thisRun = Duration.ofNanos(ticker.nanos() - lease.startNanos());
+        if (!lease.partialRun()) {
+            return thisRun;
+        }
+        return progress.partialOutput(item)
+                .map(ItemProgress.PartialOutput::ranFor)
+                .orElse(Duration.ZERO)
+                .plus(thisRun);
+    }
+
     /**
      * Records a decline and returns the delay until the item is run again: none if another node may know its job. An
      * item declined by a node that was avoided already is delayed, so that it does not return there in a loop.
@@ -612,38 +663,52 @@
         }
     }
 
+    /**
+     * Starts items in order of their due times, but those that cannot complete in time after all others: under lasting
+     * overload every item would otherwise complete just too late.
+     */
     private void startItems() {
         movedSlots.expire();
+        if (directory.all().stream().noneMatch(upstream -> freeForItems(upstream) > 0)) {
+            return;
+        }
         Map<String, Integer> capacities = new HashMap<>();
         List<BacklogItem> late = new ArrayList<>();
         backlog.visit(item -> {
-            if (leases.hasLease(item.item()) || movedSlots.holds(item.item()) || !progress.startable(item.item())) {
+            if (willBeLate(item)) {
+                if (late.size() < MAX_LATE_ITEMS && startable(item)) {
+                    late.add(item);
+                }
                 return true;
             }
-            if (willBeLate(item)) {
-                late.add(item);
-                return late.size() < MAX_LATE_ITEMS;
+            if (startable(item)) {
+                startOnAvailableService(item, capacities);
             }
-            startOnAvailableService(item, capacities);
-            return capacities.values().stream().anyMatch(left -> left > 0);
+            return capacities.isEmpty() || capacities.values().stream().anyMatch(left -> left > 0);
         });
         late.forEach(item -> startOnAvailableService(item, capacities));
     }
 
-    /**
-     * Returns whether an item cannot complete by its due time. One with partial output counts as late only after that
-     * time, because it needs less than a whole run.
-     */
+    private boolean startable(BacklogItem item) {
+        return !leases.hasLease(item.item()) && !movedSlots.holds(item.item()) && progress.startable(item.item());
+    }
+
+    /** Returns whether an item cannot complete by its due time. */
     private boolean willBeLate(BacklogItem item) {
-        long left = item.dueNanos() - ticker.nanos();
-        if (progress.partialOutput(item.item()).isPresent()) {
-            return left < 0;
+        double left = (item.dueNanos() - ticker.nanos()) / 1e9;
+        if (left < RESULT_RECORDING_SECONDS) {
+            return true;
+        }
+        Optional<ItemProgress.PartialOutput> started = progress.partialOutput(item.item());
+        double shortest = Double.POSITIVE_INFINITY;
+        for (String service : item.services().keySet()) {
+            double whole = itemTimes.seconds(service, item.tokens());
+            double rest = started.map(
+                            output -> Math.max(0, whole - output.ranFor().toNanos() / 1e9))
+                    .orElse(whole * itemTimes.stretch(service));
+            shortest = Math.min(shortest, rest);
         }
-        double needed = item.services().keySet().stream()
-                .mapToDouble(itemHoldTimes::meanSeconds)
-                .min()
-                .orElse(0);
-        return left < needed * 1e9;
+        return left < RESULT_RECORDING_SECONDS + shortest;
     }
 
     private void startOnAvailableService(BacklogItem item, Map<String, Integer> capacities) {
@@ -705,7 +770,14 @@
         NodeState node = chooseNode(item, best.failureDomain());
         boolean resumed = resumable.isPresent();
         Lease lease = new Lease(
-                node, nextItemLease++, best.id(), Optional.of(item.item()), ticker.nanos(), item.dueNanos(), resumed);
+                node,
+                nextItemLease++,
+                best.id(),
+                Optional.of(item.item()),
+                ticker.nanos(),
+                item.dueNanos(),
+                item.tokens(),
+                resumed);
         leases.add(lease);
         decisions.run(node.name, lease.number(), best.id(), item.item());
         return true;
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -185,6 +185,34 @@
                         .count());
     }
 
+    /** Guards against a backlog of late items that hides those which can still complete in time. */
+    @Test
+    void itemsInTimeRunAlthoughHundredsOfLateItemsAreDueBefore() {
+        for (int i = 0; i < 300; i++) {
+            backlog.add(new BacklogItem(new ItemRef("late", i), Map.of("s", 1), -1, "", 0));
+        }
+        items(2 * SLOTS);
+        scheduler.schedule();
+        assertEquals(2 * SLOTS, decisions.runs.size());
+        assertTrue(decisions.runs.stream().allMatch(run -> run.item().job().equals("job")));
+    }
+
+    /** Guards against long items that start shortly before they are due and keep shorter ones from completing. */
+    @Test
+    void itemWithMoreTokensThanTheTimeLeftAllowsRunsAfterShorterOnes() {
+        long due = Duration.ofSeconds(20).toNanos();
+        backlog.add(new BacklogItem(new ItemRef("known", 0), Map.of("s", 1), due, "", 1000));
+        scheduler.schedule();
+        time.advance(Duration.ofSeconds(5));
+        scheduler.released("n1", decisions.runs.get(0).lease(), ReleaseReason.COMPLETED, 0);
+        backlog.clear();
+        decisions.runs.clear();
+        backlog.add(new BacklogItem(new ItemRef("long", 0), Map.of("s", 1), due, "", 4000));
+        backlog.add(new BacklogItem(new ItemRef("short", 0), Map.of("s", 1), due + 1, "", 1000));
+        scheduler.schedule();
+        assertEquals("short", decisions.runs.get(0).item().job());
+    }
+
     @Test
     void lateItemIsPreemptedFirst() {
         backlog.add(new BacklogItem(new ItemRef("late", 0), Map.of("s", 1), -1, "", 0));
