Bound what an upstream that breaks the protocol can occupy

Cause: an event without a boundary and events without end grew the memory of a node for as long as an engine sent them, and so did the error response to a stream. A batch item kept its slot as long as any byte arrived within 1.5 s. The rest of a rejection was read without a limit on a connection that nobody owned any more.

Change: an event has 256 KiB at most, the output of an item 1 MiB, an error response 64 KiB (items) or 256 KiB (streams). An item needs a complete event every 10 s. The rest of a rejection has 64 KiB and 2 s. Past a bound the connection is closed and the request ends as one whose answer was broken off.

ServingNodeTest.drainWaitsUntilSlowCallerHasReadItsResponse used an event of 16 MB in a batch item, which is now past the bound, and a read of results returns 1 MB. The same 16 MB now come as a stream of an engine; the assertions are the same.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -41,6 +41,21 @@
     /** Time without data after which a run is stopped; far above the 25 ms between events and the wait for a slot. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMillis(1500);
 
+    /**
+     * Time without progress after which a run is stopped although bytes arrive: without the response's head, a complete
+     * event or, for another status, the end. A slow engine takes a few hundred milliseconds for an event.
+     */
+    private static final Duration PROGRESS_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Size of an output, in bytes, above which a run is broken off; a read returns at most as much. */
+    private static final int MAX_OUTPUT_BYTES = 1024 * 1024;
+
+    /** Memory that an event takes besides its data, in bytes; bounds the number of empty events. */
+    private static final int EVENT_OVERHEAD_BYTES = 64;
+
+    /** Size of the body of an error response, in bytes, above which a run is broken off. */
+    private static final int MAX_ERROR_BYTES = 64 * 1024;
+
     /** Time limit on reading an item's content, for which its slot is idle. */
     private static final Duration CONTENT_TIMEOUT = Duration.ofMillis(400);
 
@@ -57,6 +72,7 @@
         final String version;
         final List<String> events = new ArrayList<>();
         OptionalLong lastEventId = OptionalLong.empty();
+        long bytes;
 
         PartialOutput(String version) {
             this.version = version;
@@ -165,6 +181,8 @@
         final long startNanos = context.ticker().nanos();
         final int resumedEvents;
         long lastReceivedNanos = startNanos;
+        long lastProgressNanos = startNanos;
+        int errorBytes;
         int status;
         boolean outOfOrder;
         UpstreamExchange exchange;
@@ -209,6 +227,7 @@
                 return;
             }
             lastReceivedNanos = context.ticker().nanos();
+            lastProgressNanos = lastReceivedNanos;
             context.log()
                     .event(
                             ServingEvent.ITEM_STARTED,
@@ -234,11 +253,20 @@
         }
 
         private void checkIdle() {
-            if (context.ticker().nanos() - lastReceivedNanos > IDLE_TIMEOUT.toNanos()) {
+            long now = context.ticker().nanos();
+            if (now - lastReceivedNanos > IDLE_TIMEOUT.toNanos()) {
                 stop(ReleaseReason.UPSTREAM_UNREACHABLE, true);
+            } else if (now - lastProgressNanos > PROGRESS_TIMEOUT.toNanos()) {
+                breakOff("no progress");
             }
         }
 
+        /** Ends a run whose response breaks the protocol; the events before that are kept. */
+        private void breakOff(String cause) {
+            exchange.cancel();
+            finish(ReleaseReason.ANSWER_LOST, true, cause);
+        }
+
         /** Ends the run without a result. */
         void stop(ReleaseReason reason, boolean keepOutput) {
             if (exchange != null) {
@@ -290,13 +318,16 @@
                 outOfOrder = true;
                 return;
             }
+            lastProgressNanos = context.ticker().nanos();
             output.events.add(event.data());
+            output.bytes += event.data().length() + EVENT_OVERHEAD_BYTES;
             output.lastEventId = event.id().isPresent() ? event.id() : output.lastEventId;
         }
 
         @Override
         public void headers(int code, MultiMap headers) {
             lastReceivedNanos = context.ticker().nanos();
+            lastProgressNanos = lastReceivedNanos;
             status = code;
         }
 
@@ -304,12 +335,20 @@
         public void chunk(Buffer chunk) {
             lastReceivedNanos = context.ticker().nanos();
             if (status != OK) {
+                errorBytes += chunk.length();
+                if (errorBytes > MAX_ERROR_BYTES) {
+                    breakOff("error response is too long");
+                }
                 return;
             }
-            parser.feed(chunk);
+            boolean withinLimit = parser.feed(chunk);
             if (outOfOrder) {
+                breakOff("events out of order");
+            } else if (!withinLimit) {
+                breakOff("event is too long");
+            } else if (output.bytes > MAX_OUTPUT_BYTES) {
                 exchange.cancel();
-                finish(ReleaseReason.ANSWER_LOST, true, "events out of order");
+                finish(ReleaseReason.ANSWER_LOST, false, "output is too long");
             }
         }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -10,12 +10,16 @@
  * Splits a stream into complete server-sent events (HTML standard, section 9.2). A partial event is buffered until the
  * rest arrives, so that it is never forwarded.
  *
- * <p>Not thread-safe.
+ * <p>Invariant: at most {@link #MAX_EVENT_BYTES} and the last chunk are buffered. Not thread-safe.
  */
 public final class EventStreamParser {
+    /** Size of an event, in bytes, above which a stream is broken; engines send a few tokens in an event. */
+    static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private final Consumer<StreamEvent> consumer;
     private final EventBoundaryScanner boundaries = new EventBoundaryScanner();
     private Buffer pending = Buffer.buffer();
+    private boolean oversized;
 
     public EventStreamParser(Consumer<StreamEvent> consumer) {
         this.consumer = consumer;
@@ -31,17 +35,27 @@
         return boundaries.truncation(closeDelimited);
     }
 
-    /** Parses further bytes and passes each completed event to the consumer. */
-    public void feed(Buffer chunk) {
+    /**
+     * Parses further bytes and passes each completed event to the consumer. Returns false once an event is larger than
+     * {@link #MAX_EVENT_BYTES}; that event and all further bytes are dropped.
+     */
+    public boolean feed(Buffer chunk) {
         int start = 0;
-        for (int i = 0; i < chunk.length(); i++) {
-            if (boundaries.scan(chunk.getByte(i))) {
-                consumer.accept(parse(pending.appendBuffer(chunk, start, i + 1 - start)));
-                pending = Buffer.buffer();
-                start = i + 1;
+        for (int i = 0; i < chunk.length() && !oversized; i++) {
+            if (!boundaries.scan(chunk.getByte(i))) {
+                oversized = pending.length() + i + 1 - start > MAX_EVENT_BYTES;
+                continue;
             }
+            consumer.accept(parse(pending.appendBuffer(chunk, start, i + 1 - start)));
+            pending = Buffer.buffer();
+            start = i + 1;
+        }
+        if (oversized) {
+            pending = Buffer.buffer();
+            return false;
         }
         pending.appendBuffer(chunk, start, chunk.length() - start);
+        return true;
     }
 
     private static StreamEvent parse(Buffer raw) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -727,15 +727,24 @@
             markReceived();
             if (status != 200) {
                 errorBody.appendBuffer(chunk);
+                if (errorBody.length() > MAX_BUFFERED_BYTES) {
+                    breakOff("error response is too long");
+                }
                 return;
             }
-            parser.feed(chunk);
+            boolean withinLimit = parser.feed(chunk);
             if (outOfOrder && !done) {
-                exchange.cancel();
-                attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, "events out of order");
+                breakOff("events out of order");
+            } else if (!withinLimit && !done) {
+                breakOff("event is too long");
             }
         }
 
+        private void breakOff(String cause) {
+            exchange.cancel();
+            attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
+        }
+
         private void event(StreamEvent event) {
             if (outOfOrder) {
                 return;
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -12,6 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -30,9 +31,16 @@
     /** Limit on the idle time, as upstreams may drop idle connections without notice. */
     private static final Duration MAX_IDLE = Duration.ofSeconds(8);
 
+    /** Time limit on the rest of a rejection; the connection is closed at the next check after it. */
+    private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(2);
+
     private final Ticker ticker;
     private final HttpClientAgent agent;
     private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
+
+    /** Connections on which the rest of a rejection is read, with the time at which they are closed. */
+    private final Map<HttpClientConnection, Long> discarding = new HashMap<>();
+
     private long opened;
 
     private record IdleConnection(HttpClientConnection connection, long expiryNanos) {}
@@ -71,6 +79,7 @@
 
     /** Returns a connection to the pool, or closes it if the upstream may close it soon. */
     void release(Upstream upstream, HttpClientConnection connection, Duration keepAlive) {
+        discarding.remove(connection);
         Duration maxIdle = keepAlive.compareTo(MAX_IDLE) < 0 ? keepAlive : MAX_IDLE;
         Duration usable = maxIdle.minus(REUSE_MARGIN);
         if (usable.isNegative() || usable.isZero()) {
@@ -82,6 +91,16 @@
         connection.closeHandler(closed -> remove(upstream.id(), entry));
     }
 
+    /** Closes a connection in {@link #closeExpired} unless it is released or closed before {@link #DISCARD_TIMEOUT}. */
+    void closeUnlessReleased(HttpClientConnection connection) {
+        discarding.put(connection, ticker.nanos() + DISCARD_TIMEOUT.toNanos());
+    }
+
+    /** Forgets a connection that was closed while the rest of a rejection was read. */
+    void closed(HttpClientConnection connection) {
+        discarding.remove(connection);
+    }
+
     private void remove(String upstream, IdleConnection closed) {
         Deque<IdleConnection> pool = idle.get(upstream);
         if (pool != null && pool.remove(closed) && pool.isEmpty()) {
@@ -100,6 +119,12 @@
             }
         }
         idle.values().removeIf(Deque::isEmpty);
+        for (Map.Entry<HttpClientConnection, Long> entry : List.copyOf(discarding.entrySet())) {
+            if (entry.getValue() - now <= 0) {
+                discarding.remove(entry.getKey());
+                entry.getKey().close();
+            }
+        }
     }
 
     /** Returns the number of connections opened so far. */
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -16,6 +16,9 @@
  * complete response to this request. Not thread-safe; confined to the event loop.
  */
 public final class UpstreamExchange {
+    /** Size of the body of a rejection, in bytes, above which reusing its connection is not worth reading it. */
+    private static final int MAX_DISCARDED_BYTES = 64 * 1024;
+
     private final UpstreamConnections connections;
     private final Upstream upstream;
     private final UpstreamRequest request;
@@ -25,6 +28,7 @@
     private HttpClientConnection connection;
     private HttpClientResponse response;
     private Duration keepAlive = Duration.ZERO;
+    private int discardedBytes;
     private boolean sent;
     private boolean responseStarted;
     private boolean closeDelimited;
@@ -131,15 +135,24 @@
         response.endHandler(end -> complete());
     }
 
-    /** Reads and drops the body of a response that reports that the request did not run, to reuse the connection. */
+    /**
+     * Reads and drops the body of a response that reports that the request did not run, to reuse the connection. Closes
+     * the connection if the body is long or does not end.
+     */
     private void discardResponse(SendFailure failure, String message) {
         HttpClientConnection open = connection;
-        response.exceptionHandler(broken -> open.close());
-        response.handler(chunk -> {});
         Duration idle = keepAlive;
+        connections.closeUnlessReleased(open);
+        response.exceptionHandler(broken -> open.close());
+        response.handler(chunk -> {
+            discardedBytes += chunk.length();
+            if (discardedBytes > MAX_DISCARDED_BYTES) {
+                open.close();
+            }
+        });
         response.endHandler(end -> connections.release(upstream, open, idle));
         connection = null;
-        open.closeHandler(closed -> {});
+        open.closeHandler(closed -> connections.closed(open));
         fail(failure, message);
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -50,6 +50,10 @@
 /** Runs nodes on one event loop with an in-memory store and scripted upstreams, and sends them HTTP requests. */
 class ServingNodeTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    /** Longest time until a run that makes no progress is stopped and repeated. */
+    private static final Duration STALLED_TIMEOUT = Duration.ofSeconds(20);
+
     private static final String LOOPBACK = "127.0.0.1";
 
     private final Vertx vertx = Vertx.vertx();
@@ -587,12 +591,10 @@
         startNode("n1");
         int length = 16_000_000;
         first.script = (request, body) -> request.response().end("id: 1\ndata: " + "x".repeat(length) + "\n\n");
-        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
-        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().length() > length);
         try (Socket caller = new Socket()) {
             caller.setReceiveBufferSize(4096);
             caller.connect(new InetSocketAddress(LOOPBACK, ports.get(0)));
-            String sent = "GET /jobs/job HTTP/1.1\r\nHost: " + LOOPBACK + "\r\nid: r\r\n\r\n";
+            String sent = "POST /long/x HTTP/1.1\r\nHost: " + LOOPBACK + "\r\nid: r\r\nContent-Length: 1\r\n\r\np";
             caller.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
             assertEquals('H', caller.getInputStream().read());
             CompletableFuture<Integer> stopped = drain(0);
@@ -719,6 +721,84 @@
         assertEquals(3, runs.get());
     }
 
+    /** Runs a job at an upstream whose first response is hostile and never ends, and the others are complete. */
+    private void assertItemCompletesAfter(String head, String endless, Duration pause) throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream raw = new RawUpstream(vertx, (socket, id) -> {
+            if (runs.getAndIncrement() > 0) {
+                socket.write(RawUpstream.closeDelimitedHead(id) + events(1, ScriptedUpstream.EVENT_COUNT));
+                vertx.setTimer(50, later -> socket.close());
+                return;
+            }
+            socket.write(head.replace("ID", id));
+            long timer = vertx.setPeriodic(pause.toMillis(), again -> {
+                if (!socket.writeQueueFull()) {
+                    socket.write(endless);
+                }
+            });
+            socket.closeHandler(closed -> vertx.cancelTimer(timer));
+        });
+        write("upstreams", "e1", "engines " + raw.port);
+        startNode("n1");
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(STALLED_TIMEOUT)
+                .until(() -> get(0, "/jobs/job").body().lines().count() == 1);
+        assertEquals("a=text1|text2|text3|text4|text5\n", get(0, "/jobs/job").body());
+    }
+
+    /** Guards against an event without end that fills the memory of the node. */
+    @Test
+    void itemCompletesAfterEventWithoutEnd() throws Exception {
+        assertItemCompletesAfter(
+                RawUpstream.closeDelimitedHead("ID") + "id: 1\ndata: ", "x".repeat(64 * 1024), Duration.ofMillis(1));
+    }
+
+    /** Guards against events without end that fill the memory of the node. */
+    @Test
+    void itemCompletesAfterEventsWithoutEnd() throws Exception {
+        assertItemCompletesAfter(
+                RawUpstream.closeDelimitedHead("ID"),
+                ("data: " + "x".repeat(1000) + "\n\n").repeat(60),
+                Duration.ofMillis(1));
+    }
+
+    /** Guards against the body of an error response that holds a slot as long as bytes arrive. */
+    @Test
+    void itemCompletesAfterErrorResponseWithoutEnd() throws Exception {
+        assertItemCompletesAfter(
+                "HTTP/1.1 500 Failed\r\nid: ID\r\nConnection: close\r\n\r\n",
+                "x".repeat(64 * 1024),
+                Duration.ofMillis(1));
+    }
+
+    /** Guards against a stalled stream that keeps its slot because a byte arrives now and then. */
+    @Test
+    void itemCompletesAfterStreamThatSendsBytesWithoutEvents() throws Exception {
+        assertItemCompletesAfter(RawUpstream.closeDelimitedHead("ID") + "id: 1\ndata: ", "x", Duration.ofMillis(200));
+    }
+
+    /** Guards against an error response without end that fills the memory of the node until the caller's deadline. */
+    @Test
+    void streamIsSentAgainAfterErrorResponseWithoutEnd() throws IOException {
+        AtomicInteger requests = new AtomicInteger();
+        RawUpstream raw = new RawUpstream(vertx, (socket, id) -> {
+            requests.incrementAndGet();
+            socket.write("HTTP/1.1 404 Not Found\r\nid: " + id + "\r\nConnection: close\r\n\r\n");
+            long timer = vertx.setPeriodic(1, again -> {
+                if (!socket.writeQueueFull()) {
+                    socket.write("x".repeat(1024));
+                }
+            });
+            socket.closeHandler(closed -> vertx.cancelTimer(timer));
+        });
+        write("upstreams", "e1", "engines " + raw.port);
+        startNode("n1");
+        CompletableFuture<HttpResponse<String>> response = post(0, "/resumable/x", "r", "p");
+        await().atMost(TIMEOUT).until(() -> requests.get() == 1);
+        write("upstreams", "e2", "engines " + second.port);
+        assertEquals(events(1, ScriptedUpstream.EVENT_COUNT), response.join().body());
+    }
+
     @Test
     void closeDelimitedStreamThatEndsAfterAnEventIsComplete() throws IOException {
         assertEquals(
