Start items with little time left after the others

Cause: with due times alone, lasting overload lets every item wait until it can only just be done.

Change: an item that has not started needs twice the time of its run to go by its due time; the others come after, the least urgent first, and those that can't be in time last. The learned factor for suspensions is gone: it was learned from items that completed, and so came out too low.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemProgress.java
@@ -34,9 +34,8 @@
      * @param node node that keeps it
      * @param version software version that generated it, on which alone a run can resume; empty if it is not known
      * @param ranFor time for which the interrupted runs held slots
-     * @param firstStartNanos start of the first of these runs
      */
-    record PartialOutput(String node, Optional<String> version, Duration ranFor, long firstStartNanos) {}
+    record PartialOutput(String node, Optional<String> version, Duration ranFor) {}
 
     ItemProgress(Ticker ticker) {
         this.ticker = ticker;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemTimeEstimate.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemTimeEstimate.java
@@ -5,8 +5,7 @@
 
 /**
  * Estimates the run time of a batch item from its tokens. The time per token is an exponential moving average per
- * service, weighted by tokens, so that it does not depend on which sizes complete first. Under overload, items also wait while
- * they are preempted; the stretch tells by how much.
+ * service, weighted by tokens, so that it does not depend on which sizes complete first.
  *
  * <p>Not thread-safe.
  */
@@ -16,11 +15,7 @@
     /** Initial estimate of an item's run time, also used for an item whose tokens are not known. */
     private static final double INITIAL_SECONDS = 4;
 
-    /** Upper bound of the stretch, so that an outage does not make all items look late for long. */
-    private static final double MAX_STRETCH = 3;
-
     private final Map<String, Totals> totals = new HashMap<>();
-    private final Map<String, Double> stretches = new HashMap<>();
 
     /** Moving averages of the run time and of the tokens of an item. */
     private record Totals(double seconds, double tokens) {}
@@ -36,17 +31,6 @@
                         known.tokens + SMOOTHING_FACTOR * (tokens - known.tokens)));
     }
 
-    /** Records the time from the first start of an item to its completion as a multiple of its run time. */
-    void recordStretch(String service, double stretch) {
-        double sample = Math.min(MAX_STRETCH, Math.max(1, stretch));
-        stretches.put(service, stretch(service) + SMOOTHING_FACTOR * (sample - stretch(service)));
-    }
-
-    /** Returns the factor by which preemptions lengthen an item, 1 if there are none. */
-    double stretch(String service) {
-        return stretches.getOrDefault(service, 1.0);
-    }
-
     /** Returns the time that an item of a service takes without interruption. */
     double seconds(String service, int tokens) {
         Totals known = totals.get(service);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -10,8 +10,10 @@
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,8 +75,17 @@
     /** Items per unit of capacity subtracted from the load of the node that accepted a job, which saves a read. */
     private static final double CONTENT_KEPT_ITEM_LOAD = 3;
 
-    /** Number of late items that a round keeps for the slots left; far more than the slots freed in a round. */
-    private static final int MAX_LATE_ITEMS = 200;
+    /** Number of late items, and of tight ones, kept for the slots left; far more than are freed in a round. */
+    private static final int MAX_KEPT_ITEMS = 200;
+
+    /**
+     * Time that an item should have left when it starts beyond the time it needs, as a multiple of the latter. Online
+     * load that swings up to twice its mean suspends an item about as long as it runs.
+     */
+    private static final double MIN_SPARE_RUNS = 1;
+
+    /** Least time that the rest of an item is taken to need, in seconds. */
+    private static final double MIN_REST_SECONDS = 0.1;
 
     /** Time from the end of a run until callers can read its result, in seconds. */
     private static final double RESULT_RECORDING_SECONDS = 0.3;
@@ -445,10 +456,7 @@
         leases.remove(lease);
         recordHealth(lease, reason);
         recordHoldTime(lease, reason);
-        lease.item().ifPresent(item -> {
-            recordStretch(item, lease, reason);
-            itemReleased(item, lease, reason, keptEvents);
-        });
+        lease.item().ifPresent(item -> itemReleased(item, lease, reason, keptEvents));
         schedule();
     }
 
@@ -466,21 +474,6 @@
         });
     }
 
-    /** Records how much longer than its runs an item took from its first start, because it was preempted. */
-    private void recordStretch(ItemRef item, Lease lease, ReleaseReason reason) {
-        Optional<ItemProgress.PartialOutput> resumed = progress.partialOutput(item);
-        if (reason != ReleaseReason.COMPLETED || lease.partialRun() != resumed.isPresent()) {
-            return;
-        }
-        long firstStart =
-                resumed.map(ItemProgress.PartialOutput::firstStartNanos).orElse(lease.startNanos());
-        double elapsed = ticker.nanos() - firstStart;
-        double ran = ranFor(item, lease).toNanos();
-        directory
-                .find(lease.upstream())
-                .ifPresent(upstream -> itemTimes.recordStretch(upstream.service(), elapsed / ran));
-    }
-
     private void itemReleased(ItemRef item, Lease lease, ReleaseReason reason, int keptEvents) {
         String node = lease.node().name;
         boolean declined = reason == ReleaseReason.ITEM_UNKNOWN
@@ -493,10 +486,7 @@
         Optional<ItemProgress.PartialOutput> kept = keptEvents == 0
                 ? Optional.empty()
                 : Optional.of(new ItemProgress.PartialOutput(
-                        node,
-                        directory.find(lease.upstream()).map(Upstream::version),
-                        ranFor(item, lease),
-                        firstStart(item, lease)));
+                        node, directory.find(lease.upstream()).map(Upstream::version), ranFor(item, lease)));
         if (declined) {
             progress.declined(item);
         }
@@ -517,13 +507,6 @@
         }
     }
 
-    private long firstStart(ItemRef item, Lease lease) {
-        return progress.partialOutput(item)
-                .filter(output -> lease.partialRun())
-                .map(ItemProgress.PartialOutput::firstStartNanos)
-                .orElse(lease.startNanos());
-    }
-
     /** Returns the time for which the runs that generated the partial output of an item held slots. */
     private Duration ranFor(ItemRef item, Lease lease) {
         Duration thisRun = Duration.ofNanos(ticker.nanos() - lease.startNanos());
@@ -664,8 +647,9 @@
     }
 
     /**
-     * Starts items in order of their due times, but those that cannot complete in time after all others: under lasting
-     * overload every item would otherwise complete just too late.
+     * Starts items in order of their due times, those with little time left after the others: under lasting overload
+     * every item would otherwise start as late as possible, be suspended at the next crest of online load, and complete
+     * just too late.
      */
     private void startItems() {
         movedSlots.expire();
@@ -673,19 +657,31 @@
             return;
         }
         Map<String, Integer> capacities = new HashMap<>();
+        Deque<BacklogItem> tight = new ArrayDeque<>();
         List<BacklogItem> late = new ArrayList<>();
         backlog.visit(item -> {
-            if (willBeLate(item)) {
-                if (late.size() < MAX_LATE_ITEMS && startable(item)) {
+            double spareRuns = spareRuns(item);
+            if (spareRuns < 0) {
+                if (late.size() < MAX_KEPT_ITEMS && startable(item)) {
                     late.add(item);
                 }
                 return true;
             }
-            if (startable(item)) {
-                startOnAvailableService(item, capacities);
+            if (!startable(item)) {
+                return true;
             }
+            if (spareRuns < MIN_SPARE_RUNS
+                    && progress.partialOutput(item.item()).isEmpty()) {
+                tight.addFirst(item);
+                if (tight.size() > MAX_KEPT_ITEMS) {
+                    tight.removeLast();
+                }
+                return true;
+            }
+            startOnAvailableService(item, capacities);
             return capacities.isEmpty() || capacities.values().stream().anyMatch(left -> left > 0);
         });
+        tight.forEach(item -> startOnAvailableService(item, capacities));
         late.forEach(item -> startOnAvailableService(item, capacities));
     }
 
@@ -693,22 +689,23 @@
         return !leases.hasLease(item.item()) && !movedSlots.holds(item.item()) && progress.startable(item.item());
     }
 
-    /** Returns whether an item cannot complete by its due time. */
-    private boolean willBeLate(BacklogItem item) {
-        double left = (item.dueNanos() - ticker.nanos()) / 1e9;
-        if (left < RESULT_RECORDING_SECONDS) {
-            return true;
-        }
-        Optional<ItemProgress.PartialOutput> started = progress.partialOutput(item.item());
+    /**
+     * Returns the time that an item has beyond what it still needs, as a multiple of the latter; negative if it cannot
+     * complete by its due time.
+     */
+    private double spareRuns(BacklogItem item) {
+        double left = (item.dueNanos() - ticker.nanos()) / 1e9 - RESULT_RECORDING_SECONDS;
+        if (left <= 0) {
+            return -1;
+        }
+        double ran = progress.partialOutput(item.item())
+                .map(output -> output.ranFor().toNanos() / 1e9)
+                .orElse(0.0);
         double shortest = Double.POSITIVE_INFINITY;
         for (String service : item.services().keySet()) {
-            double whole = itemTimes.seconds(service, item.tokens());
-            double rest = started.map(
-                            output -> Math.max(0, whole - output.ranFor().toNanos() / 1e9))
-                    .orElse(whole * itemTimes.stretch(service));
-            shortest = Math.min(shortest, rest);
+            shortest = Math.min(shortest, itemTimes.seconds(service, item.tokens()) - ran);
         }
-        return left < RESULT_RECORDING_SECONDS + shortest;
+        return left / Math.max(MIN_REST_SECONDS, shortest) - 1;
     }
 
     private void startOnAvailableService(BacklogItem item, Map<String, Integer> capacities) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -213,6 +213,23 @@
         assertEquals("short", decisions.runs.get(0).item().job());
     }
 
+    /** Guards against items that start as late as possible, are suspended once, and complete just too late. */
+    @Test
+    void itemWithLittleTimeLeftStartsAfterOneWithMore() {
+        backlog.add(new BacklogItem(
+                new ItemRef("tight", 0), Map.of("s", 1), Duration.ofSeconds(6).toNanos(), "", 0));
+        backlog.add(new BacklogItem(
+                new ItemRef("relaxed", 0),
+                Map.of("s", 1),
+                Duration.ofSeconds(18).toNanos(),
+                "",
+                0));
+        scheduler.schedule();
+        assertEquals(
+                List.of("relaxed", "tight"),
+                decisions.runs.stream().map(run -> run.item().job()).toList());
+    }
+
     @Test
     void lateItemIsPreemptedFirst() {
         backlog.add(new BacklogItem(new ItemRef("late", 0), Map.of("s", 1), -1, "", 0));
