Move the ranking of batch items out of the scheduler

SlotScheduler decided which items can be in time among all that it does. The ranking is a class of its own now, with the load pattern that it answers.

--- a/emulator/src/main/java/dev/lavenderline/emulator/Experiment.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Experiment.java
@@ -7,14 +7,11 @@
 import java.util.Map;
 import java.util.stream.IntStream;
 
-/** Plays a pattern with several policies over the same seeds and prints a table. Not thread-safe. */
+/** Plays a pattern with several policies over the same seeds and prints a table. Immutable. */
 final class Experiment {
     private final LoadPattern pattern;
     private final int seeds;
 
-    /** Value of a column in each run of a policy. */
-    private final Map<String, List<Double>> values = new LinkedHashMap<>();
-
     Experiment(LoadPattern pattern, int seeds) {
         this.pattern = pattern;
         this.seeds = seeds;
@@ -37,8 +34,10 @@
 
     /** Returns a table with the mean of each figure over the seeds, its lowest and its highest value. */
     String table(List<Result> results) {
-        values.clear();
-        results.forEach(this::add);
+        Map<String, List<Double>> values = new LinkedHashMap<>();
+        results.forEach(result -> figures(result)
+                .forEach((name, value) ->
+                        values.computeIfAbsent(name, key -> new ArrayList<>()).add(value)));
         StringBuilder table = new StringBuilder();
         values.forEach((name, column) -> table.append(String.format(
                 Locale.ROOT,
@@ -50,25 +49,23 @@
         return table.toString();
     }
 
-    private void add(Result result) {
+    private static Map<String, Double> figures(Result result) {
+        Map<String, Double> figures = new LinkedHashMap<>();
         Outcome outcome = result.outcome();
         outcome.kinds().forEach((name, kind) -> {
-            record(name + " sent", kind.sent());
-            record(name + " in time", kind.inTime());
-            record(name + " late", kind.late);
-            record(name + " refused", kind.refused);
-            record(name + " failed", kind.failed);
-            record(name + " p50 ms", kind.millis.getValueAtPercentile(50));
-            record(name + " p99 ms", kind.millis.getValueAtPercentile(99));
-            record(name + " largest tenth", kind.inTimeShare() == 0 ? 0 : kind.inTimeShareOfLargest());
+            figures.put(name + " sent", (double) kind.sent());
+            figures.put(name + " in time", (double) kind.inTime());
+            figures.put(name + " late", (double) kind.late);
+            figures.put(name + " refused", (double) kind.refused);
+            figures.put(name + " failed", (double) kind.failed);
+            figures.put(name + " p50 ms", (double) kind.millis.getValueAtPercentile(50));
+            figures.put(name + " p99 ms", (double) kind.millis.getValueAtPercentile(99));
+            figures.put(name + " in time, largest tenth", kind.inTimeShareOfLargest());
         });
-        record("bound of items in time", result.boundOfItems());
-        record("item runs", outcome.itemRuns);
-        record("preemptions", outcome.preemptions);
-        record("shared prompt tokens read", outcome.prefilledSharedTokens);
-    }
-
-    private void record(String name, double value) {
-        values.computeIfAbsent(name, key -> new ArrayList<>()).add(value);
+        figures.put("bound of items in time", (double) result.boundOfItems());
+        figures.put("item runs", (double) outcome.itemRuns);
+        figures.put("preemptions", (double) outcome.preemptions);
+        figures.put("shared prompt tokens read", (double) outcome.prefilledSharedTokens);
+        return figures;
     }
 }
--- a/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
@@ -61,10 +61,6 @@
             return (int) requests.stream().filter(Served::inTime).count();
         }
 
-        double inTimeShare() {
-            return requests.isEmpty() ? 0 : (double) inTime() / sent();
-        }
-
         /** Returns the share of the largest tenth that was in time. */
         double inTimeShareOfLargest() {
             int largest = (int) Math.ceil(requests.size() * LARGEST_SHARE);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -75,21 +75,9 @@
     /** Items per unit of capacity subtracted from the load of the node that accepted a job, which saves a read. */
     private static final double CONTENT_KEPT_ITEM_LOAD = 3;
 
-    /** Number of late items, and of tight ones, kept for the slots left; far more than are freed in a round. */
+    /** Number of late items, and of urgent ones, kept for the slots left; far more than are freed in a round. */
     private static final int MAX_KEPT_ITEMS = 200;
 
-    /**
-     * Time that an item should have left when it starts beyond the time it needs, as a multiple of the latter. Online
-     * load that swings up to twice its mean suspends an item about as long as it runs.
-     */
-    private static final double MIN_SPARE_RUNS = 1;
-
-    /** Least time that the rest of an item is taken to need, in seconds. */
-    private static final double MIN_REST_SECONDS = 0.1;
-
-    /** Time from the end of a run until callers can read its result, in seconds. */
-    private static final double RESULT_RECORDING_SECONDS = 0.3;
-
     private final Ticker ticker;
     private final UpstreamDirectory directory;
     private final UpstreamHealth health;
@@ -101,6 +89,7 @@
 
     private final LeaseTable leases = new LeaseTable();
     private final ItemProgress progress;
+    private final ItemRanking ranking;
     private final DecliningNodes decliningNodes;
     private final MovedSlots movedSlots;
     private final List<WaitingRequest> waiting = new ArrayList<>();
@@ -169,6 +158,7 @@
         this.random = random;
         this.options = options;
         this.progress = new ItemProgress(ticker);
+        this.ranking = new ItemRanking(ticker, progress, itemTimes);
         this.decliningNodes = new DecliningNodes(ticker);
         this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
@@ -646,42 +636,33 @@
         }
     }
 
-    /**
-     * Starts items in order of their due times, those with little time left after the others: under lasting overload
-     * every item would otherwise start as late as possible, be suspended at the next crest of online load, and complete
-     * just too late.
-     */
+    /** Starts items by their rank; those of the first in order of due times, the urgent ones least urgent first. */
     private void startItems() {
         movedSlots.expire();
         if (directory.all().stream().noneMatch(upstream -> freeForItems(upstream) > 0)) {
             return;
         }
         Map<String, Integer> capacities = new HashMap<>();
-        Deque<BacklogItem> tight = new ArrayDeque<>();
+        Deque<BacklogItem> urgent = new ArrayDeque<>();
         List<BacklogItem> late = new ArrayList<>();
         backlog.visit(item -> {
-            double spareRuns = spareRuns(item);
-            if (spareRuns < 0) {
-                if (late.size() < MAX_KEPT_ITEMS && startable(item)) {
-                    late.add(item);
-                }
+            ItemRanking.Rank rank = ranking.rank(item);
+            if ((rank == ItemRanking.Rank.LATE && late.size() == MAX_KEPT_ITEMS) || !startable(item)) {
                 return true;
             }
-            if (!startable(item)) {
-                return true;
-            }
-            if (spareRuns < MIN_SPARE_RUNS
-                    && progress.partialOutput(item.item()).isEmpty()) {
-                tight.addFirst(item);
-                if (tight.size() > MAX_KEPT_ITEMS) {
-                    tight.removeLast();
+            switch (rank) {
+                case LATE -> late.add(item);
+                case URGENT -> {
+                    urgent.addFirst(item);
+                    if (urgent.size() > MAX_KEPT_ITEMS) {
+                        urgent.removeLast();
+                    }
                 }
-                return true;
+                case IN_TIME -> startOnAvailableService(item, capacities);
             }
-            startOnAvailableService(item, capacities);
             return capacities.isEmpty() || capacities.values().stream().anyMatch(left -> left > 0);
         });
-        tight.forEach(item -> startOnAvailableService(item, capacities));
+        urgent.forEach(item -> startOnAvailableService(item, capacities));
         late.forEach(item -> startOnAvailableService(item, capacities));
     }
 
@@ -689,25 +670,6 @@
         return !leases.hasLease(item.item()) && !movedSlots.holds(item.item()) && progress.startable(item.item());
     }
 
-    /**
-     * Returns the time that an item has beyond what it still needs, as a multiple of the latter; negative if it cannot
-     * complete by its due time.
-     */
-    private double spareRuns(BacklogItem item) {
-        double left = (item.dueNanos() - ticker.nanos()) / 1e9 - RESULT_RECORDING_SECONDS;
-        if (left <= 0) {
-            return -1;
-        }
-        double ran = progress.partialOutput(item.item())
-                .map(output -> output.ranFor().toNanos() / 1e9)
-                .orElse(0.0);
-        double shortest = Double.POSITIVE_INFINITY;
-        for (String service : item.services().keySet()) {
-            shortest = Math.min(shortest, itemTimes.seconds(service, item.tokens()) - ran);
-        }
-        return left / Math.max(MIN_REST_SECONDS, shortest) - 1;
-    }
-
     private void startOnAvailableService(BacklogItem item, Map<String, Integer> capacities) {
         for (String service : item.services().keySet()) {
             int left = capacities.computeIfAbsent(service, this::itemCapacity);
