--- a/emulator/src/test/java/dev/lavenderline/emulator/LoadPatternTest.java
+++ b/emulator/src/test/java/dev/lavenderline/emulator/LoadPatternTest.java
@@ -16,7 +16,7 @@
     Path folder;
 
     private Path changed(String from, String to) throws IOException {
-        String text = Files.readString(Path.of("../examples/patterns/overload.yaml"));
+        String text = Files.readString(Path.of("patterns/overload.yaml"));
         assertTrue(text.contains(from), from);
         return Files.writeString(folder.resolve("pattern.yaml"), text.replaceFirst(from, to));
     }
@@ -40,7 +40,7 @@
     void commandReportsBadArguments() {
         assertEquals(2, Main.run(new String[] {"run", "missing.yaml"}));
         assertEquals(2, Main.run(new String[] {"play"}));
-        assertEquals(2, Main.run(new String[] {"run", "../examples/patterns/overload.yaml", "--seeds", "0"}));
-        assertEquals(2, Main.run(new String[] {"run", "../examples/patterns/overload.yaml", "--policy", "none"}));
+        assertEquals(2, Main.run(new String[] {"run", "patterns/overload.yaml", "--seeds", "0"}));
+        assertEquals(2, Main.run(new String[] {"run", "patterns/overload.yaml", "--policy", "none"}));
     }
 }
--- a/emulator/src/test/java/dev/lavenderline/emulator/OverloadTest.java
+++ b/emulator/src/test/java/dev/lavenderline/emulator/OverloadTest.java
@@ -10,7 +10,7 @@
 
 /** Plays load patterns against the scheduler. */
 class OverloadTest {
-    private static final Path PATTERNS = Path.of("../examples/patterns");
+    private static final Path PATTERNS = Path.of("patterns");
     private static final int SEEDS = 4;
 
     /** Items in time of about 1,000, of which any scheduler could complete some 460. */
