--- a/emulator/src/main/java/dev/lavenderline/emulator/Bound.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Bound.java
@@ -3,10 +3,11 @@
 import java.util.Arrays;
 
 /**
- * Upper bound of the batch items that any scheduler can complete in time.
+ * Approximate upper bound of the batch items that any scheduler can complete in time.
  *
  * <p>A relaxation: the slots that online requests left are one pool, an item can be spread over them without cost, and
  * of its times only the size counts, not when it arrives or is due. The shortest items then fill the pool best.
+ * Online requests count from grant to release, so that their waits in the queues of engines make the pool too small.
  */
 final class Bound {
     private Bound() {}
--- a/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstreamProperties.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstreamPropertyTest.java
@@ -12,7 +12,7 @@
 import net.jqwik.api.lifecycle.AfterContainer;
 
 /** Guards against mixed and truncated responses by drawn plans of an upstream that breaks the protocol. */
-class HostileUpstreamProperties {
+class HostileUpstreamPropertyTest {
     private static final HostileExchange EXCHANGE = new HostileExchange();
 
     @AfterContainer
