Add failing tests of configurations that are read late

A node goes on with an older configuration - for over 2.5 s after all its connections to the store fell silent, - for as long as a response brings a byte now and then, - while other calls wait for a part of the store that is silent, - for good, once the handling of one record has thrown.

The stand-in of the store can let connections fall silent, send responses without an end and fail single topics.

--- a/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
@@ -22,6 +22,7 @@
     private final ManualTime time = new ManualTime();
     private final FakeStore store = new FakeStore();
     private final List<String> delivered = new ArrayList<>();
+    private String listenerFailsOn = "";
     private int resets;
     private int caughtUp;
     private final PartitionFollower follower = new PartitionFollower(
@@ -36,6 +37,9 @@
 
                 @Override
                 public void record(KeyedRecord newer) {
+                    if (newer.key().equals(listenerFailsOn)) {
+                        throw new IllegalStateException("record " + newer.key());
+                    }
                     delivered.add(newer.key());
                 }
 
@@ -104,4 +108,22 @@
         assertTrue(follower.refresh().succeeded());
         assertEquals(List.of("a", "b", "c"), delivered);
     }
+
+    /** Guards against a follower that reads nothing more after a record that its listener could not handle. */
+    @Test
+    void followsOnAfterListenerHasThrown() {
+        follower.start();
+        listenerFailsOn = "b";
+        appendLive("a");
+        appendLive("b");
+        appendLive("c");
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("a", "c"), delivered);
+        assertEquals(3, follower.nextOffset());
+    }
+
+    private void appendLive(String key) {
+        store.append(PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(key, new byte[] {1})));
+        time.advance(Duration.ofMillis(100));
+    }
 }
--- a/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
@@ -12,9 +13,12 @@
 import java.util.Base64;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Stand-in for the platform's store: a log with conditional appends and keyed topics over HTTP. Producers, groups and
@@ -27,11 +31,16 @@
     private static final int DEFAULT_MAX_KB = 1024;
     private static final long LATE_APPEND_MS = 300;
     private static final long CHUNK_INTERVAL_MS = 100;
+    private static final long TRICKLE_INTERVAL_MS = 300;
 
     private final Vertx vertx;
     private final Map<String, Log> logs = new HashMap<>();
     private final Deque<Fault> appendFaults = new ArrayDeque<>();
+    private final Set<HttpConnection> openConnections = new HashSet<>();
+    private final Set<HttpConnection> silentConnections = new HashSet<>();
+    private final Map<String, Fault> outages = new ConcurrentHashMap<>();
     private volatile Fault outage = Fault.NONE;
+    private volatile int trickledCalls;
     private volatile int chunkBytes = Integer.MAX_VALUE;
     private HttpServer server;
 
@@ -44,6 +53,8 @@
         BUSY,
         /** The connection is reset. */
         RESET,
+        /** The response brings a byte now and then and does not end. */
+        TRICKLE,
         /** Applied if its condition holds, but the connection is closed without a response. */
         ANSWER_LOST,
         /** No response; applied 300 ms later if the condition of the append holds then. */
@@ -65,22 +76,58 @@
     /** Starts or restarts the server on a loopback port, 0 for an ephemeral one, and returns the port. */
     public Future<Integer> start(int port) {
         server = vertx.createHttpServer()
+                .connectionHandler(this::connected)
                 .requestHandler(request -> request.body().onSuccess(body -> {
-                    switch (outage) {
+                    if (silentConnections.contains(request.connection())) {
+                        return;
+                    }
+                    switch (outages.getOrDefault(request.getParam("Topic"), outage)) {
                         case SILENT -> {}
                         case BUSY -> request.response().setStatusCode(503).end();
                         case RESET -> request.connection().close();
+                        case TRICKLE -> trickle(request);
                         default -> route(request, body);
                     }
                 }));
         return server.listen(port, "127.0.0.1").map(HttpServer::actualPort);
     }
 
+    private void connected(HttpConnection connection) {
+        openConnections.add(connection);
+        connection.closeHandler(closed -> {
+            openConnections.remove(connection);
+            silentConnections.remove(connection);
+        });
+    }
+
+    private void trickle(HttpServerRequest request) {
+        trickledCalls++;
+        request.response().setChunked(true);
+        long timer = vertx.setPeriodic(
+                TRICKLE_INTERVAL_MS, next -> request.response().write("x"));
+        request.response().closeHandler(closed -> vertx.cancelTimer(timer));
+    }
+
+    /** Leaves all connections open without a further response on them; new connections work. */
+    public void silenceOpenConnections() {
+        vertx.runOnContext(now -> silentConnections.addAll(openConnections));
+    }
+
     /** Injects a fault into all calls until it is set to {@link Fault#NONE}. */
     public void outage(Fault fault) {
         outage = fault;
     }
 
+    /** Injects a fault into all calls for a topic until it is set to {@link Fault#NONE}. */
+    public void outage(String topic, Fault fault) {
+        outages.put(topic, fault);
+    }
+
+    /** Returns the number of responses that did not end. */
+    public int trickledCalls() {
+        return trickledCalls;
+    }
+
     /** Sends listings of newest records in chunks of {@code bytes}, one every 100 ms, as over a slow link. */
     public void chunkNewest(int bytes) {
         chunkBytes = bytes;
@@ -193,7 +240,10 @@
         }
     }
 
-    private static void respondToRead(HttpServerRequest request, Log log, long from) {
+    private void respondToRead(HttpServerRequest request, Log log, long from) {
+        if (silentConnections.contains(request.connection())) {
+            return;
+        }
         Buffer body = Buffer.buffer().appendLong(log.entries.size()).appendLong(log.firstOffset);
         String maxKb = request.getParam("MaxKb");
         int maxBytes = (maxKb == null ? DEFAULT_MAX_KB : Integer.parseInt(maxKb)) * 1024;
