Keep following a partition after its listener has thrown

Callers saw, or could see, a node that acts on an old configuration until it restarts. Cause: the next poll was scheduled after the records of a response had been handled, in the same callback, so that an exception of the listener ended the reading of the partition for good. The store's client had no part in it: the library logs the exception and goes on.

No record is known that makes a listener throw; that this was the reported fault is not shown.

--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -16,7 +16,8 @@
  * a pause after each response.
  *
  * <p>Invariants: after the load, each record is delivered at most once and in offset order; the next offset never
- * decreases unless the partition's end does. Not thread-safe; confined to the event loop.
+ * decreases unless the partition's end does; an exception of the listener does not end the reading. Not thread-safe;
+ * confined to the event loop.
  */
 public final class PartitionFollower {
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
@@ -120,13 +121,13 @@
             return;
         }
         List<KeyedRecord> records = List.copyOf(pageRecords);
-        listener.reset(records);
+        runListener(() -> listener.reset(records), null);
         nextOffset = endOffsetAtFirstPage;
         pageRecords.clear();
         endOffsetAtFirstPage = -1;
         loaded.tryComplete();
         log.event(ServingEvent.PARTITION_READ, "partition", partition, "offset", nextOffset, "records", records.size());
-        listener.caughtUp();
+        runListener(listener::caughtUp, null);
         poll();
     }
 
@@ -189,11 +190,20 @@
         int handled = (int) Math.max(0, Math.min(slice.records().size(), nextOffset - slice.firstOffset()));
         for (KeyedRecord record :
                 slice.records().subList(handled, slice.records().size())) {
-            listener.record(record);
+            runListener(() -> listener.record(record), record.key());
         }
         nextOffset = Math.max(nextOffset, slice.nextOffset());
         recordResponse();
-        listener.caughtUp();
+        runListener(listener::caughtUp, null);
+    }
+
+    /** Calls the listener; an exception costs one record, not the records after it. */
+    private void runListener(Runnable call, String key) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            log.event(ServingEvent.UNEXPECTED, "partition", partition, "key", key, "message", e);
+        }
     }
 
     /** Handles records that this process has appended at the given offset, without reading them back. */
