Poll on a new connection when the store's response is overdue

Callers saw a node refuse a request as only an older configuration allows, or could: changes have to apply within 2.5 s, and a node whose connections to the store had fallen silent read none for 4.5 s or more.

Cause: a poll of 1 s was given up after 2.2 s without data, and the next one took an idle connection of the pool, opened before and silent too. A response that brought a byte now and then ended no poll at all. The class of fault: state of one connection says something about all others opened before it, and the pool goes on handing those out.

A poll without a response 0.4 s after its longest wait is now followed by another one on a new connection, and counts itself if it still succeeds. The time doubles until a response, so that polls do not pile up at an overloaded store. The same holds for all partitions that are followed: upstreams, nodes and jobs.

--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -15,6 +15,7 @@
     UPSTREAM_MALFORMED("LL-1413", "malformed upstream entry ignored"),
     STORE_LOST("LL-1420", "store not responding"),
     STORE_REGAINED("LL-1421", "store responding again"),
+    POLL_OVERDUE("LL-1428", "poll of the store overdue; polling on a new connection"),
     HISTORY_EXPIRED("LL-1422", "history expired; reading the newest records"),
     PARTITION_READ("LL-1424", "newest records of a partition read"),
     RECORD_MALFORMED("LL-1423", "malformed record ignored"),
--- a/serving/src/main/java/dev/lavenderline/serving/store/MetadataStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/MetadataStore.java
@@ -40,6 +40,12 @@
      */
     Future<Long> append(Partition partition, long expectedEnd, List<KeyedRecord> records);
 
+    /**
+     * Makes later calls use new connections, because open ones may have been lost without notice. Calls in progress go
+     * on.
+     */
+    void renewConnections();
+
     /** Appends without a condition on the end offset of the partition. */
     long ANY_END = -1;
 }
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.Duration;
@@ -13,7 +14,7 @@
 
 /**
  * Follows a partition of a keyed topic: loads the newest record of each key, then reads new records by long polls, with
- * a pause after each response.
+ * a pause after each response. A poll without a response in time is repeated on a new connection.
  *
  * <p>Invariants: after the load, each record is delivered at most once and in offset order; the next offset never
  * decreases unless the partition's end does; an exception of the listener does not end the reading. Not thread-safe;
@@ -23,6 +24,13 @@
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(500);
 
+    /**
+     * Time after the longest wait of a poll at which another poll is sent on a new connection. Leaves time for that poll
+     * within the 2.5 s in which changes have to apply, and is longer than a slow store takes to respond. Doubles until
+     * the next response, so that polls do not pile up at a store that is overloaded.
+     */
+    static final Duration MIN_OVERDUE_DELAY = Duration.ofMillis(400);
+
     private final MetadataStore store;
     private final Partition partition;
     private final KeyedListener listener;
@@ -36,8 +44,13 @@
     private long nextOffset = -1;
     private long lastResponseNanos;
     private Duration retryDelay = MIN_RETRY_DELAY;
+    private Duration overdueDelay = MIN_OVERDUE_DELAY;
     private boolean storeLost;
     private boolean stopped;
+    private long latestPoll;
+
+    /** Number of loads so far; polls from before a load are ignored, as the next offset may have changed. */
+    private long loads;
 
     /** Records of the pages read so far, until the last page has been read. */
     private final List<KeyedRecord> pageRecords = new ArrayList<>();
@@ -123,6 +136,7 @@
         List<KeyedRecord> records = List.copyOf(pageRecords);
         runListener(() -> listener.reset(records), null);
         nextOffset = endOffsetAtFirstPage;
+        loads++;
         pageRecords.clear();
         endOffsetAtFirstPage = -1;
         loaded.tryComplete();
@@ -135,22 +149,47 @@
         if (stopped) {
             return;
         }
-        store.read(partition, nextOffset, pollWait)
-                .onSuccess(slice -> {
-                    if (stopped) {
-                        return;
-                    }
-                    handleSlice(slice);
-                    timers.after(pollPause.get(), this::poll);
-                })
-                .onFailure(failure -> {
-                    if (StoreException.reasonOf(failure) == StoreException.Reason.EXPIRED) {
-                        log.event(ServingEvent.HISTORY_EXPIRED, "partition", partition, "offset", nextOffset);
-                        load();
-                        return;
-                    }
-                    retryLater(failure, this::poll);
-                });
+        long number = ++latestPoll;
+        long loadsBefore = loads;
+        Timers.Timer overdue = timers.after(pollWait.plus(overdueDelay), () -> pollOverdue(number));
+        store.read(partition, nextOffset, pollWait).onComplete(response -> {
+            overdue.cancel();
+            if (stopped || loads != loadsBefore) {
+                return;
+            }
+            if (response.succeeded()) {
+                handleSlice(response.result());
+            }
+            if (number == latestPoll) {
+                pollEnded(response);
+            }
+        });
+    }
+
+    /** Continues after the latest poll; earlier ones that were overdue are not followed by another poll. */
+    private void pollEnded(AsyncResult<LogSlice> response) {
+        if (response.succeeded()) {
+            timers.after(pollPause.get(), this::poll);
+        } else if (StoreException.reasonOf(response.cause()) == StoreException.Reason.EXPIRED) {
+            log.event(ServingEvent.HISTORY_EXPIRED, "partition", partition, "offset", nextOffset);
+            load();
+        } else {
+            retryLater(response.cause(), this::poll);
+        }
+    }
+
+    /**
+     * Polls on a new connection, since a connection may fall silent without being closed. The overdue poll goes on: its
+     * response still counts if it is only slow.
+     */
+    private void pollOverdue(long number) {
+        if (stopped || number != latestPoll) {
+            return;
+        }
+        log.event(ServingEvent.POLL_OVERDUE, "partition", partition, "offset", nextOffset);
+        overdueDelay = overdueDelay.multipliedBy(2);
+        store.renewConnections();
+        poll();
     }
 
     /**
@@ -214,6 +253,7 @@
     private void recordResponse() {
         lastResponseNanos = ticker.nanos();
         retryDelay = MIN_RETRY_DELAY;
+        overdueDelay = MIN_OVERDUE_DELAY;
         if (storeLost) {
             storeLost = false;
             log.event(ServingEvent.STORE_REGAINED, "partition", partition, "offset", nextOffset);
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -44,6 +44,7 @@
     private int reads;
     private int pageReads;
     private int readsAt;
+    private int renewals;
     private boolean expired;
     private int pageSize = Integer.MAX_VALUE;
     private int sliceSize = Integer.MAX_VALUE;
@@ -78,6 +79,11 @@
         polls.forEach(Runnable::run);
     }
 
+    /** Returns the number of polls that wait for a record. */
+    public int waitingPolls() {
+        return waitingPolls.size();
+    }
+
     /** Sets the largest number of records in a page of newest records. */
     public void pageSize(int records) {
         pageSize = records;
@@ -186,6 +192,16 @@
                 rest.stream().limit(pageSize).toList(), log(partition).size(), rest.size() > pageSize));
     }
 
+    @Override
+    public void renewConnections() {
+        renewals++;
+    }
+
+    /** Returns how often connections were renewed. */
+    public int renewals() {
+        return renewals;
+    }
+
     @Override
     public Future<Long> append(Partition partition, long expectedEnd, List<KeyedRecord> records) {
         appends.merge(partition.topic(), 1, Integer::sum);
--- a/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
@@ -126,4 +126,40 @@
         store.append(PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(key, new byte[] {1})));
         time.advance(Duration.ofMillis(100));
     }
+
+    /** Guards against a change that is noticed only after the time limit of a poll on a connection that is lost. */
+    @Test
+    void pollsOnNewConnectionWhenOverdue() {
+        store.holdPolls(true);
+        follower.start();
+        time.advance(Duration.ofMillis(1399));
+        assertEquals(0, store.renewals());
+        time.advance(Duration.ofMillis(1));
+        assertEquals(1, store.renewals());
+        assertEquals(2, store.reads());
+    }
+
+    /** Guards against a store that answers slowly and whose answers are never used. */
+    @Test
+    void lateResponseOfOverduePollStillCounts() {
+        store.holdPolls(true);
+        follower.start();
+        append("a");
+        time.advance(Duration.ofMillis(1500));
+        store.releasePolls();
+        assertEquals(List.of("a"), delivered);
+        assertEquals(1, follower.nextOffset());
+    }
+
+    /** Guards against polls that pile up at an overloaded store. */
+    @Test
+    void overduePollsBackOff() {
+        store.holdPolls(true);
+        follower.start();
+        time.advance(Duration.ofSeconds(20));
+        assertTrue(store.reads() <= 6, store.reads() + " polls in 20 s");
+        store.releasePolls();
+        time.advance(Duration.ofMillis(10));
+        assertEquals(1, store.waitingPolls(), "one poll follows the released ones");
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/store/SharedBandwidthStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/SharedBandwidthStore.java
@@ -164,6 +164,9 @@
         });
     }
 
+    @Override
+    public void renewConnections() {}
+
     @Override
     public Future<Long> append(Partition partition, long expectedEnd, List<KeyedRecord> records) {
         Promise<Long> promise = Promise.promise();
--- a/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
@@ -12,13 +12,13 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * Stand-in for the platform's store: a log with conditional appends and keyed topics over HTTP. Producers, groups and
@@ -34,7 +34,7 @@
     private static final long TRICKLE_INTERVAL_MS = 300;
 
     private final Vertx vertx;
-    private final Map<String, Log> logs = new HashMap<>();
+    private final Map<String, Log> logs = new ConcurrentHashMap<>();
     private final Deque<Fault> appendFaults = new ArrayDeque<>();
     private final Set<HttpConnection> openConnections = new HashSet<>();
     private final Set<HttpConnection> silentConnections = new HashSet<>();
@@ -65,7 +65,7 @@
 
     private static final class Log {
         final List<Entry> entries = new ArrayList<>();
-        final List<Runnable> waitingReads = new ArrayList<>();
+        final List<Runnable> waitingReads = new CopyOnWriteArrayList<>();
         int firstOffset;
     }
 
@@ -128,6 +128,11 @@
         return trickledCalls;
     }
 
+    /** Returns the number of reads that wait for a record of a partition. */
+    public int waitingReads(String topic, int partition) {
+        return log(topic, partition).waitingReads.size();
+    }
+
     /** Sends listings of newest records in chunks of {@code bytes}, one every 100 ms, as over a slow link. */
     public void chunkNewest(int bytes) {
         chunkBytes = bytes;
