--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -87,6 +87,10 @@
     private UpstreamExchange exchange;
     private long sentNanos;
     private long firstByteNanos;
+
+    /** When the current exchange brought its first event, or first byte of a body, 0 if it has not. */
+    private long exchangeFirstByteNanos;
+
     private long lastReceivedNanos;
     private long lastSuspectNanos;
     private boolean paused;
@@ -277,6 +281,7 @@
         upstream = target;
         sends++;
         sentNanos = context.ticker().nanos();
+        exchangeFirstByteNanos = 0;
         lastReceivedNanos = sentNanos;
         lastSuspectNanos = sentNanos;
         paused = false;
@@ -392,7 +397,8 @@
 
     private void recordFailure(SendFailure failure, ReleaseReason reason, String message) {
         endExchange(reason);
-        failures += (failures.isEmpty() ? "" : "; ") + upstream.id() + " " + failure + " " + message;
+        failures += (failures.isEmpty() ? "" : "; ") + upstream.id() + " " + failure + " " + message
+                + (exchangeFirstByteNanos == 0 ? ", no event yet" : "");
         excluded.add(upstream.id());
         context.metrics().count("lavenderline_upstream_" + failure.name().toLowerCase(Locale.ROOT));
     }
@@ -523,7 +529,13 @@
                         "outcome",
                         outcome,
                         "failures",
-                        failures);
+                        failures,
+                        "promptParts",
+                        failures.isEmpty()
+                                ? null
+                                : info.sharedParts().stream()
+                                        .map(Long::toHexString)
+                                        .toList());
         onDone.run();
     }
 
@@ -558,8 +570,11 @@
     }
 
     private void markFirstByte() {
+        if (exchangeFirstByteNanos == 0) {
+            exchangeFirstByteNanos = context.ticker().nanos();
+        }
         if (firstByteNanos == 0) {
-            firstByteNanos = context.ticker().nanos();
+            firstByteNanos = exchangeFirstByteNanos;
             context.metrics().time("lavenderline_first_byte_seconds", firstByteNanos - arrivalNanos);
         }
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.online;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -12,6 +13,7 @@
  * @param lastEventId id of the last event that the caller received of the stream that it resumes
  * @param resumedAttempt id of the attempt that brought the first event of the stream that the caller resumes
  * @param sharedPrefix hash of the prompt prefix shared with other requests, 0 if there is none
+ * @param sharedParts hashes of the parts of the prompt that other requests may share: all but the last
  * @param maxWait longest time for which a long poll may wait for new results
  */
 public record RequestInfo(
@@ -20,4 +22,9 @@
         OptionalLong lastEventId,
         Optional<String> resumedAttempt,
         long sharedPrefix,
-        Duration maxWait) {}
+        List<Long> sharedParts,
+        Duration maxWait) {
+    public RequestInfo {
+        sharedParts = List.copyOf(sharedParts);
+    }
+}
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -15,13 +15,14 @@
 import io.vertx.core.http.HttpMethod;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
- * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, instance,
- * not-run, retry (milliseconds). A job's body is a comma-separated list of item ids. Stateless and thread-safe.
+ * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, parts
+ * (comma-separated hashes of shared prompt parts), instance, not-run, retry (milliseconds). A job's body is a comma-separated list of item ids. Stateless and thread-safe.
  */
 public final class TestWireFormat implements WireFormat {
     private static OptionalLong parseLong(String text) {
@@ -37,9 +38,17 @@
                 parseLong(headers.get("after")),
                 Optional.ofNullable(headers.get("resumes")),
                 0,
+                sharedParts(headers),
                 Duration.ZERO);
     }
 
+    private static List<Long> sharedParts(MultiMap headers) {
+        String parts = headers.get("parts");
+        return parts == null
+                ? List.of()
+                : Arrays.stream(parts.split(",", -1)).map(Long::valueOf).toList();
+    }
+
     @Override
     public Optional<BatchCall> parseBatchCall(HttpMethod method, String uri) {
         String[] segments = uri.split("/", -1);
