--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -5,29 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dev.lavenderline.core.Ticker;
-import dev.lavenderline.core.VertxTimers;
-import dev.lavenderline.serving.TestWireFormat;
-import dev.lavenderline.serving.logging.EventLog;
-import dev.lavenderline.serving.node.ServingSettings.Address;
-import dev.lavenderline.serving.routes.CallerLimits;
-import dev.lavenderline.serving.routes.FleetConfig;
-import dev.lavenderline.serving.routes.Route;
-import dev.lavenderline.serving.routes.RouteKind;
-import dev.lavenderline.serving.routes.ServiceInfo;
-import dev.lavenderline.serving.routes.WeightedService;
-import dev.lavenderline.serving.slots.NodeEntry;
 import dev.lavenderline.serving.store.FakeStore;
-import dev.lavenderline.serving.store.KeyedRecord;
-import dev.lavenderline.serving.store.MetadataStore;
-import dev.lavenderline.serving.store.Partition;
-import dev.lavenderline.serving.upstreams.Upstream;
-import io.vavr.control.Either;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -42,7 +24,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
-import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -56,130 +37,22 @@
 
     private static final String LOOPBACK = "127.0.0.1";
 
-    private final Vertx vertx = Vertx.vertx();
-    private final Context context = vertx.getOrCreateContext();
-    private final FakeStore store = new FakeStore();
+    private final NodeHarness harness = new NodeHarness();
+    private final Vertx vertx = harness.vertx;
+    private final Context context = harness.context;
+    private final FakeStore store = harness.store;
     private final HttpClient client = HttpClient.newHttpClient();
-    private final List<ServingNode> nodes = new ArrayList<>();
-    private final List<Integer> ports = new ArrayList<>();
+    private final List<ServingNode> nodes = harness.nodes;
+    private final List<Integer> ports = harness.ports;
     private ScriptedUpstream first;
     private ScriptedUpstream second;
 
-    /**
-     * Decodes text. A configuration is its version; an upstream its service, its port, and optionally its version and
-     * "draining".
-     */
-    private static final class TextRecordDecoder implements ControlRecordDecoder {
-        @Override
-        public String configKey() {
-            return "config";
-        }
-
-        @Override
-        public Either<String, FleetConfig> config(byte[] value) {
-            long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
-            return Either.right(new FleetConfig(
-                    version,
-                    List.of(
-                            route("safe", RouteKind.SAFE, "plain", false),
-                            route("unsafe", RouteKind.UNSAFE, "plain", false),
-                            route("stream", RouteKind.STREAMING, "engines", false),
-                            route("resumable", RouteKind.STREAMING, "engines", true),
-                            route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
-                            route("batch", RouteKind.BATCH, "engines", true)),
-                    List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
-                    CallerLimits.defaults()));
-        }
-
-        private static Route route(String name, RouteKind kind, String service, boolean resumable) {
-            return route(name, kind, service, resumable, Duration.ofSeconds(4));
-        }
-
-        private static Route route(String name, RouteKind kind, String service, boolean resumable, Duration timeout) {
-            return new Route(
-                    name,
-                    LOOPBACK,
-                    "/" + name + "/",
-                    kind,
-                    timeout,
-                    Duration.ofMillis(300),
-                    0,
-                    List.of(new WeightedService(service, 1)),
-                    2,
-                    resumable,
-                    Duration.ofMillis(300),
-                    Duration.ofSeconds(18),
-                    Duration.ofSeconds(60),
-                    1_000);
-        }
-
-        @Override
-        public int contentLength(byte[] value) {
-            return value.length;
-        }
-
-        @Override
-        public Either<String, Upstream> upstream(String id, byte[] value) {
-            List<String> words = List.of(new String(value, StandardCharsets.UTF_8).split(" "));
-            String version = words.stream()
-                    .filter(word -> word.startsWith("v"))
-                    .findFirst()
-                    .orElse("v1");
-            boolean draining = words.contains("draining");
-            int port = Integer.parseInt(words.get(1));
-            return Either.right(new Upstream(id, words.get(0), LOOPBACK, port, "a", 2, draining, version));
-        }
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private void write(String topic, String key, String value) {
-        CompletableFuture<Void> written = new CompletableFuture<>();
-        context.runOnContext(now -> {
-            store.append(
-                    new Partition(topic, 0),
-                    MetadataStore.ANY_END,
-                    List.of(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8))));
-            written.complete(null);
-        });
-        written.join();
+        harness.write(topic, key, value);
     }
 
     private ServingNode startNode(String name) throws IOException {
-        int callers = freePort();
-        ServingSettings settings = new ServingSettings(
-                new NodeEntry(name, LOOPBACK, freePort(), "a", 0, 1),
-                new Address(LOOPBACK, callers),
-                new Address(LOOPBACK, 0),
-                new Address(LOOPBACK, 0),
-                2,
-                3,
-                100_000,
-                Duration.ofSeconds(120),
-                Duration.ofSeconds(8));
-        CompletableFuture<ServingNode> started = new CompletableFuture<>();
-        context.runOnContext(now -> {
-            ServingNode node = new ServingNode(
-                    vertx,
-                    settings,
-                    store,
-                    new TextRecordDecoder(),
-                    new TestWireFormat(),
-                    Ticker.system(),
-                    new VertxTimers(vertx),
-                    EventLog.NONE,
-                    RandomSource.SPLIT_MIX_64.create(7));
-            node.start().onSuccess(listening -> started.complete(node)).onFailure(started::completeExceptionally);
-        });
-        ServingNode node = started.join();
-        nodes.add(node);
-        ports.add(callers);
-        await().atMost(TIMEOUT).until(node::ready);
-        return node;
+        return harness.startNode(name);
     }
 
     @BeforeEach
@@ -193,7 +66,7 @@
 
     @AfterEach
     void stop() {
-        vertx.close().toCompletionStage().toCompletableFuture().join();
+        harness.close();
     }
 
     private HttpRequest.Builder request(int node, String path) {
