--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/node/CrashingPromptTest.java
@@ -0,0 +1,144 @@
+package dev.lavenderline.serving.node;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Guards against requests that share a prompt part and crash one engine after the other. An engine here crashes when it
+ * begins to answer the body "crash": it closes all its connections and is back under another id.
+ */
+@Timeout(60)
+class CrashingPromptTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    /** Engines that may end under a part before its requests are rejected. */
+    private static final int MAX_CRASHES = 5;
+
+    /** Shared by all callers. */
+    private static final String SYSTEM_PART = "1";
+
+    private static final String CRASHING_PARTS = SYSTEM_PART + ",666";
+
+    private final NodeHarness harness = new NodeHarness();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final AtomicInteger crashes = new AtomicInteger();
+    private final AtomicInteger starts = new AtomicInteger();
+
+    @BeforeEach
+    void startNodes() throws IOException {
+        harness.write("config", "config", "1");
+        for (int i = 0; i < 4; i++) {
+            startEngine();
+        }
+        for (int i = 0; i < 3; i++) {
+            harness.startNode("n" + i);
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    private void startEngine() {
+        ScriptedUpstream engine = new ScriptedUpstream(harness.vertx, "e");
+        AtomicInteger generation = new AtomicInteger();
+        int number = starts.incrementAndGet();
+        List<HttpServerRequest> open = new ArrayList<>();
+        engine.script = (request, body) -> {
+            if (!body.equals("crash")) {
+                open.add(request);
+                ScriptedUpstream.stream(harness.vertx, request, 10, ScriptedUpstream.EVENT_COUNT);
+                return;
+            }
+            crashes.incrementAndGet();
+            request.response().setChunked(true).writeHead();
+            String id = "e" + number + "-" + generation.getAndIncrement();
+            harness.writeLater("upstreams", id, "");
+            harness.writeLater("upstreams", "e" + number + "-" + generation.get(), "engines " + engine.port);
+            harness.vertx.setTimer(10, now -> {
+                request.connection().close();
+                open.forEach(other -> other.connection().close());
+                open.clear();
+            });
+        };
+        harness.writeLater("upstreams", "e" + number + "-0", "engines " + engine.port);
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(int node, String route, String parts, String body) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(
+                        "http://" + NodeHarness.LOOPBACK + ":" + harness.ports.get(node) + "/" + route + "/"))
+                .timeout(TIMEOUT)
+                .header("left", "4000")
+                .header("id", "r" + starts.incrementAndGet())
+                .header("parts", parts)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Sends a request that crashes its engine and returns its status, 0 if the connection was closed. */
+    private int sendCrashing(int node, String route) {
+        return send(node, route, CRASHING_PARTS, "crash")
+                .handle((response, failure) -> failure == null ? response.statusCode() : 0)
+                .join();
+    }
+
+    private boolean sendSound(int node) {
+        return send(node, "stream", SYSTEM_PART + ",2", "sound")
+                .handle((response, failure) -> failure == null && response.statusCode() == 200)
+                .join();
+    }
+
+    private void sendCrashingToAllNodes() {
+        for (int i = 0; i < 30; i++) {
+            sendCrashing(i % harness.nodes.size(), i % 2 == 0 ? "stream" : "resumable");
+            sendSound(i % harness.nodes.size());
+        }
+    }
+
+    @Test
+    void partThatCrashesEnginesIsRejectedByAllNodes() {
+        sendCrashingToAllNodes();
+        assertTrue(crashes.get() <= MAX_CRASHES, crashes + " engines crashed");
+        assertEquals(503, sendCrashing(0, "stream"));
+        assertTrue(sendSound(0), "a sound request with the same first part");
+    }
+
+    @Test
+    void nodeThatStartsLaterRejectsThePart() throws IOException {
+        sendCrashingToAllNodes();
+        int before = crashes.get();
+        harness.startNode("late");
+        await().atMost(TIMEOUT).until(() -> sendCrashing(3, "stream") == 503);
+        assertTrue(crashes.get() <= Math.max(before, MAX_CRASHES), crashes + " engines crashed");
+    }
+
+    @Test
+    void soundPartOfCrashingRequestsIsServed() {
+        for (int i = 0; i < 10; i++) {
+            send(0, "stream", SYSTEM_PART + ",2,666", "crash")
+                    .handle((response, failure) -> 0)
+                    .join();
+        }
+        assertTrue(crashes.get() <= MAX_CRASHES, crashes + " engines crashed");
+        assertTrue(sendSound(0), "a request with a part that crashing requests had too");
+    }
+}
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -117,19 +117,28 @@
         }
     }
 
-    /** Appends a record; an empty value deletes the key. */
+    /** Appends a record and waits until it is there; an empty value deletes the key. */
     void write(String topic, String key, String value) {
         CompletableFuture<Void> written = new CompletableFuture<>();
         context.runOnContext(now -> {
-            store.append(
-                    new Partition(topic, 0),
-                    MetadataStore.ANY_END,
-                    List.of(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8))));
+            append(topic, key, value);
             written.complete(null);
         });
         written.join();
     }
 
+    /** Appends a record soon; may be called on any event loop. */
+    void writeLater(String topic, String key, String value) {
+        context.runOnContext(now -> append(topic, key, value));
+    }
+
+    private void append(String topic, String key, String value) {
+        store.append(
+                new Partition(topic, 0),
+                MetadataStore.ANY_END,
+                List.of(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8))));
+    }
+
     /** Starts a node and waits until it is ready. */
     ServingNode startNode(String name) throws IOException {
         int callers = freePort();
