Send nothing more to an upstream that says in a response that it is leaving

A request could reach an engine that had told the node in a response that it was leaving: nodes learned that from the engine's entry in the store only, which some engines never change, and which comes late when the store does.

The first response with the header marks the upstream for this start of it: the node gives back slots there, chooses it for no plain service and starts no item, and tells the scheduler. The entry's start time ends the mark when the engine starts again under its id.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -22,6 +22,7 @@
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.store.PartitionFollower;
+import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
 import io.vertx.core.Future;
@@ -169,6 +170,7 @@
                 SlotScheduler.Options.defaults());
         this.schedulerClient = slots.client();
         this.connections = new UpstreamConnections(vertx, ticker);
+        connections.onLeaving(this::upstreamLeaving);
         CallContext context = new CallContext(
                 settings.self().name(),
                 wire,
@@ -190,6 +192,22 @@
         ledger.onCancelled(job -> slots.scheduler().jobCancelled(job.id()));
     }
 
+    private void upstreamLeaving(Upstream upstream) {
+        if (directory.markLeaving(upstream.id(), upstream.startedMillis())) {
+            log.event(
+                    ServingEvent.UPSTREAM_CHANGED,
+                    "upstream",
+                    upstream.id(),
+                    "service",
+                    upstream.service(),
+                    "state",
+                    "leaving",
+                    "slots",
+                    upstream.slots());
+            schedulerClient.upstreamLeaving(upstream);
+        }
+    }
+
     private Duration jobsPollPause() {
         Duration pause = JOBS_POLL_PAUSE.multipliedBy(Math.max(1, schedulerClient.nodeCount() / 10));
         return pause.compareTo(MAX_JOBS_POLL_PAUSE) < 0 ? pause : MAX_JOBS_POLL_PAUSE;
--- a/serving/src/main/java/dev/lavenderline/serving/online/ResponseInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/ResponseInfo.java
@@ -9,6 +9,8 @@
  * @param requestId id of the request that the response belongs to, empty if the upstream sent none
  * @param notExecuted whether the upstream has not run the request and never will
  * @param misdirected whether another upstream now has the address
+ * @param leaving whether the upstream is shutting down and wants no further requests
  * @param keepAlive time for which the connection may stay idle after the response, zero if it closes
  */
-public record ResponseInfo(Optional<String> requestId, boolean notExecuted, boolean misdirected, Duration keepAlive) {}
+public record ResponseInfo(
+        Optional<String> requestId, boolean notExecuted, boolean misdirected, boolean leaving, Duration keepAlive) {}
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * Pool of connections to upstreams, each with at most one request at a time. A connection is reused only while the
@@ -41,6 +42,7 @@
     /** Connections on which the rest of a rejection is read, with the time at which they are closed. */
     private final Map<HttpClientConnection, Long> discarding = new HashMap<>();
 
+    private Consumer<Upstream> leavingListener = upstream -> {};
     private long opened;
 
     private record IdleConnection(HttpClientConnection connection, long expiryNanos) {}
@@ -55,6 +57,16 @@
                 .setTcpNoDelay(true));
     }
 
+    /** Sets the listener for upstreams that say in a response that they are leaving. */
+    public void onLeaving(Consumer<Upstream> listener) {
+        leavingListener = listener;
+    }
+
+    /** Handles a response that says that its upstream is leaving. */
+    void leaving(Upstream upstream) {
+        leavingListener.accept(upstream);
+    }
+
     /** Sends a request; the listener receives the response. */
     public UpstreamExchange send(
             Upstream upstream, UpstreamRequest request, WireFormat wire, ResponseListener listener) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -114,6 +114,9 @@
                     info.requestId().map(id -> "response to request " + id).orElse("response without request id"));
             return;
         }
+        if (info.leaving() && !info.misdirected()) {
+            connections.leaving(upstream);
+        }
         if (info.misdirected() || info.notExecuted()) {
             SendFailure failure = info.misdirected() ? SendFailure.OTHER_INSTANCE : SendFailure.NOT_EXECUTED;
             discardResponse(failure, "status " + response.statusCode());
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -516,6 +516,13 @@
         return streamVersions.resolve(service, origin);
     }
 
+    @Override
+    public void upstreamLeaving(Upstream upstream) {
+        if (remoteScheduler()) {
+            current.socket.write(SlotFrames.upstreamLeaving(upstream));
+        }
+    }
+
     @Override
     public void suspect(String upstream) {
         if (current == null) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -18,6 +18,8 @@
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.proto.slots.StreamsBegan;
 import dev.lavenderline.proto.slots.Suspect;
+import dev.lavenderline.proto.slots.UpstreamLeaving;
+import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -186,6 +188,13 @@
                 .setPromptRejected(PromptRejected.newBuilder().addAllParts(parts)));
     }
 
+    static Buffer upstreamLeaving(Upstream upstream) {
+        return frame(SlotFrame.newBuilder()
+                .setUpstreamLeaving(UpstreamLeaving.newBuilder()
+                        .setUpstream(upstream.id())
+                        .setStartedUnixMs(upstream.startedMillis())));
+    }
+
     static ReleaseReason releaseReason(Outcome outcome) {
         return switch (outcome) {
             case OUTCOME_COMPLETED -> ReleaseReason.COMPLETED;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -86,6 +86,10 @@
                     replicate(began);
                 }
                 case PROMPT_ENDED -> promptEnded(frame.getPromptEnded());
+                case UPSTREAM_LEAVING ->
+                    scheduler.upstreamLeaving(
+                            frame.getUpstreamLeaving().getUpstream(),
+                            frame.getUpstreamLeaving().getStartedUnixMs());
                 case SUSPECT -> scheduler.suspected(frame.getSuspect().getUpstream());
                 default -> log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", frame.getBodyCase());
             }
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -29,8 +29,8 @@
     /** Time without a response after which the store counts as down; long polls return at least every second. */
     static final Duration OUTAGE_THRESHOLD = Duration.ofMillis(2000);
 
-    /** Number of ids of removed upstreams that are kept, the latest ones. */
-    private static final int MAX_REMOVED_IDS = 1000;
+    /** Number of ids of removed or leaving upstreams that are kept, the latest ones. */
+    private static final int MAX_KEPT_IDS = 1000;
 
     private final Ticker ticker;
     private final Set<String> removedIds = Collections.newSetFromMap(new LinkedHashMap<>() {
@@ -38,10 +38,21 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_REMOVED_IDS;
+            return size() > MAX_KEPT_IDS;
         }
     });
     private final Map<String, Upstream> upstreams = new HashMap<>();
+
+    /** Start times of the latest upstreams that have said in a response that they are leaving, by id. */
+    private final Map<String, Long> leaving = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > MAX_KEPT_IDS;
+        }
+    };
+
     private final Map<ServiceVersion, Long> removedVersions = new HashMap<>();
     private final Set<String> unconfirmedRemovals = new HashSet<>();
     private final List<Runnable> listeners = new ArrayList<>();
@@ -84,13 +95,33 @@
         }
     }
 
+    /**
+     * Records that an upstream has said in a response that it is leaving. It gets no further requests, until it starts
+     * again under its id.
+     *
+     * @return whether that was not known
+     */
+    public boolean markLeaving(String id, long startedMillis) {
+        Long known = leaving.put(id, startedMillis);
+        if (known != null && known == startedMillis) {
+            return false;
+        }
+        notifyListeners();
+        return true;
+    }
+
+    private boolean draining(Upstream upstream) {
+        Long startedMillis = leaving.get(upstream.id());
+        return upstream.draining() || (startedMillis != null && startedMillis == upstream.startedMillis());
+    }
+
     /** Handles the removal of an entry; ignores unknown ids. */
     public void remove(String id) {
         Upstream known = upstreams.get(id);
         if (known == null) {
             return;
         }
-        if (inRenewalGrace() && !known.draining()) {
+        if (inRenewalGrace() && !draining(known)) {
             unconfirmedRemovals.add(id);
             return;
         }
@@ -151,14 +182,14 @@
     /** Returns whether an upstream is draining or was removed; false if the id is unknown, as it may be new. */
     public boolean drainingOrRemoved(String id) {
         Upstream upstream = upstreams.get(id);
-        return upstream == null ? removedIds.contains(id) : upstream.draining();
+        return upstream == null ? removedIds.contains(id) : draining(upstream);
     }
 
     /** Returns the upstreams of a service that are not draining. */
     public List<Upstream> open(String service) {
         List<Upstream> open = new ArrayList<>();
         for (Upstream upstream : upstreams.values()) {
-            if (upstream.service().equals(service) && !upstream.draining()) {
+            if (upstream.service().equals(service) && !draining(upstream)) {
                 open.add(upstream);
             }
         }
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -22,7 +22,7 @@
 
 /**
  * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, parts
- * (comma-separated hashes of shared prompt parts), instance, not-run, retry (milliseconds). A job's body is a comma-separated list of item ids. Stateless and thread-safe.
+ * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, retry (milliseconds). A job's body is a comma-separated list of item ids. Stateless and thread-safe.
  */
 public final class TestWireFormat implements WireFormat {
     private static OptionalLong parseLong(String text) {
@@ -124,7 +124,11 @@
                 ? Duration.ZERO
                 : Duration.ofSeconds(Long.parseLong(keepAlive.substring("timeout=".length())));
         return new ResponseInfo(
-                Optional.ofNullable(headers.get("id")), headers.contains("Not-Run"), status == 421, reuse);
+                Optional.ofNullable(headers.get("id")),
+                headers.contains("Not-Run"),
+                status == 421,
+                headers.contains("leaving"),
+                reuse);
     }
 
     @Override
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -103,6 +103,11 @@
             releases.add(reason);
         }
 
+        @Override
+        public void upstreamLeaving(Upstream upstream) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public void suspect(String upstream) {
             throw new UnsupportedOperationException();
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -46,8 +46,8 @@
     final List<Integer> ports = new ArrayList<>();
 
     /**
-     * Decodes text. A configuration is its version; an upstream its service, its port, and optionally its version and
-     * "draining".
+     * Decodes text. A configuration is its version; an upstream its service, its port, and optionally its version,
+     * "started" with a number, and "draining".
      */
     private static final class TextRecordDecoder implements ControlRecordDecoder {
         @Override
@@ -105,9 +105,15 @@
                     .filter(word -> word.startsWith("v"))
                     .findFirst()
                     .orElse("v1");
+            long startedMillis = words.stream()
+                    .filter(word -> word.startsWith("started"))
+                    .mapToLong(word -> Long.parseLong(word.substring("started".length())))
+                    .findFirst()
+                    .orElse(0);
             boolean draining = words.contains("draining");
             int port = Integer.parseInt(words.get(1));
-            return Either.right(new Upstream(id, words.get(0), LOOPBACK, port, "a", 2, draining, version));
+            return Either.right(
+                    new Upstream(id, words.get(0), LOOPBACK, port, "a", 2, draining, version, startedMillis));
         }
     }
 
