Close the idle connections to an upstream that falls silent

A request without data for 0.9 s, or an item for 1.5 s, now closes the idle connections to its upstream. SilentConnectionsTest failed before with the call in place and without effect: of three requests after a silent one, none was answered within 10 s, since each reused a silent connection.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -261,6 +261,7 @@
         private void checkIdle() {
             long now = context.ticker().nanos();
             if (now - lastReceivedNanos > IDLE_TIMEOUT.toNanos()) {
+                context.connections().upstreamSilent(upstream);
                 stop(ReleaseReason.UPSTREAM_UNREACHABLE, true);
             } else if (now - lastProgressNanos > PROGRESS_TIMEOUT.toNanos()) {
                 breakOff("no progress");
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -320,9 +320,12 @@
         if (done || exchange == null || paused || now - lastReceivedNanos < SILENCE_TIMEOUT.toNanos()) {
             return;
         }
-        if (modelEngines && now - lastSuspectNanos >= SILENCE_TIMEOUT.toNanos()) {
+        if (now - lastSuspectNanos >= SILENCE_TIMEOUT.toNanos()) {
             lastSuspectNanos = now;
-            context.slots().suspect(upstream.id());
+            context.connections().upstreamSilent(upstream);
+            if (modelEngines) {
+                context.slots().suspect(upstream.id());
+            }
         }
         if (mayRunAgain()) {
             seekReplacement();
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -103,6 +103,17 @@
         connection.closeHandler(closed -> remove(upstream.id(), entry));
     }
 
+    /**
+     * Handles a request that got no response in time: closes the idle connections to the upstream, which may have been
+     * lost without notice like that of the request.
+     */
+    public void upstreamSilent(Upstream upstream) {
+        Deque<IdleConnection> pool = idle.remove(upstream.id());
+        if (pool != null) {
+            pool.forEach(candidate -> candidate.connection().close());
+        }
+    }
+
     /** Closes a connection in {@link #closeExpired} unless it is released or closed before {@link #DISCARD_TIMEOUT}. */
     void closeUnlessReleased(HttpClientConnection connection) {
         discarding.put(connection, ticker.nanos() + DISCARD_TIMEOUT.toNanos());
