Answer 503 for an unknown route while the configuration may be outdated

A node that could not read the store for a while denied routes that had been added meanwhile: 404, after which callers do not try another node. A node whose configuration the store has not confirmed for 2 s now answers that the request has not run and may be sent again.

ServingNodeTest.pathWithoutRouteIsNotDeniedWhileConfigurationMayBeOutdated failed before (404 for 10 s of an outage). Polls of the store in memory end when their wait is over in tests of nodes, as they do at the store.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -184,7 +184,7 @@
                 metrics,
                 random::nextInt);
         this.runner = new ItemRunner(context, ledger, jobs);
-        this.callers = new CallerServer(vertx, context, config::current, ledger, jobs, timers);
+        this.callers = new CallerServer(vertx, context, config::current, configReader::age, ledger, jobs, timers);
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, schedulerClient::replaceNodes);
         this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultRetention());
         this.status = new StatusServer(vertx, this::ready, metrics::text);
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -41,11 +41,18 @@
     /** Time between the end of a response and the close of its connection while the node stops. */
     private static final Duration CLOSE_DELAY = Duration.ofMillis(200);
 
+    /**
+     * Age of the configuration above which an unknown route may have been added meanwhile. Below the 2.5 s in which
+     * changes have to apply, and twice the time between two responses of the store.
+     */
+    private static final Duration MAX_CONFIG_AGE = Duration.ofSeconds(2);
+
     private static final int MAX_HEADER_BYTES = 64 * 1024;
 
     private final Vertx vertx;
     private final CallContext context;
     private final Supplier<Optional<FleetConfig>> config;
+    private final Supplier<Duration> configAge;
     private final BatchCallHandler batch;
     private final Map<HttpConnection, Set<OnlineCall>> callsByConnection = new HashMap<>();
     private HttpServer server;
@@ -54,16 +61,23 @@
     private boolean draining;
     private boolean refusing;
 
+    /**
+     * Creates a server.
+     *
+     * @param configAge returns the time since the store confirmed that the configuration is the newest one
+     */
     public CallerServer(
             Vertx vertx,
             CallContext context,
             Supplier<Optional<FleetConfig>> config,
+            Supplier<Duration> configAge,
             JobLedger ledger,
             JobStore jobs,
             Timers timers) {
         this.vertx = vertx;
         this.context = context;
         this.config = config;
+        this.configAge = configAge;
         this.batch = new BatchCallHandler(context.wire(), ledger, jobs, timers, context.log());
     }
 
@@ -199,20 +213,7 @@
             if (call.isPresent()) {
                 batch.handle(call.get(), info, response);
             } else {
-                context.log()
-                        .event(
-                                ServingEvent.REQUEST_ENDED,
-                                "request",
-                                info.id(),
-                                "host",
-                                host,
-                                "uri",
-                                request.uri(),
-                                "config",
-                                current.get().version(),
-                                "outcome",
-                                "404 no route");
-                response.sendText(404, "no route");
+                rejectUnknownRoute(request, host, info, current.get(), response);
             }
             return;
         }
@@ -223,6 +224,30 @@
         handleOnline(request, body, response, arrivalNanos, info, route.get(), current.get());
     }
 
+    /** Rejects a request without a route; only a node that knows the newest configuration may deny that there is one. */
+    private void rejectUnknownRoute(
+            HttpServerRequest request, String host, RequestInfo info, FleetConfig current, CallerResponse response) {
+        boolean outdated = configAge.get().compareTo(MAX_CONFIG_AGE) > 0;
+        context.log()
+                .event(
+                        ServingEvent.REQUEST_ENDED,
+                        "request",
+                        info.id(),
+                        "host",
+                        host,
+                        "uri",
+                        request.uri(),
+                        "config",
+                        current.version(),
+                        "outcome",
+                        outdated ? "503 no route, configuration may be outdated" : "404 no route");
+        if (outdated) {
+            response.sendText(503, "not run: the configuration may be outdated", NOT_READY_RETRY_DELAY);
+        } else {
+            response.sendText(404, "no route");
+        }
+    }
+
     private void handleOnline(
             HttpServerRequest request,
             Buffer body,
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -123,6 +123,10 @@
         }
     }
 
+    NodeHarness() {
+        context.runOnContext(now -> store.endPolls(new VertxTimers(vertx)));
+    }
+
     /** Appends a record and waits until it is there; an empty value deletes the key. */
     void write(String topic, String key, String value) {
         CompletableFuture<Void> written = new CompletableFuture<>();
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -139,6 +139,17 @@
         assertEquals(404, get(0, "/other/").statusCode());
     }
 
+    /** Guards against a route that was added meanwhile and is denied by a node that can't know of it. */
+    @Test
+    void pathWithoutRouteIsNotDeniedWhileConfigurationMayBeOutdated() throws Exception {
+        startNode("n1");
+        context.runOnContext(now -> store.down(true));
+        await().atMost(TIMEOUT).until(() -> get(0, "/other/").statusCode() == 503);
+        assertEquals(200, post(0, "/stream/x", "r1", "p").join().statusCode());
+        context.runOnContext(now -> store.down(false));
+        await().atMost(TIMEOUT).until(() -> get(0, "/other/").statusCode() == 404);
+    }
+
     @Test
     void resumableStreamContinuesOnAnotherUpstream() throws IOException {
         write("upstreams", "e2", "engines " + second.port);
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.store;
 
+import dev.lavenderline.core.Timers;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.Duration;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -38,6 +40,7 @@
     private final Map<String, Deque<AppendOutcome>> nextOutcomesByTopic = new HashMap<>();
     private final List<Runnable> lateAppends = new ArrayList<>();
     private final List<Runnable> waitingPolls = new ArrayList<>();
+    private Optional<Timers> pollTimers = Optional.empty();
     private boolean down;
     private boolean holdPolls;
     private final Map<String, Integer> appends = new HashMap<>();
@@ -79,6 +82,11 @@
         polls.forEach(Runnable::run);
     }
 
+    /** Lets polls end when their wait is over; without timers, they wait for a record or {@link #releasePolls}. */
+    public void endPolls(Timers timers) {
+        pollTimers = Optional.of(timers);
+    }
+
     /** Returns the number of polls that wait for a record. */
     public int waitingPolls() {
         return waitingPolls.size();
@@ -134,7 +142,13 @@
         List<KeyedRecord> log = log(partition);
         if ((holdPolls || from >= log.size()) && !wait.isZero()) {
             Promise<LogSlice> promise = Promise.promise();
-            waitingPolls.add(() -> read(partition, from, Duration.ZERO).onComplete(promise));
+            Runnable poll = () -> read(partition, from, Duration.ZERO).onComplete(promise);
+            waitingPolls.add(poll);
+            pollTimers.ifPresent(timers -> timers.after(wait, () -> {
+                if (waitingPolls.remove(poll)) {
+                    poll.run();
+                }
+            }));
             return promise.future();
         }
         if (from < firstOffsets.getOrDefault(partition, 0)) {
