Do not offer an upgrade to HTTP/2

Cause: the JDK's HTTP client asks for an upgrade to HTTP/2, which Vert.x servers grant by default, and parts of a large response are then read as frame headers ("Frame type(100) length(2892393)" is text of the history). A reader that waits for a frame of that length hangs.

Against a Vert.x server alone, 600 KB responses and 8 readers: 55 of 800 reads failed with the upgrade, none of 800 without. The servers for callers did not offer it; the operators' endpoint with its state dump, the status endpoints and the stand-ins did, and no longer do.

--- a/bench/src/main/java/dev/lavenderline/bench/fleet/JsonFetcher.java
+++ b/bench/src/main/java/dev/lavenderline/bench/fleet/JsonFetcher.java
@@ -17,7 +17,7 @@
  * Fetches JSON documents from stand-ins over HTTP.
  *
  * <p>The timeout covers the body too, whereas the timeout of an {@link HttpRequest} covers only the headers. A fetch
- * that times out is retried once on a new connection; see LeavingUpstreamTest in KNOWN-RED.txt.
+ * that times out is retried once on a new connection.
  *
  * <p>Stateless and thread-safe.
  */
--- a/node/src/main/java/dev/lavenderline/node/operators/OperatorsServer.java
+++ b/node/src/main/java/dev/lavenderline/node/operators/OperatorsServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.util.Map;
@@ -64,7 +65,9 @@
             ctx.response().setStatusCode(202).end("draining\n");
             drain.run();
         });
-        server = vertx.createHttpServer().requestHandler(router);
+        // An upgrade to HTTP/2, which the JDK's client asks for, breaks off large responses.
+        server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
+                .requestHandler(router);
         return server.listen(port, host).mapEmpty();
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/node/StatusServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/StatusServer.java
@@ -22,7 +22,8 @@
     }
 
     private HttpServer server() {
-        return vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(IDLE_TIMEOUT_SECONDS));
+        return vertx.createHttpServer(
+                new HttpServerOptions().setIdleTimeout(IDLE_TIMEOUT_SECONDS).setHttp2ClearTextEnabled(false));
     }
 
     Future<Integer> listenReadiness(String host, int port) {
--- a/standins/src/main/java/dev/lavenderline/standins/engine/EngineServer.java
+++ b/standins/src/main/java/dev/lavenderline/standins/engine/EngineServer.java
@@ -118,7 +118,10 @@
         router.post("/v1/cache/import").handler(this::importBlocks);
         router.post("/v1/orders").handler(orders::handleOrder);
         router.get("/v1/loaded").handler(orders::listLoaded);
-        HttpServerOptions http = new HttpServerOptions().setHost(options.host()).setPort(options.port());
+        HttpServerOptions http = new HttpServerOptions()
+                .setHost(options.host())
+                .setPort(options.port())
+                .setHttp2ClearTextEnabled(false);
         server = vertx.createHttpServer(http)
                 .connectionHandler(connection -> connection.exceptionHandler(ignored -> {}))
                 .requestHandler(router);
--- a/standins/src/main/java/dev/lavenderline/standins/hosts/HostListStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/hosts/HostListStandin.java
@@ -50,8 +50,10 @@
         router.get("/hosts").handler(this::listHosts);
         router.post("/hosts").handler(BodyHandler.create(false)).handler(this::putHost);
         router.delete("/hosts").handler(this::removeHost);
-        server = vertx.createHttpServer(
-                new HttpServerOptions().setHost(settings.bind).setPort(settings.port));
+        server = vertx.createHttpServer(new HttpServerOptions()
+                .setHost(settings.bind)
+                .setPort(settings.port)
+                .setHttp2ClearTextEnabled(false));
         return server.requestHandler(router).listen().map(HttpServer::actualPort);
     }
 
--- a/standins/src/main/java/dev/lavenderline/standins/log/LogStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/log/LogStandin.java
@@ -81,8 +81,10 @@
                 .failureHandler(context -> context.response()
                         .setStatusCode(context.statusCode() < 400 ? 500 : context.statusCode())
                         .end());
-        server = vertx.createHttpServer(
-                new HttpServerOptions().setHost(settings.bind).setPort(settings.port));
+        server = vertx.createHttpServer(new HttpServerOptions()
+                .setHost(settings.bind)
+                .setPort(settings.port)
+                .setHttp2ClearTextEnabled(false));
         return server.requestHandler(router).listen().map(HttpServer::actualPort);
     }
 
--- a/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
+++ b/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
@@ -57,7 +57,10 @@
         router.get("/history").handler(ctx -> ctx.json(new JsonObject().put("runs", runs)));
         // No BodyHandler: it would parse multipart bodies, but the response echoes the raw body.
         router.route().handler(ctx -> ctx.request().body().onSuccess(body -> handleCall(ctx, body.toString())));
-        HttpServerOptions http = new HttpServerOptions().setHost(options.host()).setPort(options.port());
+        HttpServerOptions http = new HttpServerOptions()
+                .setHost(options.host())
+                .setPort(options.port())
+                .setHttp2ClearTextEnabled(false);
         server = vertx.createHttpServer(http)
                 .connectionHandler(connection -> connection.exceptionHandler(ignored -> {}))
                 .requestHandler(router);
--- a/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/store/StoreStandin.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -75,7 +76,7 @@
 
     /** Starts or restarts the server on a loopback port, 0 for an ephemeral one, and returns the port. */
     public Future<Integer> start(int port) {
-        server = vertx.createHttpServer()
+        server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
                 .connectionHandler(this::connected)
                 .requestHandler(request -> request.body().onSuccess(body -> {
                     if (silentConnections.contains(request.connection())) {
--- a/standins/src/main/java/dev/lavenderline/standins/weights/WeightStoreStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/weights/WeightStoreStandin.java
@@ -44,8 +44,10 @@
         router.post("/faults").handler(BodyHandler.create(false)).handler(this::setFaults);
         router.route().handler(outage::filter);
         router.post("/reserve").handler(BodyHandler.create(false)).handler(this::reserve);
-        server = vertx.createHttpServer(
-                new HttpServerOptions().setHost(settings.bind).setPort(settings.port));
+        server = vertx.createHttpServer(new HttpServerOptions()
+                .setHost(settings.bind)
+                .setPort(settings.port)
+                .setHttp2ClearTextEnabled(false));
         return server.requestHandler(router).listen().map(HttpServer::actualPort);
     }
 
--- a/standins/src/test/java/dev/lavenderline/standins/engine/EngineServerTest.java
+++ b/standins/src/test/java/dev/lavenderline/standins/engine/EngineServerTest.java
@@ -206,4 +206,17 @@
         assertFalse(stored == 0);
         assertTrue(getJson("/v1/cache/events?from=0").getJsonArray("events").isEmpty());
     }
+
+    /** Guards against upgrades to HTTP/2 that the JDK's client asks for and that break off large responses. */
+    @Test
+    void clientThatAsksForAnUpgradeStaysWithHttp1() throws Exception {
+        start();
+        HttpResponse<String> response = HttpClient.newHttpClient()
+                .send(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + engine.port() + "/history"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
+        assertEquals(HttpClient.Version.HTTP_1_1, response.version());
+        assertEquals(200, response.statusCode());
+    }
 }
