Bound the prompt parts that are looked at

A caller could name thousands of parts, and the record of a set of more than 15 would be too long for the store. A status other than 200 no longer counts as a completion: the engine has not begun an answer then.

--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -51,6 +51,8 @@
     /** Lowest response status that counts as a failure of the upstream. */
     private static final int MIN_FAILURE_STATUS = 500;
 
+    private static final int HTTP_OK = 200;
+
     /** Retry delay for callers if no upstream can be used. */
     private static final Duration NO_UPSTREAM_RETRY_DELAY = Duration.ofMillis(700);
 
@@ -514,7 +516,7 @@
 
     private void complete(int status) {
         context.metrics().time("lavenderline_answer_seconds", context.ticker().nanos() - arrivalNanos);
-        if (modelEngines && !isFailure(status)) {
+        if (modelEngines && status == HTTP_OK) {
             context.slots().promptCompleted(info.sharedParts());
         }
         finish("answered " + status, isFailure(status) ? ReleaseReason.UPSTREAM_FAILED : ReleaseReason.COMPLETED);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
@@ -47,6 +47,9 @@
     /** Number of parts with a history; the one that has been unused for longest is dropped. */
     private static final int MAX_PARTS = 4096;
 
+    /** Number of parts in a rejected set, which its record's key of 255 bytes can hold in hexadecimal. */
+    static final int MAX_REJECTED_PARTS = 15;
+
     /** Number of crashes that are reported to the next scheduler. */
     private static final int MAX_RECENT_CRASHES = 64;
 
@@ -152,8 +155,11 @@
         if (most < MIN_CRASHES) {
             return;
         }
-        Set<Long> group =
-                parts.stream().filter(part -> crashesToBlame(part) == most).collect(Collectors.toUnmodifiableSet());
+        Set<Long> group = parts.stream()
+                .filter(part -> crashesToBlame(part) == most)
+                .distinct()
+                .limit(MAX_REJECTED_PARTS)
+                .collect(Collectors.toUnmodifiableSet());
         reject(group);
         log.event(ServingEvent.PROMPT_REJECTED, "parts", hex(group), "crashes", most, "lastUpstream", upstream);
         decisionListeners.forEach(listener -> listener.accept(group));
--- a/serving/src/test/java/dev/lavenderline/serving/slots/CrashingPromptsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/CrashingPromptsTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** Guards against blaming the wrong part of a prompt, or none, for the crashes of engines. */
@@ -93,6 +94,17 @@
         assertFalse(rejects(SYSTEM, SUBJECT));
     }
 
+    /** Guards against records of rejected parts that are too long for the store. */
+    @Test
+    void rejectedSetIsBounded() {
+        Long[] parts = LongStream.range(0, 64).boxed().toArray(Long[]::new);
+        for (String engine : List.of("e1", "e2", "e3")) {
+            crash(engine, parts);
+        }
+        assertEquals(CrashingPrompts.MAX_REJECTED_PARTS, decisions.get(0).size());
+        assertTrue(rejects(parts));
+    }
+
     @Test
     void completedRequestWithdrawsRejection() {
         List<Set<Long>> withdrawn = new ArrayList<>();
