--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -224,7 +224,7 @@
         handleOnline(request, body, response, arrivalNanos, info, route.get(), current.get());
     }
 
-    /** Rejects a request without a route; only a node that knows the newest configuration may deny that there is one. */
+    /** Rejects a request without a route. Only a node with the newest configuration may deny the route. */
     private void rejectUnknownRoute(
             HttpServerRequest request, String host, RequestInfo info, FleetConfig current, CallerResponse response) {
         boolean outdated = configAge.get().compareTo(MAX_CONFIG_AGE) > 0;
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -44,7 +44,7 @@
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
     /** Time after the first event in which a crash of the upstream may be due to the request. */
-    static final Duration CRASH_PERIOD = Duration.ofMillis(100);
+    private static final Duration CRASH_PERIOD = Duration.ofMillis(100);
 
     private static final String EVENT_STREAM = "text/event-stream";
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
@@ -29,7 +29,7 @@
  * {@link #MAX_PARTS} and {@link #MAX_RECENT_CRASHES}. Not thread-safe; confined to the event loop.
  */
 public final class CrashingPrompts {
-    /** Crashes after which a part is blamed; a coincidence of that many is improbable for a part that is rarely used. */
+    /** Crashes after which a part is blamed; a rarely used part is improbable to be in as many by coincidence. */
     static final int MIN_CRASHES = 3;
 
     /** Time for which the completion of a request shows that its parts are sound. */
@@ -88,6 +88,8 @@
     private static final class History {
         final List<Crash> crashes = new ArrayList<>();
         Optional<Long> completedNanos = Optional.empty();
+
+        /** When this node last reported a completion to its scheduler. */
         Optional<Long> reportedNanos = Optional.empty();
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -25,9 +25,9 @@
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(500);
 
     /**
-     * Time after the longest wait of a poll at which another poll is sent on a new connection. Leaves time for that poll
-     * within the 2.5 s in which changes have to apply, and is longer than a slow store takes to respond. Doubles until
-     * the next response, so that polls do not pile up at a store that is overloaded.
+     * Time after the longest wait of a poll at which another poll is sent on a new connection. Leaves time for that
+     * poll within the 2.5 s in which changes have to apply, and is longer than a slow store takes to respond. Doubles
+     * until the next response, so that polls do not pile up at a store that is overloaded.
      */
     static final Duration MIN_OVERDUE_DELAY = Duration.ofMillis(400);
 
