Check once more before the body that a batch item may still run

Cause: a node checks that its copy of the log is fresh, then parses the item, connects and writes. If the process is suspended in between, the request is written when it resumes, before the cancellation is read.

Change: a request may have a precondition, which is evaluated after the head and before the body is written; an engine starts nothing without the body. Batch items state the freshness and the claim.

UpstreamClientTest fails with the check taken out.

--- a/http/src/main/java/dev/lavenderline/http/EngineExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/EngineExchange.java
@@ -11,6 +11,8 @@
 import io.vertx.core.parsetools.RecordParser;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** Reads an engine's response as a stream of server-sent events, in the format of the HTML standard, section 9.2. */
 final class EngineExchange extends UpstreamExchange {
@@ -36,8 +38,9 @@
             String requestId,
             int firstIndex,
             boolean resumed,
+            Optional<BooleanSupplier> precondition,
             StreamListener listener) {
-        super(vertx, client, options, body, firstTimeout, stallTimeout);
+        super(vertx, client, options, body, firstTimeout, stallTimeout, precondition);
         this.requestId = requestId;
         this.nextIndex = firstIndex;
         this.resumed = resumed;
--- a/http/src/main/java/dev/lavenderline/http/ServiceExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/ServiceExchange.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.util.Optional;
 
 /** Reads the response of a plain service. */
 final class ServiceExchange extends UpstreamExchange {
@@ -19,7 +20,7 @@
             Duration firstTimeout,
             Duration stallTimeout,
             CallListener listener) {
-        super(vertx, client, options, body, firstTimeout, stallTimeout);
+        super(vertx, client, options, body, firstTimeout, stallTimeout, Optional.empty());
         this.listener = listener;
     }
 
--- a/http/src/main/java/dev/lavenderline/http/UpstreamClient.java
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamClient.java
@@ -145,6 +145,7 @@
                 request.requestId(),
                 firstIndex,
                 resumed,
+                request.precondition(),
                 listener);
         exchange.start();
         return new ExchangeHandle(exchange, () -> cancel(upstream, request.requestId(), request.trafficClass()));
--- a/http/src/main/java/dev/lavenderline/http/UpstreamExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamExchange.java
@@ -5,8 +5,11 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * One HTTP exchange with an upstream: opens the connection, enforces the timeouts for a silent upstream, and reports
@@ -22,6 +25,7 @@
     private final Buffer body;
     private final long firstTimeoutNanos;
     private final long stallTimeoutNanos;
+    private final Optional<BooleanSupplier> precondition;
     private HttpClientRequest request;
     private HttpClientResponse response;
     private long timer = -1;
@@ -37,13 +41,15 @@
             RequestOptions options,
             Buffer body,
             Duration firstTimeout,
-            Duration stallTimeout) {
+            Duration stallTimeout,
+            Optional<BooleanSupplier> precondition) {
         this.vertx = vertx;
         this.client = client;
         this.options = options;
         this.body = body;
         this.firstTimeoutNanos = firstTimeout.toNanos();
         this.stallTimeoutNanos = stallTimeout.toNanos();
+        this.precondition = precondition;
     }
 
     /** Called when the response head arrives; the body follows through {@link #onData}. */
@@ -73,7 +79,24 @@
         maybeSent = true;
         request.exceptionHandler(cause -> fail(UpstreamFailure.Kind.BROKEN, describe(cause)));
         request.response().onComplete(this::onResponse, cause -> fail(UpstreamFailure.Kind.BROKEN, describe(cause)));
-        request.end(body);
+        if (precondition.isEmpty()) {
+            request.end(body);
+            return;
+        }
+        // An upstream runs nothing before the body, so the condition is checked as late as possible.
+        request.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
+        request.sendHead().onSuccess(sent -> sendBodyIfStillWanted(precondition.get()));
+    }
+
+    private void sendBodyIfStillWanted(BooleanSupplier condition) {
+        if (done) {
+            return;
+        }
+        if (condition.getAsBoolean()) {
+            request.end(body);
+        } else {
+            fail(UpstreamFailure.Kind.NOT_WANTED, "the request is no longer wanted");
+        }
     }
 
     private void onConnectFailed(Throwable cause) {
--- a/http/src/main/java/dev/lavenderline/http/UpstreamFailure.java
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamFailure.java
@@ -17,6 +17,8 @@
     public enum Kind {
         /** No connection was established. */
         CONNECT,
+        /** The request's precondition no longer held; its body was not written. */
+        NOT_WANTED,
         /** The connection was lost, or the response violated the protocol. */
         BROKEN,
         /** Nothing arrived within the timeout. */
@@ -34,7 +36,7 @@
     /** Returns the kind of failure to report to the dispatcher. */
     public Dispatcher.Failure forDispatcher() {
         return switch (kind) {
-            case CONNECT -> Dispatcher.Failure.CONNECT;
+            case CONNECT, NOT_WANTED -> Dispatcher.Failure.CONNECT;
             case SILENT -> Dispatcher.Failure.SILENT;
             case REJECTED, REFUSED -> Dispatcher.Failure.REJECTED;
             case BROKEN, UNKNOWN_STREAM, CROSSED -> Dispatcher.Failure.BROKEN;
--- a/http/src/test/java/dev/lavenderline/http/UpstreamClientTest.java
+++ b/http/src/test/java/dev/lavenderline/http/UpstreamClientTest.java
@@ -21,9 +21,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.awaitility.Awaitility;
@@ -73,10 +76,15 @@
     }
 
     private void send(String id, TrafficClass trafficClass) {
+        eventLoop.runOnContext(run -> send(id, trafficClass, Optional.empty()));
+    }
+
+    /** Sends a request; must be called on the event loop. */
+    private void send(String id, TrafficClass trafficClass, Optional<BooleanSupplier> precondition) {
         Duration limit = Duration.ofSeconds(20);
-        StreamRequest request =
-                new StreamRequest(id, "/v1/completions", Buffer.buffer("{}"), trafficClass, limit, limit, false);
-        eventLoop.runOnContext(run -> client.stream(upstream, request, new StreamListener() {
+        StreamRequest request = new StreamRequest(
+                id, "/v1/completions", Buffer.buffer("{}"), trafficClass, limit, limit, false, precondition);
+        client.stream(upstream, request, new StreamListener() {
             @Override
             public void token(Token token) {
                 events.add(token.index() + ":" + token.text());
@@ -91,7 +99,7 @@
             public void failed(UpstreamFailure failure) {
                 events.add("failed:" + failure.kind());
             }
-        }));
+        });
     }
 
     static Stream<Arguments> responses() {
@@ -169,6 +177,28 @@
         Awaitility.await().until(() -> openConnections.get() == 0);
     }
 
+    /** Guards against items that start long after their job was cancelled, because the process was suspended. */
+    @Test
+    void bodyIsNotWrittenIfPreconditionFailsWhileConnecting() {
+        List<String> received = new CopyOnWriteArrayList<>();
+        serve(
+                UpstreamClient.Options.defaults(),
+                request -> request.body().onSuccess(body -> {
+                    received.add(request.getHeader("X-Request-Id"));
+                    request.response().setChunked(true).end(TOKEN_0 + FINISH + DONE);
+                }));
+        AtomicBoolean cancelled = new AtomicBoolean();
+        eventLoop.runOnContext(run -> {
+            send("late", TrafficClass.BATCH, Optional.of(() -> !cancelled.get()));
+            cancelled.set(true);
+        });
+        Awaitility.await().until(() -> !events.isEmpty());
+        send("r1", TrafficClass.BATCH);
+
+        Awaitility.await().untilAsserted(() -> assertEquals(List.of("failed:NOT_WANTED", "0:ä0", "end:stop"), events));
+        assertEquals(List.of("r1"), received);
+    }
+
     @Test
     void failureReportsWhetherBytesMayHaveBeenWritten() {
         serve(UpstreamClient.Options.defaults(), request -> request.connection().close());
--- a/node/src/main/java/dev/lavenderline/node/jobs/ItemExecutor.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/ItemExecutor.java
@@ -17,6 +17,8 @@
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Sends batch items to engines and collects each answer until it is complete.
@@ -108,7 +110,11 @@
         }
     }
 
-    /** Sends an item; the engine continues the partial answer of an earlier attempt. */
+    /**
+     * Sends an item; the engine continues the partial answer of an earlier attempt.
+     *
+     * @param mayRun whether the item may still run, evaluated just before its body is sent
+     */
     Run run(
             Upstream upstream,
             String requestId,
@@ -117,6 +123,7 @@
             ModelRequest request,
             PartialAnswer partial,
             boolean newConnection,
+            BooleanSupplier mayRun,
             Listener listener) {
         StreamRequest stream = new StreamRequest(
                 requestId,
@@ -125,7 +132,8 @@
                 TrafficClass.BATCH,
                 firstTokenTimeout,
                 stallTimeout,
-                newConnection);
+                newConnection,
+                Optional.of(mayRun));
         AnswerCollector collector = new AnswerCollector(
                 index, customId, requestId, request, partial, ticker.now().getEpochSecond(), listener);
         return new Run(client.stream(upstream, stream, collector), collector);
@@ -212,6 +220,7 @@
         private static AttemptFailure attemptFailure(UpstreamFailure failure) {
             return switch (failure.kind()) {
                 case CONNECT -> AttemptFailure.NOT_SENT;
+                case NOT_WANTED -> AttemptFailure.CANCELLED;
                 case SILENT -> AttemptFailure.TIMED_OUT;
                 case REJECTED -> AttemptFailure.REJECTED;
                 case REFUSED -> AttemptFailure.REFUSED;
--- a/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -36,8 +36,9 @@
 /**
  * Runs the items of the jobs that this node holds and records their results.
  *
- * <p>Invariants: an item is sent only while the last read of the tail of the stream {@code work} is at most
- * {@link #MAX_TAIL_AGE} old and this node holds the current claim of its job; a result is final only when it is applied
+ * <p>Invariants: the body of a request is written only while the last read of the tail of the stream {@code work} is at
+ * most {@link #MAX_TAIL_AGE} old and this node holds the current claim of its job. This is checked once more after the
+ * head is written, because the process may have been suspended since the item was chosen. A result is final only when it is applied
  * from the log. Not thread-safe; confined to the node's event loop.
  */
 final class JobRunner {
@@ -263,12 +264,7 @@
             return;
         }
         Upstream upstream = config.get().upstreams().get(run.upstream);
-        boolean mayRun = chunk.isRight()
-                && upstream != null
-                && job.isOpen()
-                && job.holder().equals(settings.incarnation())
-                && work.isFresh(MAX_TAIL_AGE);
-        if (!mayRun) {
+        if (chunk.isLeft() || upstream == null || !mayRun(job)) {
             removeRunning(item, run);
             scheduler.failed(item, AttemptFailure.NOT_SENT);
             return;
@@ -290,9 +286,14 @@
                 request.get(),
                 partialAnswers.getOrDefault(item, ItemExecutor.PartialAnswer.EMPTY),
                 attempt > 1,
+                () -> mayRun(job),
                 new ItemListener(item, run));
     }
 
+    private boolean mayRun(Job job) {
+        return job.isOpen() && job.holder().equals(settings.incarnation()) && work.isFresh(MAX_TAIL_AGE);
+    }
+
     private void complete(ItemRef item, RunningItem run, ItemResult result) {
         removeRunning(item, run);
         partialAnswers.remove(item);
