Count a lost request against its prompt only if the engine refuses connections

What callers would see: if a network loses the answers of three engines within moments, the shared parts of those prompts are blamed as crashing engines, and their requests are refused, their batch items held back, for 5 min.

Cause: a connection that closes before the answer counted as a crash.

Change: after such a loss the node connects to the engine, at once and 50 ms later, and counts the loss if it is refused.

The bound of five crashes is unchanged.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -382,7 +382,8 @@
         private void reportCrash(SendFailure failure) {
             boolean connectionLost = failure == SendFailure.LOST || failure == SendFailure.CUT;
             if (connectionLost && output.events.size() == resumedEvents) {
-                context.slots().promptCrashed(promptParts, upstream.id());
+                context.connections()
+                        .ifCrashed(upstream, () -> context.slots().promptCrashed(promptParts, upstream.id()));
             }
         }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -403,7 +403,8 @@
             return;
         }
         if (mayHaveCrashedUpstream(failure)) {
-            context.slots().promptCrashed(info.sharedParts(), upstream.id());
+            Upstream lost = upstream;
+            context.connections().ifCrashed(lost, () -> context.slots().promptCrashed(info.sharedParts(), lost.id()));
         }
         recordFailure(failure, reason, message);
         boolean canRetry;
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -35,6 +35,10 @@
     /** Time limit on the rest of a rejection; the connection is closed at the next check after it. */
     private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(2);
 
+    /** Time until an upstream that closed a connection is checked again; when a process ends, its port may close last. */
+    private static final long CRASH_CHECK_DELAY_MILLIS = 50;
+
+    private final Vertx vertx;
     private final Ticker ticker;
     private final HttpClientAgent agent;
     private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
@@ -48,6 +52,7 @@
     private record IdleConnection(HttpClientConnection connection, long expiryNanos) {}
 
     public UpstreamConnections(Vertx vertx, Ticker ticker) {
+        this.vertx = vertx;
         this.ticker = ticker;
         this.agent = vertx.createHttpClient(new HttpClientOptions()
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
@@ -85,10 +90,31 @@
             }
             candidate.connection().close();
         }
+        return connect(upstream);
+    }
+
+    private Future<HttpClientConnection> connect(Upstream upstream) {
         opened++;
         return agent.connect(new HttpConnectOptions().setHost(upstream.host()).setPort(upstream.port()));
     }
 
+    /**
+     * Runs an action if an upstream that has lost a connection refuses another one, which tells its crash from an answer
+     * that the network lost. An upstream that listens again within {@link #CRASH_CHECK_DELAY_MILLIS} may go unnoticed.
+     */
+    public void ifCrashed(Upstream upstream, Runnable action) {
+        connect(upstream)
+                .onSuccess(accepted -> {
+                    accepted.close();
+                    vertx.setTimer(
+                            CRASH_CHECK_DELAY_MILLIS,
+                            now -> connect(upstream)
+                                    .onSuccess(HttpClientConnection::close)
+                                    .onFailure(refused -> action.run()));
+                })
+                .onFailure(refused -> action.run());
+    }
+
     /** Returns a connection to the pool, or closes it if the upstream may close it soon. */
     void release(Upstream upstream, HttpClientConnection connection, Duration keepAlive) {
         discarding.remove(connection);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
@@ -235,7 +235,8 @@
         return Duration.ofNanos(ticker.nanos() - crash.nanos());
     }
 
-    private static List<String> hex(Set<Long> parts) {
+    /** Returns parts as they appear in logs. */
+    static List<String> hex(Collection<Long> parts) {
         return parts.stream().map(Long::toHexString).sorted().toList();
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -496,6 +496,7 @@
         if (parts.isEmpty()) {
             return;
         }
+        log.event(ServingEvent.UPSTREAM_CRASHED, "upstream", upstream, "parts", CrashingPrompts.hex(parts));
         prompts.crashed(parts, upstream, Duration.ZERO);
         if (remoteScheduler()) {
             current.socket.write(SlotFrames.promptCrashed(parts, upstream, Duration.ZERO));
