--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -12,6 +12,7 @@
 import dev.lavenderline.proto.jobs.JobPart;
 import dev.lavenderline.proto.jobs.PayloadRef;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.store.ConditionalWriter;
@@ -56,9 +57,13 @@
     /** Limit on the outputs read for one response; the platform limits a response to 1 MB. */
     private static final int MAX_RESPONSE_BYTES = 900_000;
 
+    /** Time after which a result that the store has not confirmed is logged. */
+    static final Duration RESULT_DELAY = Duration.ofSeconds(5);
+
     private final String node;
     private final Ticker ticker;
     private final Timers timers;
+    private final EventLog log;
     private final JobLedger ledger;
     private final int maxRecordBytes;
     private final PayloadStore payloads;
@@ -107,6 +112,7 @@
         this.node = node;
         this.ticker = ticker;
         this.timers = timers;
+        this.log = log;
         this.ledger = ledger;
         this.maxRecordBytes = maxRecordBytes;
         this.payloads = new PayloadStore(store, timers, log, payloadPartitions, nonces);
@@ -393,7 +399,34 @@
     /** Appends the result of an item unless it has one or the job was cancelled; false if not confirmed in time. */
     public Future<Boolean> addResult(ItemRef item, boolean completed, String output) {
         submittedResults.add(item);
-        return submitResult(item, completed, output).onComplete(added -> submittedResults.remove(item));
+        Timers.Timer delayed = timers.after(RESULT_DELAY, () -> logDelayed(item));
+        return submitResult(item, completed, output)
+                .onFailure(failure -> logNotRecorded(item, failure.getMessage()))
+                .recover(failure -> Future.succeededFuture(false))
+                .onComplete(added -> {
+                    delayed.cancel();
+                    submittedResults.remove(item);
+                });
+    }
+
+    private void logDelayed(ItemRef item) {
+        int partition = partition(item.job());
+        log.event(
+                ServingEvent.RESULT_DELAYED,
+                "job",
+                item.job(),
+                "index",
+                item.index(),
+                "changes",
+                writers.get(partition).waiting(),
+                "offset",
+                followers.get(partition).nextOffset(),
+                "ms",
+                RESULT_DELAY.toMillis());
+    }
+
+    private void logNotRecorded(ItemRef item, String cause) {
+        log.event(ServingEvent.RESULT_NOT_RECORDED, "job", item.job(), "index", item.index(), "cause", cause);
     }
 
     /** Returns whether a result of the item that this node has submitted waits for the store. */
@@ -409,8 +442,7 @@
             return appendResult(item, result.setOutput(output));
         }
         return payloads.write(item.job(), JobRecords.resultKey(item.job(), item.index()), content, WRITE_TIMEOUT)
-                .compose(ref -> appendResult(item, result.setPayload(ref)))
-                .recover(failure -> Future.succeededFuture(false));
+                .compose(ref -> appendResult(item, result.setPayload(ref)));
     }
 
     private Future<Boolean> appendResult(ItemRef item, ItemResult.Builder result) {
@@ -434,6 +466,9 @@
                     if (result.hasPayload() && unused) {
                         payloads.delete(JobRecords.resultKey(item.job(), item.index()), result.getPayload());
                     }
+                    if (outcome != ConditionalWriter.Result.DONE) {
+                        logNotRecorded(item, outcome.name());
+                    }
                     return outcome == ConditionalWriter.Result.DONE;
                 });
     }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -12,6 +12,7 @@
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.jobs.JobStore.Acceptance;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
 import dev.lavenderline.serving.routes.WeightedService;
@@ -24,6 +25,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +37,7 @@
     private final ManualTime time = new ManualTime();
     private final FakeStore store = new FakeStore();
     private final JobLedger ledger = new JobLedger(time, EventLog.NONE);
+    private final List<ServingEvent> events = new ArrayList<>();
     private long nextNonce;
     private final JobStore jobs = startStore(ledger);
 
@@ -45,7 +48,7 @@
                 target,
                 time,
                 time,
-                EventLog.NONE,
+                (event, fields) -> events.add(event),
                 2,
                 3,
                 100_000,
@@ -109,6 +112,21 @@
         assertEquals(3, otherLedger.find("j").orElseThrow().itemCount());
     }
 
+    /** A result that waits looks to callers like an item that never ran. */
+    @Test
+    void resultThatWaitsForTheStoreIsLogged() {
+        accept(jobs, "j", 1, 0);
+        store.down(true);
+        Future<Boolean> recorded = jobs.addResult(new ItemRef("j", 0), true, "text");
+        time.advance(JobStore.RESULT_DELAY);
+        assertTrue(events.contains(ServingEvent.RESULT_DELAYED));
+        assertFalse(recorded.isComplete());
+
+        time.advance(Duration.ofMinutes(3));
+        assertEquals(Optional.of(false), Optional.ofNullable(recorded.result()));
+        assertTrue(events.contains(ServingEvent.RESULT_NOT_RECORDED));
+    }
+
     @Test
     void recognizesOwnRecordAfterLostResponse() {
         store.nextAppends(JobStore.TOPIC, AppendOutcome.ANSWER_LOST);
