--- a/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
+++ b/node/src/main/java/dev/lavenderline/node/jobs/JobRunner.java
@@ -38,8 +38,8 @@
  *
  * <p>Invariants: the body of a request is written only while the last read of the tail of the stream {@code work} is at
  * most {@link #MAX_TAIL_AGE} old and this node holds the current claim of its job. This is checked once more after the
- * head is written, because the process may have been suspended since the item was chosen. A result is final only when it is applied
- * from the log. Not thread-safe; confined to the node's event loop.
+ * head is written, because the process may have been suspended since the item was chosen. A result is final only when
+ * it is applied from the log. Not thread-safe; confined to the node's event loop.
  */
 final class JobRunner {
     /** Largest age of the last tail read; unread records may hold a cancellation or a newer claim. */
