--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -421,6 +421,10 @@
                 writers.get(partition).waiting(),
                 "offset",
                 followers.get(partition).nextOffset(),
+                "lastFailure",
+                writers.get(partition).lastFailure().orElse(null),
+                "payloadFailure",
+                payloads.lastFailure().orElse(null),
                 "ms",
                 RESULT_DELAY.toMillis());
     }
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
@@ -59,6 +59,9 @@
     private int appending;
     private int pendingWrites;
 
+    /** Why the last append failed; empty if it succeeded. */
+    private Optional<String> lastFailure = Optional.empty();
+
     /**
      * Creates a payload store.
      *
@@ -78,6 +81,11 @@
         return pendingWrites;
     }
 
+    /** Returns why the last append failed; empty if it succeeded. */
+    Optional<String> lastFailure() {
+        return lastFailure;
+    }
+
     private static String key(String name, long nonce) {
         return name + "/" + HexFormat.of().toHexDigits(nonce);
     }
@@ -126,6 +134,7 @@
         KeyedRecord record = new KeyedRecord(key(write.name, write.nonce), write.content);
         store.append(partition(write.partition), MetadataStore.ANY_END, List.of(record))
                 .onComplete(response -> {
+                    lastFailure = Optional.ofNullable(response.cause()).map(Throwable::getMessage);
                     if (response.succeeded()) {
                         appending--;
                         cache.put(record.key(), write.content);
--- a/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
@@ -39,6 +39,9 @@
     private final Timers timers;
     private final Deque<PendingChange> waiting = new ArrayDeque<>();
 
+    /** Why the last append failed; empty if it succeeded. */
+    private Optional<String> lastFailure = Optional.empty();
+
     /** Names of the changes whose append is in progress. */
     private Set<String> appending = Set.of();
 
@@ -136,6 +139,11 @@
         return waiting.size();
     }
 
+    /** Returns why the last append failed, conflicts included; empty if it succeeded. */
+    public Optional<String> lastFailure() {
+        return lastFailure;
+    }
+
     /**
      * Returns whether an append of a change of this name, possibly one that was abandoned, may still be executed or has
      * not been read.
@@ -231,6 +239,7 @@
         store.append(partition, offset, records).onComplete(response -> {
             appending = Set.of();
             batch.forEach(pending -> pending.inProgress = false);
+            lastFailure = Optional.ofNullable(response.cause()).map(Throwable::getMessage);
             if (response.succeeded()) {
                 follower.handleAppended(offset, records);
                 batch.forEach(pending -> {
