--- a/http/src/main/java/dev/lavenderline/http/StreamRequest.java
+++ b/http/src/main/java/dev/lavenderline/http/StreamRequest.java
@@ -16,8 +16,8 @@
  * @param stallTimeout longest wait between tokens
  * @param newConnection whether to use a new connection instead of one from the pool; set when
  *     an earlier attempt may have failed because its pooled connection was silent
- * @param precondition evaluated after the head and before the body is written; if it is false, the upstream gets no body
- *     and the exchange fails with {@link UpstreamFailure.Kind#NOT_WANTED}
+ * @param precondition evaluated after the head and before the body is written; if it is false, the upstream gets no
+ *     body and the exchange fails with {@link UpstreamFailure.Kind#NOT_WANTED}
  */
 public record StreamRequest(
         String requestId,
--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -41,7 +41,7 @@
     JOB_ENDED("LL-1464", "batch job cancelled by its caller"),
     ITEM_DECLINED("LL-1465", "batch item not run and returned to the scheduler"),
     RESULT_DELAYED("LL-1466", "result of a batch item waits for the store"),
-    RESULT_NOT_RECORDED("LL-1467", "result of a batch item not recorded; the item runs again"),
+    RESULT_NOT_RECORDED("LL-1467", "result of a batch item not recorded; the item may run again"),
     LINES_DROPPED("LL-1490", "log lines dropped"),
     UNEXPECTED("LL-1499", "unexpected failure");
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -35,7 +35,7 @@
     /** Time limit on the rest of a rejection; the connection is closed at the next check after it. */
     private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(2);
 
-    /** Time until an upstream that closed a connection is checked again; when a process ends, its port may close last. */
+    /** Time until an upstream that closed a connection is checked again; its port may close after its connections. */
     private static final long CRASH_CHECK_DELAY_MILLIS = 50;
 
     private final Vertx vertx;
@@ -99,8 +99,9 @@
     }
 
     /**
-     * Runs an action if an upstream that has lost a connection refuses another one, which tells its crash from an answer
-     * that the network lost. An upstream that listens again within {@link #CRASH_CHECK_DELAY_MILLIS} may go unnoticed.
+     * Runs an action if an upstream that has lost a connection refuses another one, which tells its crash from an
+     * answer that the network lost. An upstream that listens again within {@link #CRASH_CHECK_DELAY_MILLIS} may go
+     * unnoticed.
      */
     public void ifCrashed(Upstream upstream, Runnable action) {
         connect(upstream)
