Tell all nodes that an upstream is leaving

Callers' requests to a plain service went on to an upstream that had said it was leaving: the node with the response told its scheduler only, and nodes place requests to plain services themselves. A node that started later did not know either, and a new scheduler only what its own node had seen.

What an upstream says of itself is now one message, UpstreamNotice, with one rule: a node reports news to its scheduler, which tells its other nodes; a node and a scheduler that meet exchange all they know of the listed upstreams. A notice counts for the start of the upstream that said it.

LeavingResponseTest: otherNodesSendNoFurtherRequests and nodeThatStartsLaterSendsNoRequests failed before (one request more each).

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -25,6 +25,7 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
+import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -193,7 +194,8 @@
     }
 
     private void upstreamLeaving(Upstream upstream) {
-        if (directory.markLeaving(upstream.id(), upstream.startedMillis())) {
+        UpstreamNotice notice = new UpstreamNotice(upstream.id(), upstream.startedMillis(), true);
+        if (directory.note(notice)) {
             log.event(
                     ServingEvent.UPSTREAM_CHANGED,
                     "upstream",
@@ -204,7 +206,7 @@
                     "leaving",
                     "slots",
                     upstream.slots());
-            schedulerClient.upstreamLeaving(upstream);
+            schedulerClient.upstreamNotice(notice);
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -6,6 +6,8 @@
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -62,6 +64,7 @@
     private final SlotScheduler scheduler;
     private final StreamVersions streamVersions;
     private final CrashingPrompts prompts;
+    private final UpstreamDirectory directory;
     private final SlotServer server;
     private final LocalPlacement placement;
     private final Ticker ticker;
@@ -150,7 +153,7 @@
             if (local()) {
                 scheduler.joined(self.name(), self.failureDomain(), self.capacity(), List.copyOf(heldSlots.values()));
             } else {
-                socket.write(SlotFrames.hello(self, heldSlots.values(), streamVersions.groups()));
+                socket.write(SlotFrames.hello(self, heldSlots.values(), streamVersions.groups(), directory.notices()));
                 prompts.recentCrashes()
                         .forEach(crash -> socket.write(
                                 SlotFrames.promptCrashed(crash.parts(), crash.upstream(), prompts.age(crash))));
@@ -192,6 +195,7 @@
                 case PREEMPT -> preempt(self.name(), frame.getPreempt().getLease());
                 case PROMPT_REJECTED ->
                     prompts.reject(Set.copyOf(frame.getPromptRejected().getPartsList()));
+                case UPSTREAM_NOTICE -> directory.note(SlotFrames.upstreamNotice(frame.getUpstreamNotice()));
                 case STREAMS_BEGAN -> streamVersions.record(SlotFrames.streams(frame.getStreamsBegan()));
                 default ->
                     log.event(ServingEvent.FRAME_MALFORMED, "peer", target.name(), "message", frame.getBodyCase());
@@ -257,8 +261,10 @@
             Timers timers,
             EventLog log,
             Supplier<Duration> jobStateAge,
-            CrashingPrompts prompts) {
+            CrashingPrompts prompts,
+            UpstreamDirectory directory) {
         this.prompts = prompts;
+        this.directory = directory;
         this.jobStateAge = jobStateAge;
         this.self = self;
         this.selector = new SchedulerSelector(ticker);
@@ -518,9 +524,11 @@
     }
 
     @Override
-    public void upstreamLeaving(Upstream upstream) {
+    public void upstreamNotice(UpstreamNotice notice) {
         if (remoteScheduler()) {
-            current.socket.write(SlotFrames.upstreamLeaving(upstream));
+            current.socket.write(SlotFrames.upstreamNotice(notice));
+        } else {
+            server.sendNotice(notice);
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
@@ -1,6 +1,6 @@
 package dev.lavenderline.serving.slots;
 
-import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -44,8 +44,8 @@
     /** Returns the software version on which a stream has to continue, empty if this node does not know it. */
     Optional<String> versionOf(String service, StreamOrigin origin);
 
-    /** Reports that an upstream has said in a response that it is leaving. */
-    void upstreamLeaving(Upstream upstream);
+    /** Reports what an upstream has said of itself in a response. */
+    void upstreamNotice(UpstreamNotice notice);
 
     /** Reports that an upstream has stopped responding. */
     void suspect(String upstream);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -18,8 +18,7 @@
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.proto.slots.StreamsBegan;
 import dev.lavenderline.proto.slots.Suspect;
-import dev.lavenderline.proto.slots.UpstreamLeaving;
-import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -40,8 +39,13 @@
         return Buffer.buffer(bytes.length + 4).appendInt(bytes.length).appendBytes(bytes);
     }
 
-    static Buffer hello(NodeEntry self, Collection<Holding> holdings, List<StreamVersions.Group> streams) {
+    static Buffer hello(
+            NodeEntry self,
+            Collection<Holding> holdings,
+            List<StreamVersions.Group> streams,
+            List<UpstreamNotice> notices) {
         Hello.Builder hello = Hello.newBuilder()
+                .addAllNotices(notices.stream().map(SlotFrames::encode).toList())
                 .addAllStreams(streams.stream().map(SlotFrames::encode).toList())
                 .setNode(self.name())
                 .setZone(self.failureDomain())
@@ -188,11 +192,20 @@
                 .setPromptRejected(PromptRejected.newBuilder().addAllParts(parts)));
     }
 
-    static Buffer upstreamLeaving(Upstream upstream) {
-        return frame(SlotFrame.newBuilder()
-                .setUpstreamLeaving(UpstreamLeaving.newBuilder()
-                        .setUpstream(upstream.id())
-                        .setStartedUnixMs(upstream.startedMillis())));
+    static Buffer upstreamNotice(UpstreamNotice notice) {
+        return frame(SlotFrame.newBuilder().setUpstreamNotice(encode(notice)));
+    }
+
+    private static dev.lavenderline.proto.slots.UpstreamNotice encode(UpstreamNotice notice) {
+        return dev.lavenderline.proto.slots.UpstreamNotice.newBuilder()
+                .setUpstream(notice.upstream())
+                .setStartedUnixMs(notice.startedMillis())
+                .setLeaving(notice.leaving())
+                .build();
+    }
+
+    static UpstreamNotice upstreamNotice(dev.lavenderline.proto.slots.UpstreamNotice frame) {
+        return new UpstreamNotice(frame.getUpstream(), frame.getStartedUnixMs(), frame.getLeaving());
     }
 
     static ReleaseReason releaseReason(Outcome outcome) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -552,11 +552,6 @@
                 .orElse(false);
     }
 
-    /** Handles a report that an upstream has said in a response that it is leaving. */
-    void upstreamLeaving(String upstream, long startedMillis) {
-        directory.markLeaving(upstream, startedMillis);
-    }
-
     /** Handles a report that an upstream has stopped responding while a request is in progress there. */
     public void suspected(String upstream) {
         if (health.suspected(upstream)) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -6,6 +6,8 @@
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -43,6 +45,7 @@
     private final EventLog log;
     private final Supplier<Duration> jobStateAge;
     private final CrashingPrompts prompts;
+    private final UpstreamDirectory directory;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, List<String>> unreplicatedStreams = new HashMap<>();
     private Supplier<List<String>> preferredNodes = List::of;
@@ -86,10 +89,7 @@
                     replicate(began);
                 }
                 case PROMPT_ENDED -> promptEnded(frame.getPromptEnded());
-                case UPSTREAM_LEAVING ->
-                    scheduler.upstreamLeaving(
-                            frame.getUpstreamLeaving().getUpstream(),
-                            frame.getUpstreamLeaving().getStartedUnixMs());
+                case UPSTREAM_NOTICE -> noticeReported(this, SlotFrames.upstreamNotice(frame.getUpstreamNotice()));
                 case SUSPECT -> scheduler.suspected(frame.getSuspect().getUpstream());
                 default -> log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", frame.getBodyCase());
             }
@@ -107,8 +107,10 @@
             Timers timers,
             EventLog log,
             Supplier<Duration> jobStateAge,
-            CrashingPrompts prompts) {
+            CrashingPrompts prompts,
+            UpstreamDirectory directory) {
         this.prompts = prompts;
+        this.directory = directory;
         prompts.onDecision(this::sendRejectedPrompt);
         this.timers = timers;
         this.jobStateAge = jobStateAge;
@@ -161,6 +163,21 @@
         scheduler.joined(peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
         log.event(ServingEvent.NODE_JOINED, "peer", peer.node, "holdings", holdings.size());
         prompts.rejected().forEach(parts -> peer.socket.write(SlotFrames.promptRejected(parts)));
+        directory.notices().forEach(notice -> peer.socket.write(SlotFrames.upstreamNotice(notice)));
+        frame.getHello().getNoticesList().forEach(notice -> noticeReported(peer, SlotFrames.upstreamNotice(notice)));
+    }
+
+    private void noticeReported(Peer reporter, UpstreamNotice notice) {
+        if (directory.note(notice)) {
+            peers.values().stream()
+                    .filter(peer -> peer != reporter)
+                    .forEach(peer -> peer.socket.write(SlotFrames.upstreamNotice(notice)));
+        }
+    }
+
+    /** Tells the nodes that use this scheduler what an upstream has said to this node. */
+    void sendNotice(UpstreamNotice notice) {
+        peers.values().forEach(peer -> peer.socket.write(SlotFrames.upstreamNotice(notice)));
     }
 
     private void promptEnded(PromptEnded ended) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -44,11 +44,11 @@
             CrashingPrompts prompts,
             SlotScheduler.Options options) {
         this.timers = timers;
-        this.server = new SlotServer(vertx, ticker, timers, log, jobStateAge, prompts);
+        this.server = new SlotServer(vertx, ticker, timers, log, jobStateAge, prompts, directory);
         UpstreamHealth health = new UpstreamHealth(ticker);
         this.scheduler = new SlotScheduler(ticker, directory, health, backlog, server, log, random, options);
         this.client = new SchedulerClient(
-                vertx, self, scheduler, server, placement, ticker, timers, log, jobStateAge, prompts);
+                vertx, self, scheduler, server, placement, ticker, timers, log, jobStateAge, prompts, directory);
         // A node that is partitioned from the store and the other nodes would run the same items as they do.
         scheduler.startItemsWhile(() -> mayStartItems(
                 scheduler.nodeCount(), client.registeredCount(), scheduler.activeFor(), jobStateAge.get()));
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -29,7 +29,7 @@
     /** Time without a response after which the store counts as down; long polls return at least every second. */
     static final Duration OUTAGE_THRESHOLD = Duration.ofMillis(2000);
 
-    /** Number of ids of removed or leaving upstreams that are kept, the latest ones. */
+    /** Number of ids of removed upstreams, and of notices, that are kept, the latest ones. */
     private static final int MAX_KEPT_IDS = 1000;
 
     private final Ticker ticker;
@@ -43,12 +43,12 @@
     });
     private final Map<String, Upstream> upstreams = new HashMap<>();
 
-    /** Start times of the latest upstreams that have said in a response that they are leaving, by id. */
-    private final Map<String, Long> leaving = new LinkedHashMap<>() {
+    /** The latest notices, by id of the upstream. */
+    private final Map<String, UpstreamNotice> notices = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, UpstreamNotice> eldest) {
             return size() > MAX_KEPT_IDS;
         }
     };
@@ -96,23 +96,39 @@
     }
 
     /**
-     * Records that an upstream has said in a response that it is leaving. It gets no further requests, until it starts
-     * again under its id.
+     * Records what an upstream has said of itself, to this node or another one. An upstream that is leaving gets no
+     * further requests, until it starts again under its id.
      *
      * @return whether that was not known
      */
-    public boolean markLeaving(String id, long startedMillis) {
-        Long known = leaving.put(id, startedMillis);
-        if (known != null && known == startedMillis) {
+    public boolean note(UpstreamNotice notice) {
+        UpstreamNotice known = notices.get(notice.upstream());
+        if (known != null && known.startedMillis() > notice.startedMillis()) {
+            return false;
+        }
+        if (notice.equals(notices.put(notice.upstream(), notice))) {
             return false;
         }
         notifyListeners();
         return true;
     }
 
+    /** Returns what the listed upstreams have said of themselves. */
+    public List<UpstreamNotice> notices() {
+        return upstreams.values().stream()
+                .map(this::notice)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    private Optional<UpstreamNotice> notice(Upstream upstream) {
+        return Optional.ofNullable(notices.get(upstream.id()))
+                .filter(notice -> notice.startedMillis() == upstream.startedMillis());
+    }
+
     private boolean draining(Upstream upstream) {
-        Long startedMillis = leaving.get(upstream.id());
-        return upstream.draining() || (startedMillis != null && startedMillis == upstream.startedMillis());
+        return upstream.draining()
+                || notice(upstream).map(UpstreamNotice::leaving).orElse(false);
     }
 
     /** Handles the removal of an entry; ignores unknown ids. */
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -20,6 +20,7 @@
 import dev.lavenderline.serving.store.FakeStore;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -104,7 +105,7 @@
         }
 
         @Override
-        public void upstreamLeaving(Upstream upstream) {
+        public void upstreamNotice(UpstreamNotice notice) {
             throw new UnsupportedOperationException();
         }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/LeavingResponseTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/LeavingResponseTest.java
@@ -94,6 +94,38 @@
         assertAllGoToTheOther(0, "unsafe");
     }
 
+    private void assertNoneGoesToTheLeaving(int... nodes) {
+        int before = leaving.requests.size();
+        for (int i = 0; i < REQUESTS; i++) {
+            for (int node : nodes) {
+                assertEquals(200, post(node, "unsafe"));
+            }
+        }
+        assertEquals(before, leaving.requests.size(), "requests at the upstream that is leaving");
+    }
+
+    /** The other nodes have not had the response that says so. */
+    @Test
+    void otherNodesSendNoFurtherRequests() throws IOException {
+        harness.startNode("n2");
+        sayLeaving();
+        assertEquals(200, post(0, "unsafe"));
+        addOther();
+        await().pollDelay(Duration.ofMillis(500)).atMost(TIMEOUT).until(() -> post(0, "unsafe") == 200);
+        assertNoneGoesToTheLeaving(1, 2);
+    }
+
+    /** A node that starts later learns it when it joins the scheduler. */
+    @Test
+    void nodeThatStartsLaterSendsNoRequests() throws IOException {
+        sayLeaving();
+        assertEquals(200, post(0, "unsafe"));
+        addOther();
+        harness.startNode("late");
+        await().pollDelay(Duration.ofMillis(500)).atMost(TIMEOUT).until(() -> post(2, "stream") == 200);
+        assertNoneGoesToTheLeaving(2);
+    }
+
     /** An upstream may start again under its id. */
     @Test
     void upstreamThatStartsAgainIsUsed() {
