Keep to the limits that upstreams name in their responses

An engine in need got 22 to 27 requests in 4 s where 18 to 24 may come: no code read the limit, and slots alone decided how many it got. The class of fault: what an upstream says of itself was read case by case.

The limit is part of UpstreamNotice, so that all nodes know it. The scheduler counts the requests of all nodes with token buckets (RequestRates): online requests, retries, replacements, starts and resumptions of items; it also places requests to a plain service while one of its upstreams has a limit. The expected wait counts with the limits. A new scheduler begins with empty buckets; a node without one sends an equal share. Requests that would be refused otherwise may exceed a limit by two fifths; users count an upstream as overrun from half as much again and five requests in 4 s. A request that ended while it waited for its next upstream was taken off the count of its last one twice; it is counted once now.

The emulator plays limited engines (ENGINES_LIMITED, limited.yaml).

--- a/emulator/src/main/java/dev/lavenderline/emulator/Emulation.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Emulation.java
@@ -25,6 +25,12 @@
     /** Time from the end of an item's run until its result can be read. */
     private static final double RECORD_MILLIS = 20;
 
+    /** Time after the first request to a limited engine from which the limit counts. */
+    static final double LIMIT_SETTLE_MILLIS = 3000;
+
+    /** Time over which the requests to a limited engine are counted. */
+    static final double LIMIT_WINDOW_MILLIS = 4000;
+
     private final LoadPattern pattern;
     private final VirtualTime time = new VirtualTime();
     private final Fleet fleet;
@@ -49,6 +55,8 @@
                 .openItems
                 .values()
                 .forEach(item -> emulation.outcome.kind(ITEMS).failed(item.drawn.outputTokens()));
+        emulation.outcome.mostLimitedArrivals =
+                emulation.fleet.mostLimitedArrivals(LIMIT_SETTLE_MILLIS, LIMIT_WINDOW_MILLIS);
         emulation.outcome.prefilledSharedTokens = emulation.fleet.prefilledSharedTokens();
         return emulation.outcome;
     }
--- a/emulator/src/main/java/dev/lavenderline/emulator/Engine.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Engine.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Set;
 
@@ -35,6 +36,8 @@
     private int decoding;
     private boolean prefilling;
     private boolean lost;
+    private OptionalDouble limit = OptionalDouble.empty();
+    private final List<Double> limitedArrivals = new ArrayList<>();
     private long timerNumber;
 
     /** Receives the progress of a run. */
@@ -58,6 +61,7 @@
         final int outputTokens;
         final int tokensPerEvent;
         final Listener listener;
+        private Runnable headListener = () -> {};
         private double startClock = Double.NaN;
         private boolean ended;
 
@@ -69,6 +73,11 @@
             this.tokensPerEvent = tokensPerEvent;
             this.listener = listener;
         }
+
+        /** Sets the action at the head of the response, before its first event. */
+        void onHead(Runnable action) {
+            headListener = action;
+        }
     }
 
     private record Milestone(double clock, Run run, boolean last) implements Comparable<Milestone> {
@@ -89,7 +98,40 @@
         return prefilledSharedTokens;
     }
 
+    /** Names a limit, in requests a second, for a time. */
+    void limit(double perSecond, double millis) {
+        limit = OptionalDouble.of(perSecond);
+        limitedArrivals.clear();
+        time.after(millis, () -> limit = OptionalDouble.empty());
+    }
+
+    /** Returns the limit that the engine names in its responses now, in requests a second. */
+    OptionalDouble limit() {
+        return limit;
+    }
+
+    /**
+     * Returns the most requests that came in a window while the engine named its limit.
+     *
+     * @param settleMillis time from the first of them that does not count
+     */
+    int mostLimitedArrivals(double settleMillis, double windowMillis) {
+        int most = 0;
+        for (double start : limitedArrivals) {
+            if (start - limitedArrivals.get(0) >= settleMillis) {
+                long count = limitedArrivals.stream()
+                        .filter(arrival -> arrival >= start && arrival < start + windowMillis)
+                        .count();
+                most = (int) Math.max(most, count);
+            }
+        }
+        return most;
+    }
+
     void submit(Run run) {
+        if (limit.isPresent()) {
+            limitedArrivals.add(time.nanos() / 1e6);
+        }
         if (lost) {
             run.listener.broken();
         } else if (running.size() < config.slots()) {
@@ -232,6 +274,7 @@
             admitWaiting();
             reached.run().listener.completed();
         } else {
+            reached.run().headListener.run();
             reached.run().listener.firstEvent();
         }
         scheduleMilestone();
--- a/emulator/src/main/java/dev/lavenderline/emulator/Experiment.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Experiment.java
@@ -65,6 +65,7 @@
         figures.put("bound of items in time", (double) result.boundOfItems());
         figures.put("item runs", (double) outcome.itemRuns);
         figures.put("preemptions", (double) outcome.preemptions);
+        figures.put("requests in 4 s, limited engine", (double) outcome.mostLimitedArrivals);
         figures.put("shared prompt tokens read", (double) outcome.prefilledSharedTokens);
         return figures;
     }
--- a/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
@@ -165,6 +165,10 @@
                     time.after(fault.forSeconds() * 1000, this::addEngine);
                 }
             }
+            case ENGINES_LIMITED ->
+                engines.values().stream()
+                        .limit(fault.count())
+                        .forEach(engine -> engine.limit(fault.perSecond(), fault.forSeconds() * 1000));
         }
     }
 
@@ -188,7 +192,7 @@
 
     private void placeLocally(int node, long lease, SlotWaiter waiter) {
         LocalPlacement placement = placements.computeIfAbsent(
-                nodeName(node), name -> new LocalPlacement(directory, health, domain(node), () -> 0.5));
+                nodeName(node), name -> new LocalPlacement(time, directory, health, domain(node), () -> 0.5));
         Optional<Upstream> picked = placement.pick(SERVICE, Set.of(), Optional.empty());
         if (picked.isEmpty()) {
             waiter.rejected(options.minRetryAfter());
@@ -219,11 +223,23 @@
             if (engine == null) {
                 run.listener.broken();
             } else {
+                Optional<Upstream> sentTo = directory.find(upstream);
+                long sentNanos = time.nanos();
+                run.onHead(() ->
+                        sentTo.ifPresent(target -> directory.noteResponse(target, false, engine.limit(), sentNanos)));
                 engine.submit(run);
             }
         });
     }
 
+    /** Returns the most requests in a window at an engine that named a limit, see {@link Engine}. */
+    int mostLimitedArrivals(double settleMillis, double windowMillis) {
+        return engines.values().stream()
+                .mapToInt(engine -> engine.mostLimitedArrivals(settleMillis, windowMillis))
+                .max()
+                .orElse(0);
+    }
+
     /** Closes the connection of a request. */
     void cancel(String upstream, Engine.Run run) {
         time.after(
--- a/emulator/src/main/java/dev/lavenderline/emulator/LoadPattern.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/LoadPattern.java
@@ -119,13 +119,21 @@
         /** The scheduler's node is lost; the other nodes find another one after the given time. */
         SCHEDULER_LOST,
         /** Engines are lost with what they run; new ones replace them after the given time. */
-        ENGINES_LOST
+        ENGINES_LOST,
+        /** Engines name a limit in their responses for the given time. */
+        ENGINES_LIMITED
     }
 
-    /** A fault; {@code count} is the number of engines. */
-    record Fault(FaultKind kind, double atSeconds, double forSeconds, int count) {
+    /**
+     * A fault.
+     *
+     * @param count number of engines
+     * @param perSecond limit that each of these engines names, in requests a second
+     */
+    record Fault(FaultKind kind, double atSeconds, double forSeconds, int count, double perSecond) {
         Fault {
             check(kind != null, "faults: kind is missing");
+            check(perSecond >= 0, "faults: perSecond must not be negative");
             check(atSeconds >= 0 && forSeconds > 0 && count >= 0, "faults: times must be positive");
         }
     }
--- a/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
@@ -20,6 +20,9 @@
     long prefilledSharedTokens;
     double onlineSlotMillis;
 
+    /** The most requests in {@link Emulation#LIMIT_WINDOW_MILLIS} at an engine that named a limit. */
+    int mostLimitedArrivals;
+
     /** The requests of one kind, or the batch items. */
     static final class Kind {
         final Histogram millis = new Histogram(MAX_MILLIS, 3);
--- a/emulator/src/test/java/dev/lavenderline/emulator/OverloadTest.java
+++ b/emulator/src/test/java/dev/lavenderline/emulator/OverloadTest.java
@@ -31,6 +31,18 @@
         assertTrue(inTime >= SEEDS * MIN_ITEMS_IN_TIME, "items in time: " + inTime);
     }
 
+    /** Guards against a scheduler that sends engines more requests than the limit that they name allows. */
+    @Test
+    void limitedEnginesAreNotOverrun() throws IOException {
+        LoadPattern pattern = LoadPattern.read(PATTERNS.resolve("limited.yaml"));
+        double limit = pattern.faults().get(0).perSecond();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Outcome outcome = Emulation.run(pattern, SlotScheduler.Options.defaults(), Draws.draw(pattern, seed));
+            int most = outcome.mostLimitedArrivals;
+            assertTrue(most > 0 && most <= 1.5 * limit * 4 + 5, "seed " + seed + ": " + most + " requests in 4 s");
+        }
+    }
+
     @Test
     void sameSeedGivesSameOutcome() throws IOException {
         Outcome first = play("overload.yaml", 7);
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -9,6 +9,7 @@
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.online.CallContext;
 import dev.lavenderline.serving.online.CallerServer;
+import dev.lavenderline.serving.online.ResponseInfo;
 import dev.lavenderline.serving.online.ServingMetrics;
 import dev.lavenderline.serving.online.UpstreamConnections;
 import dev.lavenderline.serving.online.WireFormat;
@@ -25,7 +26,6 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
-import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -144,7 +144,7 @@
                 random::nextLong);
         UpstreamHealth health = new UpstreamHealth(ticker);
         LocalPlacement placement =
-                new LocalPlacement(directory, health, settings.self().failureDomain(), random::nextDouble);
+                new LocalPlacement(ticker, directory, health, settings.self().failureDomain(), random::nextDouble);
         CrashingPrompts prompts = new CrashingPrompts(ticker, log);
         this.promptRejections = new PromptRejections(prompts, store, timers, log);
         this.promptReader = new PartitionFollower(
@@ -169,9 +169,13 @@
                 () -> jobs.age(),
                 prompts,
                 SlotScheduler.Options.defaults());
+        slots.scheduler()
+                .plainServices(service -> !config.current()
+                        .map(current -> current.modelEngines(service))
+                        .orElse(true));
         this.schedulerClient = slots.client();
         this.connections = new UpstreamConnections(vertx, ticker);
-        connections.onLeaving(this::upstreamLeaving);
+        connections.onResponseInfo(this::responseReceived);
         CallContext context = new CallContext(
                 settings.self().name(),
                 wire,
@@ -193,21 +197,24 @@
         ledger.onCancelled(job -> slots.scheduler().jobCancelled(job.id()));
     }
 
-    private void upstreamLeaving(Upstream upstream) {
-        UpstreamNotice notice = new UpstreamNotice(upstream.id(), upstream.startedMillis(), true);
-        if (directory.note(notice)) {
-            log.event(
-                    ServingEvent.UPSTREAM_CHANGED,
-                    "upstream",
-                    upstream.id(),
-                    "service",
-                    upstream.service(),
-                    "state",
-                    "leaving",
-                    "slots",
-                    upstream.slots());
-            schedulerClient.upstreamNotice(notice);
-        }
+    private void responseReceived(Upstream upstream, ResponseInfo info, long sentNanos) {
+        directory
+                .noteResponse(upstream, info.leaving(), info.limit(), sentNanos)
+                .ifPresent(notice -> {
+                    log.event(
+                            ServingEvent.UPSTREAM_CHANGED,
+                            "upstream",
+                            upstream.id(),
+                            "service",
+                            upstream.service(),
+                            "state",
+                            notice.leaving() ? "leaving" : "open",
+                            "limit",
+                            notice.limit().isPresent() ? notice.limit().getAsDouble() : null,
+                            "slots",
+                            upstream.slots());
+                    schedulerClient.upstreamNotice(notice);
+                });
     }
 
     private Duration jobsPollPause() {
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
 import dev.lavenderline.serving.routes.TrafficSplit;
+import dev.lavenderline.serving.slots.LocalPlacement;
 import dev.lavenderline.serving.slots.ReleaseReason;
 import dev.lavenderline.serving.slots.SlotClient;
 import dev.lavenderline.serving.slots.SlotRequest;
@@ -82,6 +83,10 @@
     private Optional<StreamOrigin> origin;
 
     private boolean modelEngines;
+
+    /** Whether {@link LocalPlacement} counts the request at its current upstream. */
+    private boolean countedLocally;
+
     private boolean done;
     private long lease = -1;
 
@@ -187,11 +192,19 @@
         }
     }
 
+    /**
+     * Returns whether this node chooses the upstream itself. Slots of engines, and requests to upstreams with a limit,
+     * are counted by the scheduler, for all nodes.
+     */
+    private boolean placedLocally() {
+        return !modelEngines && !context.directory().limited(service);
+    }
+
     private void tryUpstream() {
         if (remaining().isZero() || rejectedForPrompt()) {
             return;
         }
-        if (!modelEngines) {
+        if (placedLocally()) {
             origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
             if (origin.isPresent() && requiredVersion().isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
@@ -201,6 +214,7 @@
             if (picked.isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
             } else {
+                countedLocally = true;
                 send(picked.get());
             }
             return;
@@ -325,7 +339,7 @@
         if (now - lastSuspectNanos >= SILENCE_TIMEOUT.toNanos()) {
             lastSuspectNanos = now;
             context.connections().upstreamSilent(upstream);
-            if (modelEngines) {
+            if (!countedLocally) {
                 context.slots().suspect(upstream.id());
             }
         }
@@ -343,7 +357,7 @@
         }
         Set<String> unusable = new HashSet<>(excluded);
         unusable.add(upstream.id());
-        if (!modelEngines) {
+        if (placedLocally()) {
             context.placement()
                     .pick(service, unusable, requiredVersion())
                     .ifPresent(target -> replaceSilentUpstream(target, -1));
@@ -382,6 +396,7 @@
         possibleRuns++;
         logSentAgain(SendFailure.LOST, "silent");
         lease = targetLease;
+        countedLocally = targetLease < 0;
         send(target);
     }
 
@@ -585,9 +600,9 @@
         silenceTimer.cancel();
         exchange = null;
         releaseReplacement(ReleaseReason.CANCELLED);
-        if (modelEngines) {
-            releaseSlot(reason);
-        } else if (upstream != null) {
+        releaseSlot(reason);
+        if (countedLocally) {
+            countedLocally = false;
             context.placement().requestEnded(upstream.id(), reason);
         }
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -14,7 +14,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /**
  * Pool of connections to upstreams, each with at most one request at a time. A connection is reused only while the
@@ -46,7 +45,7 @@
     /** Connections on which the rest of a rejection is read, with the time at which they are closed. */
     private final Map<HttpClientConnection, Long> discarding = new HashMap<>();
 
-    private Consumer<Upstream> leavingListener = upstream -> {};
+    private ResponseInfoListener responseInfoListener = (upstream, info, sentNanos) -> {};
     private long opened;
 
     private record IdleConnection(HttpClientConnection connection, long expiryNanos) {}
@@ -62,14 +61,29 @@
                 .setTcpNoDelay(true));
     }
 
-    /** Sets the listener for upstreams that say in a response that they are leaving. */
-    public void onLeaving(Consumer<Upstream> listener) {
-        leavingListener = listener;
+    /** Receives what upstreams say of themselves in the heads of responses. */
+    @FunctionalInterface
+    public interface ResponseInfoListener {
+        /**
+         * Handles the head of a response.
+         *
+         * @param sentNanos when the request was sent
+         */
+        void received(Upstream upstream, ResponseInfo info, long sentNanos);
     }
 
-    /** Handles a response that says that its upstream is leaving. */
-    void leaving(Upstream upstream) {
-        leavingListener.accept(upstream);
+    /** Sets the listener for the heads of responses. */
+    public void onResponseInfo(ResponseInfoListener listener) {
+        responseInfoListener = listener;
+    }
+
+    /** Handles the head of a response from an upstream. */
+    void received(Upstream upstream, ResponseInfo info, long sentNanos) {
+        responseInfoListener.received(upstream, info, sentNanos);
+    }
+
+    long nanos() {
+        return ticker.nanos();
     }
 
     /** Sends a request; the listener receives the response. */
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -30,6 +30,7 @@
     private Duration keepAlive = Duration.ZERO;
     private int discardedBytes;
     private boolean sent;
+    private long sentNanos;
     private boolean responseStarted;
     private boolean closeDelimited;
     private boolean connectionReset;
@@ -96,6 +97,7 @@
                 .onSuccess(this::receive)
                 .onFailure(failure -> fail(currentFailure(), failure.getMessage()));
         sent = true;
+        sentNanos = connections.nanos();
         httpRequest.end(request.body());
     }
 
@@ -114,8 +116,8 @@
                     info.requestId().map(id -> "response to request " + id).orElse("response without request id"));
             return;
         }
-        if (info.leaving() && !info.misdirected()) {
-            connections.leaving(upstream);
+        if (!info.misdirected()) {
+            connections.received(upstream, info, sentNanos);
         }
         if (info.misdirected() || info.notExecuted()) {
             SendFailure failure = info.misdirected() ? SendFailure.OTHER_INSTANCE : SendFailure.NOT_EXECUTED;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
@@ -1,5 +1,7 @@
 package dev.lavenderline.serving.slots;
 
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.serving.upstreams.RequestRates;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -9,10 +11,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 
 /**
- * Chooses the upstream with the fewest requests of this node. Used for plain services, and for engines while no
- * scheduler responds. Prefers upstreams in the node's failure domain until they have a few more requests than others.
+ * Chooses the upstream with the fewest requests of this node. Used for plain services without limited upstreams, and
+ * for all services while no scheduler responds. Prefers upstreams in the node's failure domain until they have a few more requests than others.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -27,14 +30,31 @@
     private final UpstreamHealth health;
     private final String failureDomain;
     private final DoubleSupplier random;
+    private final RequestRates rates;
+    private IntSupplier nodeCount = () -> 1;
     private final Map<String, Integer> inFlight = new HashMap<>();
 
     public LocalPlacement(
-            UpstreamDirectory directory, UpstreamHealth health, String failureDomain, DoubleSupplier random) {
+            Ticker ticker,
+            UpstreamDirectory directory,
+            UpstreamHealth health,
+            String failureDomain,
+            DoubleSupplier random) {
         this.directory = directory;
         this.health = health;
         this.failureDomain = failureDomain;
         this.random = random;
+        this.rates = new RequestRates(ticker, directory, () -> nodeCount.getAsInt());
+    }
+
+    /** Sets the number of nodes, of which each uses an equal share of an upstream's limit while it has no scheduler. */
+    void shareLimits(IntSupplier nodes) {
+        nodeCount = nodes;
+    }
+
+    /** Begins to place the requests that the scheduler placed until now. */
+    void schedulerLost() {
+        rates.restart();
     }
 
     /**
@@ -49,6 +69,7 @@
         for (Upstream upstream : open) {
             if (excluded.contains(upstream.id())
                     || !health.usable(upstream.id())
+                    || !rates.mayTake(upstream)
                     || !upstream.version().equals(version.orElse(upstream.version()))) {
                 continue;
             }
@@ -65,6 +86,7 @@
         }
         inFlight.merge(best.id(), 1, Integer::sum);
         health.sent(best.id());
+        rates.sent(best);
         return Optional.of(best);
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -272,6 +272,7 @@
         this.streamVersions = scheduler.streamVersions();
         this.server = server;
         this.placement = placement;
+        placement.shareLimits(this::nodeCount);
         this.ticker = ticker;
         this.timers = timers;
         this.log = log;
@@ -401,6 +402,7 @@
         }
         if (current == connection) {
             current = null;
+            placement.schedulerLost();
             startSearch();
         }
         check();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -25,6 +25,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** Frames of the slot protocol: a four-byte length, then a protobuf message. Stateless and thread-safe. */
@@ -197,15 +198,21 @@
     }
 
     private static dev.lavenderline.proto.slots.UpstreamNotice encode(UpstreamNotice notice) {
-        return dev.lavenderline.proto.slots.UpstreamNotice.newBuilder()
-                .setUpstream(notice.upstream())
-                .setStartedUnixMs(notice.startedMillis())
-                .setLeaving(notice.leaving())
-                .build();
+        dev.lavenderline.proto.slots.UpstreamNotice.Builder frame =
+                dev.lavenderline.proto.slots.UpstreamNotice.newBuilder()
+                        .setUpstream(notice.upstream())
+                        .setStartedUnixMs(notice.startedMillis())
+                        .setLeaving(notice.leaving());
+        notice.limit().ifPresent(frame::setLimit);
+        return frame.build();
     }
 
     static UpstreamNotice upstreamNotice(dev.lavenderline.proto.slots.UpstreamNotice frame) {
-        return new UpstreamNotice(frame.getUpstream(), frame.getStartedUnixMs(), frame.getLeaving());
+        return new UpstreamNotice(
+                frame.getUpstream(),
+                frame.getStartedUnixMs(),
+                frame.getLeaving(),
+                frame.hasLimit() ? OptionalDouble.of(frame.getLimit()) : OptionalDouble.empty());
     }
 
     static ReleaseReason releaseReason(Outcome outcome) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.serving.slots.LeaseTable.Lease;
 import dev.lavenderline.serving.slots.LeaseTable.NodeState;
 import dev.lavenderline.serving.slots.LeaseTable.Occupancy;
+import dev.lavenderline.serving.upstreams.RequestRates;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
@@ -32,7 +34,7 @@
  * faster than engines can run them, those that can still complete by their due time go before late ones.
  *
  * <p>Invariants: an item has at most one lease; an upstream never gets more online requests than its slots and
- * {@link Options#queuedPerUpstream}. Not thread-safe; confined to the event loop.
+ * {@link Options#queuedPerUpstream}, an upstream with a limit no more than {@link RequestRates} allows. Not thread-safe; confined to the event loop.
  */
 public final class SlotScheduler {
     /** Initial estimate of the hold time of an online request. */
@@ -63,6 +65,9 @@
     /** Penalty of a slow upstream: an item's slot on another upstream ranks before a free slot there. */
     private static final double SLOW_PENALTY = 120;
 
+    /** Penalty of an upstream that has used up its limit; an item's slot elsewhere ranks before a free slot there. */
+    private static final double LIMITED_PENALTY = 110;
+
     /** Time between two checks for slow upstreams. */
     private static final Duration SLOW_CHECK_INTERVAL = Duration.ofMillis(100);
 
@@ -78,6 +83,9 @@
     /** Time until an item whose prompt was rejected is tried again; the rejection may be withdrawn. */
     private static final Duration REJECTED_PROMPT_DELAY = Duration.ofSeconds(5);
 
+    /** Online requests for each slot that an upstream of a plain service may have beyond its slots. */
+    private static final int PLAIN_SERVICE_QUEUE = 2;
+
     /** Number of late items, and of urgent ones, kept for the slots left; far more than are freed in a round. */
     private static final int MAX_KEPT_ITEMS = 200;
 
@@ -100,11 +108,13 @@
     private final ItemTimeEstimate itemTimes = new ItemTimeEstimate();
     private final PrefixCacheIndex prefixCache = new PrefixCacheIndex();
     private final SlowUpstreamDetector slowUpstreams;
+    private final RequestRates rates;
     private final StreamVersions streamVersions;
     private long lastSlowCheckNanos;
     private BooleanSupplier mayStartItems = () -> true;
     private BooleanSupplier mustStopItems = () -> false;
     private BooleanSupplier mayLearnOrigins = () -> false;
+    private Predicate<String> plainService = service -> false;
     private long activeSinceNanos;
     private long nextItemLease;
 
@@ -165,6 +175,7 @@
         this.decliningNodes = new DecliningNodes(ticker);
         this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
+        this.rates = new RequestRates(ticker, directory, () -> 1);
         this.streamVersions = new StreamVersions(ticker, directory);
         this.lastSlowCheckNanos = ticker.nanos();
         // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
@@ -187,6 +198,11 @@
         mayLearnOrigins = condition;
     }
 
+    /** Sets which services are plain, so that their requests are short. */
+    public void plainServices(Predicate<String> condition) {
+        plainService = condition;
+    }
+
     /** Returns where recent streams began. */
     StreamVersions streamVersions() {
         return streamVersions;
@@ -202,6 +218,7 @@
         left(name);
         if (nodeCount() == 0) {
             activeSinceNanos = ticker.nanos();
+            rates.restart();
         }
         movedSlots.nodeJoined(name);
         NodeState node = leases.addNode(name, failureDomain, capacity);
@@ -326,23 +343,32 @@
 
     /** Estimates the time until a request that is queued now gets a slot. */
     private Duration expectedWait(String service) {
-        int occupied = 0;
-        for (Upstream upstream : directory.open(service)) {
-            if (health.usable(upstream.id())) {
-                occupied += Math.min(
-                        upstream.slots(), leases.occupancy(upstream.id()).total());
-            }
-        }
-        if (occupied == 0) {
+        double requestsPerSecond = directory.open(service).stream()
+                .filter(upstream -> health.usable(upstream.id()))
+                .mapToDouble(this::requestsPerSecond)
+                .sum();
+        if (requestsPerSecond == 0) {
             return Duration.ofDays(1);
         }
         long ahead = waiting.stream()
                 .filter(entry -> entry.request().service().equals(service))
                 .count();
-        double seconds = (ahead + 1) * onlineHoldTimes.meanSeconds(service) / occupied;
+        double seconds = (ahead + 1) / requestsPerSecond;
         return Duration.ofNanos((long) (seconds * 1e9));
     }
 
+    /** Returns the rate at which slots of an upstream become free for online requests, or its limit if that is lower. */
+    private double requestsPerSecond(Upstream upstream) {
+        double meanSeconds = onlineHoldTimes.meanSeconds(upstream.service());
+        OptionalDouble limit = rates.highestRate(upstream);
+        if (limit.isPresent()) {
+            return Math.min(limit.getAsDouble(), upstream.slots() / meanSeconds);
+        }
+        int occupied =
+                Math.min(upstream.slots(), leases.occupancy(upstream.id()).total());
+        return occupied / meanSeconds;
+    }
+
     private boolean tryPlace(SlotRequest request) {
         NodeState node = leases.node(request.node()).orElseThrow();
         Upstream best = null;
@@ -377,13 +403,19 @@
     }
 
     private boolean hasCapacity(Upstream upstream, SlotRequest request) {
-        if (!eligible(upstream, request) || !health.usable(upstream.id())) {
+        if (!eligible(upstream, request) || !health.usable(upstream.id()) || !rates.mayTake(upstream)) {
             return false;
         }
-        int queued = health.suspected(upstream.id()) ? 0 : options.queuedPerUpstream();
+        int queued = health.suspected(upstream.id()) ? 0 : queuedRequests(upstream);
         return leases.occupancy(upstream.id()).onlineCount() < upstream.slots() + queued;
     }
 
+    private int queuedRequests(Upstream upstream) {
+        return plainService.test(upstream.service())
+                ? PLAIN_SERVICE_QUEUE * upstream.slots()
+                : options.queuedPerUpstream();
+    }
+
     /** Ranks a free slot first, then the slot of an item, then a place in the upstream's queue. */
     private double score(Upstream upstream, NodeState node, SlotRequest request) {
         Occupancy occupancy = leases.occupancy(upstream.id());
@@ -406,6 +438,9 @@
         if (slowUpstreams.slow(upstream.id())) {
             score -= SLOW_PENALTY;
         }
+        if (rates.usedUp(upstream)) {
+            score -= LIMITED_PENALTY;
+        }
         return health.suspected(upstream.id()) ? score - SUSPECTED_PENALTY : score;
     }
 
@@ -413,6 +448,7 @@
         leases.add(new Lease(
                 node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE, 0, false));
         health.sent(upstream.id());
+        rates.sent(upstream);
         if (request.prefix() != 0) {
             prefixCache.record(request.prefix(), upstream.id());
         }
@@ -531,7 +567,7 @@
             case ANSWER_LOST, UPSTREAM_FAILED ->
                 ejection = health.failed(upstream, directory.openInSameService(upstream));
             case UPSTREAM_FULL -> {
-                if (hasFreeSlot(upstream)) {
+                if (hasFreeSlot(upstream) && !limited(upstream)) {
                     ejection = health.failed(upstream, directory.openInSameService(upstream));
                 } else {
                     health.inconclusive(upstream);
@@ -545,6 +581,14 @@
                 delay -> log.event(ServingEvent.UPSTREAM_EJECTED, "upstream", upstream, "cause", reason, "ms", delay));
     }
 
+    private boolean limited(String id) {
+        return directory
+                .find(id)
+                .map(directory::limit)
+                .orElse(OptionalDouble.empty())
+                .isPresent();
+    }
+
     private boolean hasFreeSlot(String id) {
         return directory
                 .find(id)
@@ -643,7 +687,7 @@
     /** Starts items by their rank; those of the first in order of due times, the urgent ones least urgent first. */
     private void startItems() {
         movedSlots.expire();
-        if (directory.all().stream().noneMatch(upstream -> freeForItems(upstream) > 0)) {
+        if (directory.all().stream().noneMatch(upstream -> itemCapacity(upstream) > 0)) {
             return;
         }
         Map<String, Integer> capacities = new HashMap<>();
@@ -691,7 +735,7 @@
         for (Upstream upstream : directory.open(service)) {
             if (mayRunItems(upstream)) {
                 slots += upstream.slots();
-                free += Math.max(0, freeForItems(upstream));
+                free += Math.max(0, itemCapacity(upstream));
             }
         }
         return free - slots * options.reservePercent() / 100;
@@ -701,6 +745,11 @@
         return upstream.slots() - leases.occupancy(upstream.id()).total() - movedSlots.count(upstream.id());
     }
 
+    /** Returns the number of further items that an upstream can run now. */
+    private int itemCapacity(Upstream upstream) {
+        return Math.min(freeForItems(upstream), rates.itemsThatMayStart(upstream));
+    }
+
     private boolean mayRunItems(Upstream upstream) {
         return health.usable(upstream.id()) && !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
     }
@@ -711,7 +760,10 @@
         int bestFree = 0;
         for (Upstream upstream : directory.open(service)) {
             int free = freeForItems(upstream);
-            if (free > bestFree && mayRunItems(upstream) && condition.test(upstream)) {
+            if (free > bestFree
+                    && rates.itemsThatMayStart(upstream) > 0
+                    && mayRunItems(upstream)
+                    && condition.test(upstream)) {
                 best = upstream;
                 bestFree = free;
             }
@@ -742,6 +794,7 @@
                 item.tokens(),
                 resumed);
         leases.add(lease);
+        rates.sent(best);
         decisions.run(node.name, lease.number(), best.id(), item.item());
         return true;
     }
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -44,11 +45,11 @@
     private final Map<String, Upstream> upstreams = new HashMap<>();
 
     /** The latest notices, by id of the upstream. */
-    private final Map<String, UpstreamNotice> notices = new LinkedHashMap<>() {
+    private final Map<String, Known> notices = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, UpstreamNotice> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Known> eldest) {
             return size() > MAX_KEPT_IDS;
         }
     };
@@ -63,6 +64,9 @@
 
     private record ServiceVersion(String service, String version) {}
 
+    /** A notice, and since when this node has known that the upstream has a limit if the notice names one. */
+    private record Known(UpstreamNotice notice, long limitedSinceNanos) {}
+
     public UpstreamDirectory(Ticker ticker) {
         this.ticker = ticker;
         this.lastResponseNanos = ticker.nanos();
@@ -102,17 +106,54 @@
      * @return whether that was not known
      */
     public boolean note(UpstreamNotice notice) {
-        UpstreamNotice known = notices.get(notice.upstream());
-        if (known != null && known.startedMillis() > notice.startedMillis()) {
-            return false;
-        }
-        if (notice.equals(notices.put(notice.upstream(), notice))) {
+        Known known = notices.get(notice.upstream());
+        if (known != null
+                && (known.notice().equals(notice) || known.notice().startedMillis() > notice.startedMillis())) {
             return false;
         }
+        boolean limited = known != null && known.notice().limit().isPresent();
+        notices.put(notice.upstream(), new Known(notice, limited ? known.limitedSinceNanos() : ticker.nanos()));
         notifyListeners();
         return true;
     }
 
+    /**
+     * Records what an upstream has said of itself in a response to this node. A response that names no limit ends an
+     * earlier one only if its request was sent after the limit had become known here, because responses overtake each
+     * other.
+     *
+     * @param sentNanos when the request was sent
+     * @return the notice, empty if it was known
+     */
+    public Optional<UpstreamNotice> noteResponse(
+            Upstream upstream, boolean leaving, OptionalDouble limit, long sentNanos) {
+        Optional<Known> known = known(upstream);
+        if (known.isEmpty() && !leaving && limit.isEmpty()) {
+            return Optional.empty();
+        }
+        OptionalDouble limitInForce = known.filter(earlier -> limit.isEmpty())
+                .filter(earlier -> sentNanos - earlier.limitedSinceNanos() < 0)
+                .map(earlier -> earlier.notice().limit())
+                .orElse(limit);
+        UpstreamNotice notice = new UpstreamNotice(
+                upstream.id(),
+                upstream.startedMillis(),
+                leaving || known.map(earlier -> earlier.notice().leaving()).orElse(false),
+                limitInForce);
+        return note(notice) ? Optional.of(notice) : Optional.empty();
+    }
+
+    /** Returns the requests a second that an upstream takes from all nodes together, empty if it names no limit. */
+    public OptionalDouble limit(Upstream upstream) {
+        return notice(upstream).map(UpstreamNotice::limit).orElse(OptionalDouble.empty());
+    }
+
+    /** Returns whether an upstream of a service names a limit. */
+    public boolean limited(String service) {
+        return !notices.isEmpty()
+                && open(service).stream().anyMatch(upstream -> limit(upstream).isPresent());
+    }
+
     /** Returns what the listed upstreams have said of themselves. */
     public List<UpstreamNotice> notices() {
         return upstreams.values().stream()
@@ -121,9 +162,13 @@
                 .toList();
     }
 
-    private Optional<UpstreamNotice> notice(Upstream upstream) {
+    private Optional<Known> known(Upstream upstream) {
         return Optional.ofNullable(notices.get(upstream.id()))
-                .filter(notice -> notice.startedMillis() == upstream.startedMillis());
+                .filter(known -> known.notice().startedMillis() == upstream.startedMillis());
+    }
+
+    private Optional<UpstreamNotice> notice(Upstream upstream) {
+        return known(upstream).map(Known::notice);
     }
 
     private boolean draining(Upstream upstream) {
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -18,11 +18,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
  * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, parts
- * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, retry (milliseconds). A job's body is a
+ * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, limit (requests a second), retry (milliseconds). A job's body is a
  * comma-separated list of item ids; those that begin with "crash" have the parts 1 and 666, the others 1. Stateless and
  * thread-safe.
  */
@@ -125,11 +126,13 @@
         Duration reuse = keepAlive == null
                 ? Duration.ZERO
                 : Duration.ofSeconds(Long.parseLong(keepAlive.substring("timeout=".length())));
+        String limit = headers.get("limit");
         return new ResponseInfo(
                 Optional.ofNullable(headers.get("id")),
                 headers.contains("Not-Run"),
                 status == 421,
                 headers.contains("leaving"),
+                limit == null ? OptionalDouble.empty() : OptionalDouble.of(Double.parseDouble(limit)),
                 reuse);
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
@@ -58,7 +58,7 @@
                     entry,
                     directory,
                     visitor -> {},
-                    new LocalPlacement(directory, new UpstreamHealth(ticker), "d0", () -> 0.5),
+                    new LocalPlacement(ticker, directory, new UpstreamHealth(ticker), "d0", () -> 0.5),
                     ticker,
                     new VertxTimers(vertx),
                     EventLog.NONE,
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
@@ -62,7 +62,7 @@
         UpstreamDirectory directory = new UpstreamDirectory(ticker);
         directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 4, false, "v1"));
         UpstreamHealth health = new UpstreamHealth(ticker);
-        LocalPlacement placement = new LocalPlacement(directory, health, "a", () -> 0.5);
+        LocalPlacement placement = new LocalPlacement(ticker, directory, health, "a", () -> 0.5);
         SlotService slots = new SlotService(
                 vertx,
                 self,
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -10,11 +10,13 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
+import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
@@ -134,6 +136,79 @@
         assertEquals(2 * (SLOTS + 1), decisions.granted.size());
     }
 
+    private void limit(String upstream, double perSecond) {
+        directory.note(new UpstreamNotice(upstream, 0, false, OptionalDouble.of(perSecond)));
+    }
+
+    /** Slots that are free at once would allow hundreds. */
+    @Test
+    void limitedUpstreamGetsNoMoreThanItsLimit() {
+        limit("e1", 2);
+        for (int i = 0; i < 400; i++) {
+            long lease = acquire();
+            scheduler.released("n1", lease, ReleaseReason.COMPLETED, 0);
+            time.advance(Duration.ofMillis(10));
+        }
+        long granted = decisions.granted.stream().filter("e1"::equals).count();
+        assertTrue(granted > 0 && granted <= 12, granted + " requests in 4 s");
+        assertEquals(400, decisions.granted.size());
+    }
+
+    @Test
+    void startsOfItemsCountAgainstALimit() {
+        limit("e1", 2);
+        limit("e2", 2);
+        for (int i = 0; i < 400; i++) {
+            backlog.clear();
+            backlog.add(new BacklogItem(
+                    new ItemRef("job", i),
+                    Map.of("s", 1),
+                    Duration.ofSeconds(18).toNanos(),
+                    "",
+                    0));
+            scheduler.schedule();
+            decisions.runs.forEach(run -> scheduler.released(run.node(), run.lease(), ReleaseReason.COMPLETED, 0));
+            time.advance(Duration.ofMillis(10));
+        }
+        int started = decisions.runs.size();
+        assertTrue(started > 8 && started <= 24, started + " items in 4 s");
+    }
+
+    @Test
+    void requestBeyondTheLimitsOfAllUpstreamsIsRejectedAtOnce() {
+        limit("e1", 0.5);
+        limit("e2", 0.5);
+        acquire();
+        assertEquals(1, decisions.rejected.size());
+        assertTrue(decisions.rejected.get(0).compareTo(Duration.ofSeconds(3)) < 0, "" + decisions.rejected);
+    }
+
+    @Test
+    void requestWaitsForTheLimit() {
+        limit("e1", 4);
+        limit("e2", 4);
+        acquire();
+        assertEquals(1, scheduler.waitingCount());
+        time.advance(Duration.ofMillis(250));
+        scheduler.schedule();
+        assertEquals(1, decisions.granted.size());
+    }
+
+    /** The nodes used another scheduler until now, and the limit is used up as far as this one knows. */
+    @Test
+    void newSchedulerHasNothingToMakeUpFor() {
+        limit("e1", 4);
+        limit("e2", 4);
+        acquire();
+        time.advance(Duration.ofMinutes(1));
+        scheduler.left("n1");
+        scheduler.left("n2");
+        scheduler.joined("n1", "a", 1, List.of());
+        decisions.granted.clear();
+        acquire();
+        assertEquals(List.of(), decisions.granted);
+    }
+
     @Test
     void itemsUseFreeSlotsAndArePreemptedImmediatelyByBurst() {
         items(2 * SLOTS);
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.serving.ManualTime;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 
 /** Guards against dropping running upstreams after a store outage, and against keeping upstreams that are gone. */
@@ -18,6 +19,59 @@
         return new Upstream(id, "s", "10.0.0.1", 80, "a", 8, false, "v1");
     }
 
+    private boolean limited() {
+        return directory.limit(directory.find("e").orElseThrow()).isPresent();
+    }
+
+    private boolean respond(OptionalDouble limit, long sentNanos) {
+        return directory
+                .noteResponse(directory.find("e").orElseThrow(), false, limit, sentNanos)
+                .isPresent();
+    }
+
+    @Test
+    void limitEndsWithAResponseThatNamesNone() {
+        directory.put(upstream("e"));
+        assertTrue(respond(OptionalDouble.of(2), time.nanos()));
+        assertFalse(respond(OptionalDouble.of(2), time.nanos()), "no news");
+        assertTrue(respond(OptionalDouble.of(3), time.nanos()), "another limit");
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(respond(OptionalDouble.empty(), time.nanos()));
+        assertFalse(limited());
+        assertFalse(respond(OptionalDouble.empty(), time.nanos()), "no news");
+    }
+
+    /** Its response may have been sent before the one with the limit. */
+    @Test
+    void responseToAnEarlierRequestDoesNotEndALimit() {
+        directory.put(upstream("e"));
+        long earlierNanos = time.nanos();
+        time.advance(Duration.ofMillis(10));
+        respond(OptionalDouble.of(2), earlierNanos);
+        time.advance(Duration.ofMillis(10));
+        assertFalse(respond(OptionalDouble.empty(), earlierNanos));
+        assertTrue(limited());
+    }
+
+    @Test
+    void upstreamThatStartsAgainHasNoLimit() {
+        directory.put(upstream("e"));
+        respond(OptionalDouble.of(2), time.nanos());
+        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, false, "v1", 5));
+        assertFalse(limited());
+        assertFalse(directory.limited("s"));
+    }
+
+    /** Another node may report late what it heard before the upstream started again. */
+    @Test
+    void noticeOfAnEarlierStartIsIgnored() {
+        directory.put(new Upstream("e", "s", "10.0.0.1", 80, "a", 8, false, "v1", 5));
+        respond(OptionalDouble.of(2), time.nanos());
+        assertFalse(directory.note(new UpstreamNotice("e", 4, true, OptionalDouble.empty())));
+        assertTrue(limited());
+        assertFalse(directory.drainingOrRemoved("e"));
+    }
+
     private void pollEachSecond(int seconds) {
         for (int i = 0; i < seconds; i++) {
             directory.recordStoreResponse();
