Reject requests that come again and crash one upstream after the other

Cause: crashes were related to shared prompt parts only, of engines of models only, and only up to 0.1 s after the first event. Same class of fault as the prompts that crash engines: a failure that follows the request is treated as one of the place that it was sent to.

Each lost connection is checked, for plain services too, one check for all victims of a crash. Nodes report the completions of a request only after a crash under it, which their scheduler tells them.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -14,6 +14,7 @@
 import dev.lavenderline.serving.slots.ItemExecutor;
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.slots.ReleaseReason;
+import dev.lavenderline.serving.slots.RequestTraits;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -182,7 +183,7 @@
         final int resumedEvents;
         long lastReceivedNanos = startNanos;
         long lastProgressNanos = startNanos;
-        List<Long> promptParts = List.of();
+        RequestTraits traits = RequestTraits.ofParts(List.of());
         int errorBytes;
         int status;
         boolean outOfOrder;
@@ -227,8 +228,8 @@
                 finish(ReleaseReason.UPSTREAM_GONE, true, "upstream is leaving");
                 return;
             }
-            promptParts = context.wire().sharedParts(content);
-            if (context.slots().promptRejectedFor(promptParts).isPresent()) {
+            traits = RequestTraits.ofParts(context.wire().sharedParts(content));
+            if (context.slots().rejectedFor(traits).isPresent()) {
                 finish(ReleaseReason.PROMPT_REJECTED, true, "upstreams crash on a part of this prompt");
                 return;
             }
@@ -382,13 +383,12 @@
         private void reportCrash(SendFailure failure) {
             boolean connectionLost = failure == SendFailure.LOST || failure == SendFailure.CUT;
             if (connectionLost && output.events.size() == resumedEvents) {
-                context.connections()
-                        .ifCrashed(upstream, () -> context.slots().promptCrashed(promptParts, upstream.id()));
+                context.connections().ifCrashed(upstream, () -> context.slots().requestCrashed(traits, upstream.id()));
             }
         }
 
         private void completed() {
-            context.slots().promptCompleted(promptParts);
+            context.slots().requestCompleted(traits);
             store.addResult(ref, true, String.join("\n", output.events));
             finish(ReleaseReason.COMPLETED, false, "completed");
         }
--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -30,7 +30,7 @@
     STREAM_NOT_CONTINUED("LL-1435", "no upstream may continue a stream"),
     UPSTREAM_EJECTED("LL-1440", "upstream ejected temporarily"),
     UPSTREAM_SLOW("LL-1441", "slow upstream temporarily limited to few requests"),
-    PROMPT_REJECTED("LL-1442", "requests with prompt parts that crash engines are rejected from now on"),
+    PROMPT_REJECTED("LL-1442", "requests that crash upstreams are rejected from now on"),
     UPSTREAM_CRASHED("LL-1443", "upstream refuses connections after it lost a request"),
     REQUEST_ENDED("LL-1450", "request ended"),
     REQUEST_SENT_AGAIN("LL-1451", "request retried on another upstream"),
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpConnectOptions;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -45,6 +46,9 @@
     /** Connections on which the rest of a rejection is read, with the time at which they are closed. */
     private final Map<HttpClientConnection, Long> discarding = new HashMap<>();
 
+    /** What to do if upstreams have crashed that are being checked, by id. */
+    private final Map<String, List<Runnable>> crashChecks = new HashMap<>();
+
     private ResponseInfoListener responseInfoListener = (upstream, info, sentNanos) -> {};
     private long opened;
 
@@ -118,16 +122,29 @@
      * unnoticed.
      */
     public void ifCrashed(Upstream upstream, Runnable action) {
+        List<Runnable> waiting = crashChecks.get(upstream.id());
+        if (waiting != null) {
+            waiting.add(action);
+            return;
+        }
+        crashChecks.put(upstream.id(), new ArrayList<>(List.of(action)));
         connect(upstream)
                 .onSuccess(accepted -> {
                     accepted.close();
                     vertx.setTimer(
                             CRASH_CHECK_DELAY_MILLIS,
                             now -> connect(upstream)
-                                    .onSuccess(HttpClientConnection::close)
-                                    .onFailure(refused -> action.run()));
+                                    .onSuccess(listening -> {
+                                        listening.close();
+                                        crashChecks.remove(upstream.id());
+                                    })
+                                    .onFailure(refused -> crashed(upstream)));
                 })
-                .onFailure(refused -> action.run());
+                .onFailure(refused -> crashed(upstream));
+    }
+
+    private void crashed(Upstream upstream) {
+        crashChecks.remove(upstream.id()).forEach(Runnable::run);
     }
 
     /** Returns a connection to the pool, or closes it if the upstream may close it soon. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -18,12 +19,15 @@
 import java.util.stream.Collectors;
 
 /**
- * Finds parts of prompts that crash engines, from the ends of requests, and tells which requests to reject.
+ * Finds parts of prompts, and single requests that come again, that crash upstreams, from the ends of requests, and
+ * tells which requests to reject.
  *
- * <p>A part is blamed once {@link #MIN_CRASHES} engines have crashed under requests with it that were about to be
+ * <p>A part is blamed once {@link #MIN_CRASHES} upstreams have crashed under requests with it that were about to be
  * answered, and no request with it has completed for {@link #COMPLETION_MEMORY}. Parts that most prompts share are in
  * most crashes too, but their requests complete elsewhere. If several parts of a request come to be blamed together,
- * only requests with all of them are rejected, as some may be sound; a further crash tells them apart.
+ * only requests with all of them are rejected, as some may be sound; a further crash tells them apart. A request as a
+ * whole, known by its hash, is blamed in the same way, whenever the upstreams crashed under it. Its completions are of
+ * interest after the first crash only, from which time on all nodes report them.
  *
  * <p>Invariants: a set of parts is reported as decided at most once while it is rejected; memory is bounded by
  * {@link #MAX_PARTS} and {@link #MAX_RECENT_CRASHES}. Not thread-safe; confined to the event loop.
@@ -67,6 +71,16 @@
     /** Rejected sets of parts with the times at which they expire. */
     private final Map<Set<Long>, Long> rejected = new HashMap<>();
 
+    /** Hashes of requests under which upstreams have crashed, the latest ones. */
+    private final Set<Long> suspects = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > MAX_PARTS;
+        }
+    });
+
     private final Deque<Crash> recentCrashes = new ArrayDeque<>();
     private final List<Consumer<Set<Long>>> decisionListeners = new ArrayList<>();
     private final List<Consumer<Set<Long>>> withdrawalListeners = new ArrayList<>();
@@ -75,10 +89,11 @@
      * A crash of an engine under a request. Immutable.
      *
      * @param parts hashes of the shared parts of the request's prompt
-     * @param upstream id of the engine
+     * @param request hash of the request, {@link RequestTraits#NO_HASH} if it does not come again
+     * @param upstream id of the upstream
      * @param nanos time of the crash
      */
-    record Crash(List<Long> parts, String upstream, long nanos) {
+    record Crash(List<Long> parts, long request, String upstream, long nanos) {
         Crash {
             parts = List.copyOf(parts);
         }
@@ -108,12 +123,8 @@
         withdrawalListeners.add(listener);
     }
 
-    /**
-     * Records that a request has completed.
-     *
-     * @return whether the scheduler should know, because it has not heard of one of the parts lately
-     */
-    boolean completed(List<Long> parts) {
+    /** Returns whether the scheduler should know, because it has not heard of one of the parts lately. */
+    private boolean partsCompleted(List<Long> parts) {
         long now = ticker.nanos();
         boolean report = false;
         for (Long part : parts) {
@@ -125,13 +136,42 @@
                 report = true;
             }
         }
+        withdrawGroupsIn(parts);
+        return report;
+    }
+
+    private void withdrawGroupsIn(List<Long> traits) {
         for (Set<Long> group : List.copyOf(rejected.keySet())) {
-            if (parts.containsAll(group)) {
+            if (traits.containsAll(group)) {
                 withdraw(group);
                 withdrawalListeners.forEach(listener -> listener.accept(group));
             }
         }
-        return report;
+    }
+
+    /**
+     * Records that a request has completed.
+     *
+     * @return whether the scheduler should know, because upstreams have crashed under the request, or because it has not
+     *     heard of a part of its prompt lately
+     */
+    boolean completed(RequestTraits traits) {
+        boolean report = !traits.sharedParts().isEmpty() && partsCompleted(traits.sharedParts());
+        if (suspects.isEmpty() || !suspects.contains(traits.hash())) {
+            return report;
+        }
+        History history = histories.computeIfAbsent(traits.hash(), key -> new History());
+        history.crashes.clear();
+        history.completedNanos = Optional.of(ticker.nanos());
+        withdrawGroupsIn(traits.all());
+        return true;
+    }
+
+    /** Makes this node report the completions of a request under which an upstream has crashed elsewhere. */
+    void suspect(long request) {
+        if (request != RequestTraits.NO_HASH) {
+            suspects.add(request);
+        }
     }
 
     private boolean within(Optional<Long> nanos, Duration period) {
@@ -139,12 +179,15 @@
     }
 
     /**
-     * Records that an engine has crashed under a request that was about to be answered.
+     * Records that an upstream has crashed under a request.
      *
+     * @param traits the parts of its prompt, if it was about to be answered, and its hash
      * @param age time since the crash
      */
-    void crashed(List<Long> parts, String upstream, Duration age) {
-        Crash crash = new Crash(parts, upstream, ticker.nanos() - age.toNanos());
+    void crashed(RequestTraits traits, String upstream, Duration age) {
+        List<Long> parts = traits.all();
+        Crash crash = new Crash(traits.sharedParts(), traits.hash(), upstream, ticker.nanos() - age.toNanos());
+        suspect(traits.hash());
         recentCrashes.addLast(crash);
         if (recentCrashes.size() > MAX_RECENT_CRASHES) {
             recentCrashes.removeFirst();
@@ -194,11 +237,12 @@
         rejected.remove(parts);
     }
 
-    /** Returns the time for which requests with these parts are rejected, empty if they are served. */
-    Optional<Duration> rejectedFor(Collection<Long> parts) {
-        if (rejected.isEmpty()) {
-            return Optional.empty();
-        }
+    /** Returns the time for which a request with these traits is rejected, empty if it is served. */
+    Optional<Duration> rejectedFor(RequestTraits traits) {
+        return rejected.isEmpty() ? Optional.empty() : rejectedFor(traits.all());
+    }
+
+    private Optional<Duration> rejectedFor(Collection<Long> parts) {
         long now = ticker.nanos();
         return rejected.entrySet().stream()
                 .filter(entry -> entry.getValue() - now > 0 && parts.containsAll(entry.getKey()))
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -155,8 +155,10 @@
             } else {
                 socket.write(SlotFrames.hello(self, heldSlots.values(), streamVersions.groups(), directory.notices()));
                 prompts.recentCrashes()
-                        .forEach(crash -> socket.write(
-                                SlotFrames.promptCrashed(crash.parts(), crash.upstream(), prompts.age(crash))));
+                        .forEach(crash -> socket.write(SlotFrames.requestCrashed(
+                                new RequestTraits(crash.parts(), crash::request),
+                                crash.upstream(),
+                                prompts.age(crash))));
             }
             log.event(ServingEvent.SCHEDULER_CHANGED, "scheduler", target.name(), "holdings", heldSlots.size());
             List.copyOf(pending.values()).forEach(entry -> send(entry.request()));
@@ -193,6 +195,8 @@
                                     frame.getRunItem().getJob(),
                                     frame.getRunItem().getItem()));
                 case PREEMPT -> preempt(self.name(), frame.getPreempt().getLease());
+                case REQUEST_SUSPECTED ->
+                    prompts.suspect(frame.getRequestSuspected().getRequest());
                 case PROMPT_REJECTED ->
                     prompts.reject(Set.copyOf(frame.getPromptRejected().getPartsList()));
                 case UPSTREAM_NOTICE -> directory.note(SlotFrames.upstreamNotice(frame.getUpstreamNotice()));
@@ -493,21 +497,27 @@
     }
 
     @Override
-    public void promptCompleted(List<Long> parts) {
-        if (!parts.isEmpty() && prompts.completed(parts) && remoteScheduler()) {
-            current.socket.write(SlotFrames.promptCompleted(parts));
+    public void requestCompleted(RequestTraits traits) {
+        if (prompts.completed(traits) && remoteScheduler()) {
+            current.socket.write(SlotFrames.requestCompleted(traits));
         }
     }
 
     @Override
-    public void promptCrashed(List<Long> parts, String upstream) {
-        if (parts.isEmpty()) {
-            return;
-        }
-        log.event(ServingEvent.UPSTREAM_CRASHED, "upstream", upstream, "parts", CrashingPrompts.hex(parts));
-        prompts.crashed(parts, upstream, Duration.ZERO);
+    public void requestCrashed(RequestTraits traits, String upstream) {
+        log.event(
+                ServingEvent.UPSTREAM_CRASHED,
+                "upstream",
+                upstream,
+                "parts",
+                CrashingPrompts.hex(traits.sharedParts()),
+                "request",
+                Long.toHexString(traits.hash()));
+        prompts.crashed(traits, upstream, Duration.ZERO);
         if (remoteScheduler()) {
-            current.socket.write(SlotFrames.promptCrashed(parts, upstream, Duration.ZERO));
+            current.socket.write(SlotFrames.requestCrashed(traits, upstream, Duration.ZERO));
+        } else {
+            server.sendSuspect(traits.hash());
         }
     }
 
@@ -516,8 +526,8 @@
     }
 
     @Override
-    public Optional<Duration> promptRejectedFor(List<Long> parts) {
-        return prompts.rejectedFor(parts);
+    public Optional<Duration> rejectedFor(RequestTraits traits) {
+        return prompts.rejectedFor(traits);
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
@@ -2,7 +2,6 @@
 
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 /** Client of the scheduler for a node's requests and items. Called on the event loop. */
@@ -32,14 +31,14 @@
     /** Reports that the first event of an attempt was generated on a software version. */
     void streamBegan(String attempt, String version);
 
-    /** Reports that a request with these shared prompt parts has completed. */
-    void promptCompleted(List<Long> parts);
+    /** Reports that a request has completed. */
+    void requestCompleted(RequestTraits traits);
 
-    /** Reports that an engine has crashed under a request with these shared prompt parts, about to be answered. */
-    void promptCrashed(List<Long> parts, String upstream);
+    /** Reports that an upstream has crashed under a request; with its prompt parts if it was about to be answered. */
+    void requestCrashed(RequestTraits traits, String upstream);
 
-    /** Returns the time for which requests with these parts are rejected, empty if they are served. */
-    Optional<Duration> promptRejectedFor(List<Long> parts);
+    /** Returns the time for which a request is rejected because upstreams crash under it, empty if it is served. */
+    Optional<Duration> rejectedFor(RequestTraits traits);
 
     /** Returns the software version on which a stream has to continue, empty if this node does not know it. */
     Optional<String> versionOf(String service, StreamOrigin origin);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -14,6 +14,7 @@
 import dev.lavenderline.proto.slots.PromptRejected;
 import dev.lavenderline.proto.slots.Rejected;
 import dev.lavenderline.proto.slots.Release;
+import dev.lavenderline.proto.slots.RequestSuspected;
 import dev.lavenderline.proto.slots.RunItem;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.proto.slots.StreamsBegan;
@@ -175,17 +176,23 @@
         return frame(SlotFrame.newBuilder().setPreempt(Preempt.newBuilder().setLease(lease)));
     }
 
-    static Buffer promptCompleted(List<Long> parts) {
-        return frame(
-                SlotFrame.newBuilder().setPromptEnded(PromptEnded.newBuilder().addAllParts(parts)));
+    static Buffer requestCompleted(RequestTraits traits) {
+        return frame(SlotFrame.newBuilder().setPromptEnded(ended(traits)));
     }
 
-    static Buffer promptCrashed(List<Long> parts, String upstream, Duration age) {
+    private static PromptEnded.Builder ended(RequestTraits traits) {
+        return PromptEnded.newBuilder().addAllParts(traits.sharedParts()).setRequest(traits.hash());
+    }
+
+    static Buffer requestSuspected(long request) {
+        return frame(SlotFrame.newBuilder()
+                .setRequestSuspected(RequestSuspected.newBuilder().setRequest(request)));
+    }
+
+    static Buffer requestCrashed(RequestTraits traits, String upstream, Duration age) {
         return frame(SlotFrame.newBuilder()
-                .setPromptEnded(PromptEnded.newBuilder()
-                        .addAllParts(parts)
-                        .setCrashedUpstream(upstream)
-                        .setAgeMs((int) Math.min(Integer.MAX_VALUE, age.toMillis()))));
+                .setPromptEnded(ended(traits).setCrashedUpstream(upstream).setAgeMs((int)
+                        Math.min(Integer.MAX_VALUE, age.toMillis()))));
     }
 
     static Buffer promptRejected(Set<Long> parts) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -163,6 +163,7 @@
         scheduler.joined(peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
         log.event(ServingEvent.NODE_JOINED, "peer", peer.node, "holdings", holdings.size());
         prompts.rejected().forEach(parts -> peer.socket.write(SlotFrames.promptRejected(parts)));
+        prompts.recentCrashes().forEach(crash -> peer.socket.write(SlotFrames.requestSuspected(crash.request())));
         directory.notices().forEach(notice -> peer.socket.write(SlotFrames.upstreamNotice(notice)));
         frame.getHello().getNoticesList().forEach(notice -> noticeReported(peer, SlotFrames.upstreamNotice(notice)));
     }
@@ -181,10 +182,19 @@
     }
 
     private void promptEnded(PromptEnded ended) {
+        RequestTraits traits = new RequestTraits(ended.getPartsList(), ended::getRequest);
         if (ended.getCrashedUpstream().isEmpty()) {
-            prompts.completed(ended.getPartsList());
+            prompts.completed(traits);
         } else {
-            prompts.crashed(ended.getPartsList(), ended.getCrashedUpstream(), Duration.ofMillis(ended.getAgeMs()));
+            prompts.crashed(traits, ended.getCrashedUpstream(), Duration.ofMillis(ended.getAgeMs()));
+            sendSuspect(ended.getRequest());
+        }
+    }
+
+    /** Asks the nodes that use this scheduler to report the completions of a request. */
+    void sendSuspect(long request) {
+        if (request != RequestTraits.NO_HASH) {
+            peers.values().forEach(peer -> peer.socket.write(SlotFrames.requestSuspected(request)));
         }
     }
 
