Run batch items whatever upstreams crashed under them

Items are no longer reported with crashes and are not rejected; their completions still clear a part.

CrashingPromptTest.batchItemsWithThePartAreHeldBack demanded the opposite and is replaced: itemsUnderWhichEnginesCrashedRunAgain (six crashes under four items) and itemsWithARejectedPartRun failed before and pass now.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -229,10 +229,6 @@
                 return;
             }
             traits = RequestTraits.ofParts(context.wire().sharedParts(content));
-            if (context.slots().rejectedFor(traits).isPresent()) {
-                finish(ReleaseReason.PROMPT_REJECTED, true, "upstreams crash on a part of this prompt");
-                return;
-            }
             lastReceivedNanos = context.ticker().nanos();
             lastProgressNanos = lastReceivedNanos;
             context.log()
@@ -375,18 +371,9 @@
         }
 
         private void streamTruncated(String cause) {
-            reportCrash(SendFailure.CUT);
             finish(ReleaseReason.ANSWER_LOST, true, cause);
         }
 
-        /** Reports a lost connection if the upstream may have crashed because it began to answer this item. */
-        private void reportCrash(SendFailure failure) {
-            boolean connectionLost = failure == SendFailure.LOST || failure == SendFailure.CUT;
-            if (connectionLost && output.events.size() == resumedEvents) {
-                context.connections().ifCrashed(upstream, () -> context.slots().requestCrashed(traits, upstream.id()));
-            }
-        }
-
         private void completed() {
             context.slots().requestCompleted(traits);
             store.addResult(ref, true, String.join("\n", output.events));
@@ -407,7 +394,6 @@
 
         @Override
         public void failed(SendFailure failure, String message) {
-            reportCrash(failure);
             finish(failure.releaseReason(), true, failure + " " + message);
         }
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
@@ -27,7 +27,8 @@
  * most crashes too, but their requests complete elsewhere. If several parts of a request come to be blamed together,
  * only requests with all of them are rejected, as some may be sound; a further crash tells them apart. A request as a
  * whole, known by its hash, is blamed in the same way, whenever the upstreams crashed under it. Its completions are of
- * interest after the first crash only, from which time on all nodes report them.
+ * interest after the first crash only, from which time on all nodes report them. Batch items crash no upstreams by
+ * themselves: their crashes are not reported and they always run, but their completions count.
  *
  * <p>Invariants: a set of parts is reported as decided at most once while it is rejected; memory is bounded by
  * {@link #MAX_PARTS} and {@link #MAX_RECENT_CRASHES}. Not thread-safe; confined to the event loop.
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ReleaseReason.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ReleaseReason.java
@@ -22,8 +22,6 @@
     ITEM_UNKNOWN,
     /** The node could not read the content of the item from the store. */
     CONTENT_UNREADABLE,
-    /** The prompt of the item has a part that crashes engines. */
-    PROMPT_REJECTED,
     /** The node is shutting down. */
     NODE_DECLINED
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -233,7 +233,6 @@
             case OUTCOME_UPSTREAM_FAILED -> ReleaseReason.UPSTREAM_FAILED;
             case OUTCOME_ITEM_UNKNOWN -> ReleaseReason.ITEM_UNKNOWN;
             case OUTCOME_CONTENT_UNREADABLE -> ReleaseReason.CONTENT_UNREADABLE;
-            case OUTCOME_PROMPT_REJECTED -> ReleaseReason.PROMPT_REJECTED;
             case OUTCOME_NODE_DECLINED -> ReleaseReason.NODE_DECLINED;
             case OUTCOME_CANCELLED, UNRECOGNIZED -> ReleaseReason.CANCELLED;
         };
@@ -251,7 +250,6 @@
             case UPSTREAM_FAILED -> Outcome.OUTCOME_UPSTREAM_FAILED;
             case ITEM_UNKNOWN -> Outcome.OUTCOME_ITEM_UNKNOWN;
             case CONTENT_UNREADABLE -> Outcome.OUTCOME_CONTENT_UNREADABLE;
-            case PROMPT_REJECTED -> Outcome.OUTCOME_PROMPT_REJECTED;
             case NODE_DECLINED -> Outcome.OUTCOME_NODE_DECLINED;
         };
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -80,9 +80,6 @@
     /** Items per unit of capacity subtracted from the load of the node that accepted a job, which saves a read. */
     private static final double CONTENT_KEPT_ITEM_LOAD = 3;
 
-    /** Time until an item whose prompt was rejected is tried again; the rejection may be withdrawn. */
-    private static final Duration REJECTED_PROMPT_DELAY = Duration.ofSeconds(5);
-
     /** Online requests for each slot that an upstream of a plain service may have beyond its slots. */
     private static final int PLAIN_SERVICE_QUEUE = 2;
 
@@ -528,7 +525,6 @@
                 progress.runInterrupted(item, kept, options.itemRetryDelay());
             }
             case CANCELLED -> progress.runInterrupted(item, kept, Duration.ZERO);
-            case PROMPT_REJECTED -> progress.runInterrupted(item, kept, REJECTED_PROMPT_DELAY);
             case ITEM_FAILED -> {
                 progress.runFailed(item, node);
                 progress.runInterrupted(item, kept, options.itemRetryDelay());
