Keep a leave when a node that does not know of it reports a limit

A notice replaced the one before, so that a limit reported by a node which had not heard of the leave opened the upstream again. A leave now holds until the upstream starts again, wherever the notice comes from. UpstreamDirectoryTest.limitFromANodeThatDoesNotKnowOfTheLeaveKeepsIt guards it.

LeavingResponseTest.otherNodesSendNoFurtherRequests failed once on the way: a node that had just started had not joined a scheduler after 0.5 s. The tests now wait until all nodes use one scheduler instead of a fixed time.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -30,6 +30,7 @@
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -277,6 +278,11 @@
         return !draining && config.current().isPresent() && directory.loaded();
     }
 
+    /** Returns the name of the node whose scheduler is in use, empty while there is none. */
+    Optional<String> schedulerName() {
+        return schedulerClient.schedulerName();
+    }
+
     /** Returns the metrics in text format; thread-safe. */
     public String metrics() {
         return metrics.text();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -34,7 +34,8 @@
  * faster than engines can run them, those that can still complete by their due time go before late ones.
  *
  * <p>Invariants: an item has at most one lease; an upstream never gets more online requests than its slots and
- * {@link Options#queuedPerUpstream}, an upstream with a limit no more than {@link RequestRates} allows. Not thread-safe; confined to the event loop.
+ * {@link Options#queuedPerUpstream}, or {@link #PLAIN_SERVICE_QUEUE} for each slot of a plain service; one with a limit
+ * gets no more than {@link RequestRates} allows. Not thread-safe; confined to the event loop.
  */
 public final class SlotScheduler {
     /** Initial estimate of the hold time of an online request. */
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -101,18 +101,25 @@
 
     /**
      * Records what an upstream has said of itself, to this node or another one. An upstream that is leaving gets no
-     * further requests, until it starts again under its id.
+     * further requests, until it starts again under its id; a node that does not know that yet may still report its
+     * limit.
      *
      * @return whether that was not known
      */
     public boolean note(UpstreamNotice notice) {
         Known known = notices.get(notice.upstream());
-        if (known != null
-                && (known.notice().equals(notice) || known.notice().startedMillis() > notice.startedMillis())) {
+        if (known != null && known.notice().startedMillis() > notice.startedMillis()) {
+            return false;
+        }
+        boolean leaving =
+                known != null && known.notice().leaving() && known.notice().startedMillis() == notice.startedMillis();
+        UpstreamNotice merged = new UpstreamNotice(
+                notice.upstream(), notice.startedMillis(), notice.leaving() || leaving, notice.limit());
+        if (known != null && known.notice().equals(merged)) {
             return false;
         }
         boolean limited = known != null && known.notice().limit().isPresent();
-        notices.put(notice.upstream(), new Known(notice, limited ? known.limitedSinceNanos() : ticker.nanos()));
+        notices.put(merged.upstream(), new Known(merged, limited ? known.limitedSinceNanos() : ticker.nanos()));
         notifyListeners();
         return true;
     }
@@ -135,11 +142,7 @@
                 .filter(earlier -> sentNanos - earlier.limitedSinceNanos() < 0)
                 .map(earlier -> earlier.notice().limit())
                 .orElse(limit);
-        UpstreamNotice notice = new UpstreamNotice(
-                upstream.id(),
-                upstream.startedMillis(),
-                leaving || known.map(earlier -> earlier.notice().leaving()).orElse(false),
-                limitInForce);
+        UpstreamNotice notice = new UpstreamNotice(upstream.id(), upstream.startedMillis(), leaving, limitInForce);
         return note(notice) ? Optional.of(notice) : Optional.empty();
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/CrashingRequestTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/CrashingRequestTest.java
@@ -57,6 +57,7 @@
         for (int i = 0; i < 3; i++) {
             harness.startNode("n" + i);
         }
+        harness.awaitOneScheduler();
     }
 
     @AfterEach
--- a/serving/src/test/java/dev/lavenderline/serving/node/LeavingResponseTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/LeavingResponseTest.java
@@ -108,10 +108,11 @@
     @Test
     void otherNodesSendNoFurtherRequests() throws IOException {
         harness.startNode("n2");
+        harness.awaitOneScheduler();
         sayLeaving();
         assertEquals(200, post(0, "unsafe"));
         addOther();
-        await().pollDelay(Duration.ofMillis(500)).atMost(TIMEOUT).until(() -> post(0, "unsafe") == 200);
+        await().atMost(TIMEOUT).until(() -> post(0, "unsafe") == 200);
         assertNoneGoesToTheLeaving(1, 2);
     }
 
@@ -122,7 +123,8 @@
         assertEquals(200, post(0, "unsafe"));
         addOther();
         harness.startNode("late");
-        await().pollDelay(Duration.ofMillis(500)).atMost(TIMEOUT).until(() -> post(2, "stream") == 200);
+        harness.awaitOneScheduler();
+        await().atMost(TIMEOUT).until(() -> post(2, "stream") == 200);
         assertNoneGoesToTheLeaving(2);
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/LimitedUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/LimitedUpstreamTest.java
@@ -61,6 +61,7 @@
         for (int i = 0; i < 3; i++) {
             harness.startNode("n" + i);
         }
+        harness.awaitOneScheduler();
     }
 
     @AfterEach
@@ -147,6 +148,7 @@
     void nodeThatStartsLaterKeepsTheLimit() throws IOException {
         load(Duration.ofSeconds(1), "stream", "safe");
         harness.startNode("late");
+        harness.awaitOneScheduler();
         load(LOAD_TIME, "stream", "safe");
         assertLimitKept();
     }
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -183,6 +183,17 @@
         return node;
     }
 
+    /** Waits until all nodes use the same scheduler, through which they tell each other what they learn. */
+    void awaitOneScheduler() {
+        await().atMost(START_TIMEOUT).until(() -> {
+            CompletableFuture<Boolean> same = new CompletableFuture<>();
+            context.runOnContext(now -> same.complete(
+                    nodes.stream().map(ServingNode::schedulerName).distinct().count() == 1
+                            && nodes.get(0).schedulerName().isPresent()));
+            return same.join();
+        });
+    }
+
     /** Ends all nodes. */
     void close() {
         vertx.close().toCompletionStage().toCompletableFuture().join();
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
@@ -62,6 +62,15 @@
         assertFalse(directory.limited("s"));
     }
 
+    @Test
+    void limitFromANodeThatDoesNotKnowOfTheLeaveKeepsIt() {
+        directory.put(upstream("e"));
+        directory.note(new UpstreamNotice("e", 0, true, OptionalDouble.empty()));
+        assertTrue(directory.note(new UpstreamNotice("e", 0, false, OptionalDouble.of(2))));
+        assertTrue(directory.drainingOrRemoved("e"));
+        assertFalse(directory.note(new UpstreamNotice("e", 0, false, OptionalDouble.of(2))), "no news");
+    }
+
     /** Another node may report late what it heard before the upstream started again. */
     @Test
     void noticeOfAnEarlierStartIsIgnored() {
