Let callers return soon if no upstream can be used for a moment

They now get the shortest delay. SlotSchedulerTest.callerMayReturnSoonAfterAMomentWithoutUpstreams failed before (PT24H0.5S).

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -271,7 +271,12 @@
         if (tryPlace(request)) {
             return;
         }
-        Duration wait = expectedWait(request.service());
+        Optional<Duration> expectedWait = expectedWait(request.service());
+        if (expectedWait.isEmpty()) {
+            decisions.rejected(request.node(), request.lease(), retryAfter(Duration.ZERO));
+            return;
+        }
+        Duration wait = expectedWait.get();
         Duration maxWait = request.retry()
                 ? request.timeToDeadline()
                 : request.timeToTarget().minus(options.firstEventTime());
@@ -339,20 +344,20 @@
         return earliest.plusMillis(spread);
     }
 
-    /** Estimates the time until a request that is queued now gets a slot. */
-    private Duration expectedWait(String service) {
+    /** Estimates the time until a request that is queued now gets a slot; empty if no upstream can be used now. */
+    private Optional<Duration> expectedWait(String service) {
         double requestsPerSecond = directory.open(service).stream()
                 .filter(upstream -> health.usable(upstream.id()))
                 .mapToDouble(this::requestsPerSecond)
                 .sum();
         if (requestsPerSecond == 0) {
-            return Duration.ofDays(1);
+            return Optional.empty();
         }
         long ahead = waiting.stream()
                 .filter(entry -> entry.request().service().equals(service))
                 .count();
         double seconds = (ahead + 1) / requestsPerSecond;
-        return Duration.ofNanos((long) (seconds * 1e9));
+        return Optional.of(Duration.ofNanos((long) (seconds * 1e9)));
     }
 
     /** Returns the rate at which slots of an upstream become free for online requests, or its limit if that is lower. */
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -183,6 +183,16 @@
         assertTrue(decisions.rejected.get(0).compareTo(Duration.ofSeconds(3)) < 0, "" + decisions.rejected);
     }
 
+    /** Guards against callers that are told to come back after a day because all upstreams are ejected for a moment. */
+    @Test
+    void callerMayReturnSoonAfterAMomentWithoutUpstreams() {
+        scheduler.suspected("e1");
+        scheduler.suspected("e2");
+        acquire();
+        assertEquals(1, decisions.rejected.size());
+        assertTrue(decisions.rejected.get(0).compareTo(Duration.ofSeconds(2)) < 0, "" + decisions.rejected);
+    }
+
     @Test
     void requestWaitsForTheLimit() {
         limit("e1", 4);
