--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -467,7 +467,7 @@
         return failure == SendFailure.LOST || failure == SendFailure.CUT;
     }
 
-    /** Returns whether the upstream had not begun to answer, or only just; later, no part of the prompt is the cause. */
+    /** Returns whether the upstream had not begun to answer, or only just; later, no prompt part is the cause. */
     private boolean aboutToBeAnswered() {
         return exchangeFirstByteNanos == 0
                 || context.ticker().nanos() - exchangeFirstByteNanos <= CRASH_PERIOD.toNanos();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/CrashingPrompts.java
@@ -153,8 +153,8 @@
     /**
      * Records that a request has completed.
      *
-     * @return whether the scheduler should know, because upstreams have crashed under the request, or because it has not
-     *     heard of a part of its prompt lately
+     * @return whether the scheduler should know, because upstreams have crashed under the request, or because it has
+     *     not heard of a part of its prompt lately
      */
     boolean completed(RequestTraits traits) {
         boolean report = !traits.sharedParts().isEmpty() && partsCompleted(traits.sharedParts());
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
@@ -15,7 +15,8 @@
 
 /**
  * Chooses the upstream with the fewest requests of this node. Used for plain services without limited upstreams, and
- * for all services while no scheduler responds. Prefers upstreams in the node's failure domain until they have a few more requests than others.
+ * for all services while no scheduler responds. Prefers upstreams in the node's failure domain until they have a few
+ * more requests than others.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -360,7 +360,7 @@
         return Optional.of(Duration.ofNanos((long) (seconds * 1e9)));
     }
 
-    /** Returns the rate at which slots of an upstream become free for online requests, or its limit if that is lower. */
+    /** Returns the rate at which slots of an upstream become free for online requests, or its limit if lower. */
     private double requestsPerSecond(Upstream upstream) {
         double meanSeconds = onlineHoldTimes.meanSeconds(upstream.service());
         OptionalDouble limit = rates.highestRate(upstream);
