Correct what the pages say of requests beyond a limit

The comment of RequestRates and two pages said that only requests which would be refused otherwise exceed a limit. Batch items may too, up to the same bound, and so may an online request that could have waited; no code has changed.

--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/RequestRates.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/RequestRates.java
@@ -10,9 +10,10 @@
 /**
  * Keeps requests to upstreams within the limits that these name in their responses, with two token buckets for each.
  *
- * <p>One bucket has the rate of the limit; upstreams that have tokens in it come first. The other one bounds what may
- * exceed the limit rather than being refused: users count an upstream as overrun from {@link #OVERRUN_FACTOR} times its
- * limit and {@link #OVERRUN_REQUESTS} in {@link #OVERRUN_PERIOD}. A part of that is left for the delays between nodes.
+ * <p>One bucket has the rate of the limit; for online requests, upstreams that have tokens in it come first. The other
+ * one bounds all requests, batch items included, and allows more than the limit: users count an upstream as overrun
+ * from {@link #OVERRUN_FACTOR} times its limit and {@link #OVERRUN_REQUESTS} in {@link #OVERRUN_PERIOD}. A part of that
+ * is left for the delays between nodes.
  *
  * <p>Buckets are empty when their limit becomes known, since the upstream has requests already.
  *
@@ -25,7 +26,7 @@
     static final double OVERRUN_FACTOR = 1.5;
     static final double OVERRUN_REQUESTS = 5;
 
-    /** Factor of the limit at which requests are sent for as long as they would be refused otherwise. */
+    /** Factor of the limit up to which an upstream gets requests if there are enough of them. */
     static final double MAX_FACTOR = 1.4;
 
     /** Requests left of the allowance for requests that the network or another scheduler delays. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/CrashingRequestTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/CrashingRequestTest.java
@@ -19,9 +19,9 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Guards against a request that comes again and again and crashes one upstream after the other. An upstream here crashes
- * a while after it has begun to run the body "crash": it closes its port and all its connections, and is back under
- * another id soon.
+ * Guards against a request that comes again and again and crashes one upstream after the other. An upstream here
+ * crashes a while after it has begun to run the body "crash": it closes its port and all its connections, and is back
+ * under another id soon.
  */
 @Timeout(60)
 class CrashingRequestTest {
