--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
@@ -2,6 +2,8 @@
 
 import dev.lavenderline.serving.slots.NodeEntry;
 import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
 
 /**
  * Settings of a serving process. Immutable.
@@ -15,6 +17,9 @@
  * @param maxRecordBytes largest record that the store accepts, in bytes
  * @param resultRetention time after its submission for which the results of a job have to be readable
  * @param gracePeriod time from the termination signal until the process is killed
+ * @param keyRevocation time after the acknowledgement of a configuration without a key from which no request with that
+ *     key may run; empty if there is no such bound
+ * @param regions regions of the failure domains, by name of the failure domain
  */
 public record ServingSettings(
         NodeEntry self,
@@ -25,7 +30,13 @@
         int payloadPartitions,
         int maxRecordBytes,
         Duration resultRetention,
-        Duration gracePeriod) {
+        Duration gracePeriod,
+        Optional<Duration> keyRevocation,
+        Map<String, String> regions) {
+    public ServingSettings {
+        regions = Map.copyOf(regions);
+    }
+
     /** A host and a port. */
     public record Address(String host, int port) {
         @Override
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -14,6 +14,9 @@
  * @param resumedAttempt id of the attempt that brought the first event of the stream that the caller resumes
  * @param sharedPrefix hash of the prompt prefix shared with other requests, 0 if there is none
  * @param sharedParts hashes of the parts of the prompt that other requests may share: all but the last
+ * @param apiKey key of the caller, empty if it sent none, more than one, or one in another form
+ * @param promptTokens tokens of the prompt, 0 if the caller did not say
+ * @param maxOutputTokens largest number of tokens of the output, 0 if the caller did not say
  * @param maxWait longest time for which a long poll may wait for new results
  */
 public record RequestInfo(
@@ -23,6 +26,9 @@
         Optional<String> resumedAttempt,
         long sharedPrefix,
         List<Long> sharedParts,
+        Optional<String> apiKey,
+        int promptTokens,
+        int maxOutputTokens,
         Duration maxWait) {
     public RequestInfo {
         sharedParts = List.copyOf(sharedParts);
--- a/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.routes;
 
+import dev.lavenderline.serving.workspaces.Workspaces;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -20,10 +21,22 @@
     private final Map<String, Route> routesByName = new HashMap<>();
     private final Map<String, ServiceInfo> services = new HashMap<>();
     private final CallerLimits limits;
+    private final Workspaces workspaces;
 
+    /** Creates a configuration without workspaces. */
     public FleetConfig(long version, Collection<Route> routes, Collection<ServiceInfo> services, CallerLimits limits) {
+        this(version, routes, services, limits, Workspaces.none());
+    }
+
+    public FleetConfig(
+            long version,
+            Collection<Route> routes,
+            Collection<ServiceInfo> services,
+            CallerLimits limits,
+            Workspaces workspaces) {
         this.version = version;
         this.limits = limits;
+        this.workspaces = workspaces;
         services.forEach(service -> this.services.put(service.name(), service));
         for (Route route : routes) {
             routesByName.put(route.name(), route);
@@ -47,6 +60,10 @@
         return limits;
     }
 
+    public Workspaces workspaces() {
+        return workspaces;
+    }
+
     /** Returns the number of routes. */
     public int routeCount() {
         return routesByName.size();
--- a/serving/src/main/java/dev/lavenderline/serving/routes/Route.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/Route.java
@@ -20,7 +20,9 @@
  * @param maxEventGap target for the longest gap between the events of a stream, zero if there is none
  * @param completionTarget time from the acceptance of a job until its results are due
  * @param retention time from the acceptance of a job until its unfinished items may be abandoned
- * @param maxWaitingTokens limit on the tokens of unfinished items of all callers together, 0 for no limit
+ * @param maxWaitingTokens limit on the tokens of unfinished items of each workspace, or of all callers together if
+ *     there are no workspaces; 0 for no limit
+ * @param publicAccess whether callers need no key
  */
 public record Route(
         String name,
@@ -36,7 +38,8 @@
         Duration maxEventGap,
         Duration completionTarget,
         Duration retention,
-        long maxWaitingTokens) {
+        long maxWaitingTokens,
+        boolean publicAccess) {
     public Route {
         services = List.copyOf(services);
         if (services.isEmpty()) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -94,7 +94,12 @@
                 .setDeadlineLeftMs((int) Math.max(0, request.timeToDeadline().toMillis()))
                 .addAllExcluded(request.excluded())
                 .setPrefix(request.prefix())
-                .setReturning(request.retry());
+                .setReturning(request.retry())
+                .setWorkspace(request.workspace())
+                .setPriority(request.priority())
+                .setCharged(request.charged())
+                .setPromptTokens(request.promptTokens())
+                .setOutputTokens(request.maxOutputTokens());
         request.origin()
                 .ifPresent(origin -> acquire.setOrigin(Origin.newBuilder()
                         .setVersion(origin.version().orElse(""))
@@ -124,7 +129,12 @@
                 Set.copyOf(acquire.getExcludedList()),
                 acquire.getPrefix(),
                 acquire.getReturning(),
-                origin(acquire));
+                origin(acquire),
+                acquire.getWorkspace(),
+                acquire.getPriority(),
+                acquire.getCharged(),
+                acquire.getPromptTokens(),
+                acquire.getOutputTokens());
     }
 
     static Buffer release(long lease, ReleaseReason reason, int keptEvents) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -16,6 +16,12 @@
  * @param prefix hash of the shared prompt prefix, 0 if there is none
  * @param retry whether an earlier attempt was rejected or failed
  * @param origin where the stream began that the request continues, empty for a new one
+ * @param workspace name of the caller's workspace, empty if there is none
+ * @param priority priority, 0 is the highest
+ * @param charged whether the request counts toward the quota of its workspace; an earlier one for the same attempt of
+ *     the caller may have counted already
+ * @param promptTokens tokens of the prompt, 0 if unknown
+ * @param maxOutputTokens largest number of tokens of the output, 0 if unknown
  */
 public record SlotRequest(
         String node,
@@ -26,7 +32,26 @@
         Set<String> excluded,
         long prefix,
         boolean retry,
-        Optional<StreamOrigin> origin) {
+        Optional<StreamOrigin> origin,
+        String workspace,
+        int priority,
+        boolean charged,
+        int promptTokens,
+        int maxOutputTokens) {
+    /** Creates a request without a workspace, of the highest priority. */
+    public SlotRequest(
+            String node,
+            long lease,
+            String service,
+            Duration timeToTarget,
+            Duration timeToDeadline,
+            Set<String> excluded,
+            long prefix,
+            boolean retry,
+            Optional<StreamOrigin> origin) {
+        this(node, lease, service, timeToTarget, timeToDeadline, excluded, prefix, retry, origin, "", 0, false, 0, 0);
+    }
+
     /** Returns whether the request continues a stream of which it is not known where it began. */
     boolean originUnknown() {
         return origin.isPresent() && origin.get().version().isEmpty();
@@ -43,6 +68,11 @@
                 excluded,
                 prefix,
                 retry,
-                origin.map(known -> new StreamOrigin(Optional.of(version), known.attempt())));
+                origin.map(known -> new StreamOrigin(Optional.of(version), known.attempt())),
+                workspace,
+                priority,
+                charged,
+                promptTokens,
+                maxOutputTokens);
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -23,8 +23,8 @@
 
 /**
  * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, parts
- * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, limit (requests a second), retry
- * (milliseconds). A job's body is a comma-separated list of item ids; those that begin with "crash" have the parts 1
+ * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, limit (requests a second), key,
+ * retry (milliseconds). A job's body is a comma-separated list of item ids; those that begin with "crash" have the parts 1
  * and 666, the others 1. Stateless and thread-safe.
  */
 public final class TestWireFormat implements WireFormat {
@@ -42,6 +42,9 @@
                 Optional.ofNullable(headers.get("resumes")),
                 0,
                 sharedParts(headers),
+                Optional.ofNullable(headers.get("key")),
+                0,
+                0,
                 Duration.ZERO);
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -142,7 +142,8 @@
                 Duration.ZERO,
                 Duration.ofSeconds(18),
                 Duration.ofSeconds(60),
-                0);
+                0,
+                false);
         store.accept(new JobSubmission(ITEM.job(), List.of(item)), route, "host", Duration.ofSeconds(2));
         time.advance(Duration.ofMillis(500));
     }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/FleetRestartTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/FleetRestartTest.java
@@ -125,7 +125,8 @@
                 Duration.ZERO,
                 Duration.ofSeconds(18),
                 Duration.ofSeconds(60),
-                0);
+                0,
+                false);
     }
 
     private String randomText(int length) {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -73,7 +73,8 @@
                 Duration.ZERO,
                 Duration.ofSeconds(18),
                 Duration.ofSeconds(60),
-                maxWaitingTokens);
+                maxWaitingTokens,
+                false);
     }
 
     private static JobSubmission submission(String id, int items) {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
@@ -82,7 +82,8 @@
                     Duration.ZERO,
                     Duration.ofSeconds(18),
                     Duration.ofSeconds(60),
-                    maxWaitingTokens);
+                    maxWaitingTokens,
+                    false);
             return jobs.accept(new JobSubmission("j", list), route, "host", TIMEOUT);
         }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/JobCleanerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/JobCleanerTest.java
@@ -58,7 +58,8 @@
                 Duration.ZERO,
                 Duration.ofSeconds(18),
                 ITEM_RETENTION,
-                0);
+                0,
+                false);
         JobItem item = JobItem.newBuilder().setId("i").build();
         jobs.accept(new JobSubmission("j", List.of(item)), route, "h", Duration.ofSeconds(1));
     }
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -28,6 +28,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -90,7 +92,8 @@
                     Duration.ofMillis(300),
                     Duration.ofSeconds(18),
                     Duration.ofSeconds(60),
-                    1_000);
+                    1_000,
+                    false);
         }
 
         @Override
@@ -161,7 +164,9 @@
                 3,
                 100_000,
                 Duration.ofSeconds(120),
-                Duration.ofSeconds(8));
+                Duration.ofSeconds(8),
+                Optional.empty(),
+                Map.of());
         CompletableFuture<ServingNode> started = new CompletableFuture<>();
         context.runOnContext(now -> {
             ServingNode node = new ServingNode(
--- a/serving/src/test/java/dev/lavenderline/serving/routes/FleetConfigTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/routes/FleetConfigTest.java
@@ -25,7 +25,8 @@
                 Duration.ZERO,
                 Duration.ZERO,
                 Duration.ZERO,
-                0);
+                0,
+                false);
     }
 
     private final FleetConfig config = new FleetConfig(
