Let batch items in progress complete while a node drains

Cause: a draining node stopped its items 2.6 s after SIGTERM and dropped their partial outputs, so that other nodes ran them again from the start.

Change: items run on until 0.8 s before the end of the drain. The new test showed a second fault: a scheduler that takes over from a draining node could start that node's items again, because the node is not registered any more and so nobody waited for it to join. A new scheduler starts no items in its first 0.5 s.

Result: itemInProgressCompletesBeforeTheNodeStops failed with four requests at the upstream before the second part, now two. ServingNodeTest, SchedulerClientTest, SchedulerChangeTest and LostNodesTest pass.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -78,6 +78,12 @@
      */
     private static final Duration WAITING_MARGIN = Duration.ofMillis(400);
 
+    /**
+     * Time before the end of the drain at which the items still in progress are stopped. Leaves time to record the
+     * results of those that have just completed.
+     */
+    private static final Duration ITEM_MARGIN = Duration.ofMillis(800);
+
     private static final Duration DRAIN_CHECK_PERIOD = Duration.ofMillis(50);
 
     private final ServingSettings settings;
@@ -289,8 +295,9 @@
     }
 
     /**
-     * Finishes requests in progress, stops batch items and then runs a callback; later calls have no effect. Requests
-     * that still wait for a slot shortly before the grace period runs out are rejected.
+     * Finishes requests and batch items in progress and then runs a callback; later calls have no effect. Items that
+     * are not complete shortly before the grace period runs out are stopped, and run again elsewhere from the start;
+     * requests that still wait for a slot then are rejected.
      *
      * @param onDrained receives the number of requests still in progress, 0 unless the grace period ran out
      */
@@ -305,13 +312,11 @@
         registry.deregister();
         long started = ticker.nanos();
         Duration limit = settings.gracePeriod().minus(EXIT_MARGIN);
-        timers.after(MIN_DRAIN_TIME, () -> {
-            callers.refuse();
-            runner.stopAll();
-        });
+        timers.after(MIN_DRAIN_TIME, callers::refuse);
+        timers.after(limit.minus(ITEM_MARGIN), runner::stopAll);
         timers.every(DRAIN_CHECK_PERIOD, () -> {
             long elapsed = ticker.nanos() - started;
-            boolean idle = callers.activeRequests() == 0 && jobs.pendingWrites() == 0;
+            boolean idle = callers.activeRequests() == 0 && runner.running() == 0 && jobs.pendingWrites() == 0;
             if (elapsed > limit.minus(WAITING_MARGIN).toNanos()) {
                 callers.rejectWaiting();
             }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -22,6 +22,12 @@
     /** Time in which live nodes join a new scheduler; until then it does not know the slots that they hold. */
     private static final Duration JOIN_PERIOD = Duration.ofSeconds(2);
 
+    /**
+     * Time in which nodes that are draining join a new scheduler. They are not registered any more, but go on with
+     * their items.
+     */
+    private static final Duration DRAINING_JOIN_PERIOD = Duration.ofMillis(500);
+
     /** Age of the job state above which a scheduler without a majority of nodes may be partitioned from the store. */
     private static final Duration MAX_FRESH_AGE = Duration.ofMillis(2600);
 
@@ -69,7 +75,7 @@
      * @param activeFor time since the first node joined
      */
     static boolean mayStartItems(int joined, OptionalInt registered, Duration activeFor, Duration jobStateAge) {
-        if (registered.isEmpty()) {
+        if (registered.isEmpty() || activeFor.compareTo(DRAINING_JOIN_PERIOD) < 0) {
             return false;
         }
         if (joined >= registered.getAsInt()) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -517,6 +517,21 @@
         assertEquals("close", early.join().headers().firstValue("connection").orElse("none"));
     }
 
+    /** Guards against items that a planned stop interrupts, so that other nodes run them again from the start. */
+    @Test
+    void itemInProgressCompletesBeforeTheNodeStops() throws Exception {
+        startNode("n1");
+        startNode("n2");
+        harness.awaitOneScheduler();
+        first.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 800, ScriptedUpstream.EVENT_COUNT);
+        assertEquals(202, post(0, "/batch/", "job", "i1,i2").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> first.requests.size() == 2);
+        CompletableFuture<Integer> firstStopped = drain(0);
+        firstStopped.join();
+        await().atMost(TIMEOUT).until(() -> get(1, "/jobs/job").body().lines().count() == 2);
+        assertEquals(2, first.requests.size(), first.requests + " at the upstream");
+    }
+
     /** Guards against callers that wait for the permission to send the body. */
     @Test
     void requestThatExpectsContinueIsAnswered() throws Exception {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerChangeTest.java
@@ -128,6 +128,9 @@
         Duration stale = Duration.ofSeconds(10);
         OptionalInt nodes = OptionalInt.of(81);
         assertFalse(SlotService.mayStartItems(60, nodes, Duration.ofMillis(500), fresh), "21 nodes have not joined");
+        assertFalse(
+                SlotService.mayStartItems(81, nodes, Duration.ofMillis(400), fresh),
+                "draining nodes may not have joined");
         assertTrue(SlotService.mayStartItems(81, nodes, Duration.ofMillis(500), fresh));
         assertTrue(SlotService.mayStartItems(60, nodes, Duration.ofMillis(2100), stale));
         assertTrue(SlotService.mayStartItems(20, nodes, Duration.ofMillis(2100), fresh));
