Hold requests that reach a process before it can serve them

Cause: a process listens before it has read the configuration and the upstreams.

Change: StartupQueue holds such requests until the process is ready, for half of the caller's time or 2 s at most.

--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -54,6 +54,7 @@
     private final Supplier<Optional<FleetConfig>> config;
     private final Supplier<Duration> configAge;
     private final BatchCallHandler batch;
+    private final StartupQueue startupQueue;
     private final Map<HttpConnection, Set<OnlineCall>> callsByConnection = new HashMap<>();
     private HttpServer server;
     private final Set<CallerResponse> activeResponses = new HashSet<>();
@@ -78,6 +79,8 @@
         this.context = context;
         this.config = config;
         this.configAge = configAge;
+        this.startupQueue = new StartupQueue(
+                () -> config.get().isPresent() && context.directory().loaded(), context.ticker(), timers);
         this.batch = new BatchCallHandler(context.wire(), ledger, jobs, timers, context.log());
     }
 
@@ -176,15 +179,31 @@
                 response.sendText(503, "not run: this node is leaving", DRAINING_RETRY_DELAY);
                 return;
             }
-            try {
-                dispatch(request, body, response, arrivalNanos);
-            } catch (RuntimeException e) {
-                context.log().event(ServingEvent.UNEXPECTED, "uri", request.uri(), "message", e);
-                response.sendText(500, "internal error");
-            }
+            startupQueue.submit(
+                    maxStartupWait(request),
+                    () -> dispatchSafely(request, body, response, arrivalNanos),
+                    () -> response.sendText(503, "not run: this node is starting", NOT_READY_RETRY_DELAY));
         });
     }
 
+    /** Returns the time for which a request may wait for the start; the other half of its time is left to serve it. */
+    private Duration maxStartupWait(HttpServerRequest request) {
+        return context.wire()
+                .parseRequest(request.headers())
+                .timeout()
+                .map(timeout -> timeout.dividedBy(2))
+                .orElse(StartupQueue.MAX_WAIT);
+    }
+
+    private void dispatchSafely(HttpServerRequest request, Buffer body, CallerResponse response, long arrivalNanos) {
+        try {
+            dispatch(request, body, response, arrivalNanos);
+        } catch (RuntimeException e) {
+            context.log().event(ServingEvent.UNEXPECTED, "uri", request.uri(), "message", e);
+            response.sendText(500, "internal error");
+        }
+    }
+
     private void trackResponse(HttpServerRequest request, CallerResponse response) {
         activeResponses.add(response);
         request.response().closeHandler(closed -> activeResponses.remove(response));
@@ -198,22 +217,18 @@
     }
 
     private void dispatch(HttpServerRequest request, Buffer body, CallerResponse response, long arrivalNanos) {
-        Optional<FleetConfig> current = config.get();
-        if (current.isEmpty()) {
-            response.sendText(503, "not run: no configuration yet", NOT_READY_RETRY_DELAY);
-            return;
-        }
+        FleetConfig current = config.get().orElseThrow();
         String host = Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse("");
         RequestInfo info = context.wire().parseRequest(request.headers());
-        Optional<Route> route = current.get().route(host, request.path() == null ? "" : request.path());
+        Optional<Route> route = current.route(host, request.path() == null ? "" : request.path());
         if (route.isEmpty()) {
-            Optional<BatchCall> call = current.get().hasHost(host)
+            Optional<BatchCall> call = current.hasHost(host)
                     ? context.wire().parseBatchCall(request.method(), request.uri())
                     : Optional.empty();
             if (call.isPresent()) {
                 batch.handle(call.get(), info, response);
             } else {
-                rejectUnknownRoute(request, host, info, current.get(), response);
+                rejectUnknownRoute(request, host, info, current, response);
             }
             return;
         }
@@ -221,7 +236,7 @@
             batch.submit(route.get(), host, info, body, response);
             return;
         }
-        handleOnline(request, body, response, arrivalNanos, info, route.get(), current.get());
+        handleOnline(request, body, response, arrivalNanos, info, route.get(), current);
     }
 
     /** Rejects a request without a route. Only a node with the newest configuration may deny the route. */
