Place online requests by the expected wait in milliseconds

Cause: engines were compared by points without a unit. A free slot in another region beat one at home that had six requests more, prices of traffic could not be stated, and the memory of engines was read nowhere.

Change: PlacementCost estimates wait, prefill, contention, network, risk and price of each engine; the lowest sum wins. Requests and items are only sent to an engine whose memory holds their tokens beside those that run there (EngineMemory), and a request larger than any engine is rejected at once.

--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -32,6 +32,7 @@
     UPSTREAM_SLOW("LL-1441", "slow upstream temporarily limited to few requests"),
     PROMPT_REJECTED("LL-1442", "requests that crash upstreams are rejected from now on"),
     UPSTREAM_CRASHED("LL-1443", "upstream refuses connections after it lost a request"),
+    DOMAIN_OVERFLOW("LL-1444", "failure domain begins or ends to use the upstreams of others"),
     REQUEST_ENDED("LL-1450", "request ended"),
     REQUEST_SENT_AGAIN("LL-1451", "request retried on another upstream"),
     ITEM_STARTED("LL-1460", "batch item started"),
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -180,6 +180,11 @@
                 .plainServices(service -> !config.current()
                         .map(current -> current.modelEngines(service))
                         .orElse(true));
+        slots.scheduler()
+                .engineMemory(service -> config.current()
+                        .map(current -> current.memoryTokens(service))
+                        .orElse(0L));
+        slots.scheduler().topology(settings.topology());
         this.schedulerClient = slots.client();
         this.connections = new UpstreamConnections(vertx, ticker);
         connections.onResponseInfo(this::responseReceived);
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
@@ -1,8 +1,8 @@
 package dev.lavenderline.serving.node;
 
 import dev.lavenderline.serving.slots.NodeEntry;
+import dev.lavenderline.serving.slots.Topology;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -19,7 +19,7 @@
  * @param gracePeriod time from the termination signal until the process is killed
  * @param keyRevocation time after the acknowledgement of a configuration without a key from which no request with that
  *     key may run; empty if there is no such bound
- * @param regions regions of the failure domains, by name of the failure domain
+ * @param topology distances between failure domains, and the price of traffic between them
  */
 public record ServingSettings(
         NodeEntry self,
@@ -32,11 +32,7 @@
         Duration resultRetention,
         Duration gracePeriod,
         Optional<Duration> keyRevocation,
-        Map<String, String> regions) {
-    public ServingSettings {
-        regions = Map.copyOf(regions);
-    }
-
+        Topology topology) {
     /** A host and a port. */
     public record Address(String host, int port) {
         @Override
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -251,7 +251,13 @@
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
                 callerRetries() || sends > 0 || origin.isPresent(),
-                origin);
+                origin,
+                "",
+                route.priority(),
+                false,
+                info.promptTokens(),
+                info.maxOutputTokens(),
+                info.sharedTokens());
     }
 
     /** Returns whether the caller has received events of this stream in an earlier attempt. */
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -17,6 +17,7 @@
  * @param apiKey key of the caller, empty if it sent none, more than one, or one in another form
  * @param promptTokens tokens of the prompt, 0 if the caller did not say
  * @param maxOutputTokens largest number of tokens of the output, 0 if the caller did not say
+ * @param sharedTokens tokens of the parts of the prompt but the last, 0 if the caller did not say
  * @param maxWait longest time for which a long poll may wait for new results
  */
 public record RequestInfo(
@@ -29,6 +30,7 @@
         Optional<String> apiKey,
         int promptTokens,
         int maxOutputTokens,
+        int sharedTokens,
         Duration maxWait) {
     public RequestInfo {
         sharedParts = List.copyOf(sharedParts);
--- a/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -99,6 +99,12 @@
         return info != null && info.modelEngines();
     }
 
+    /** Returns the tokens that one engine of a service keeps in memory, 0 if that is not known. */
+    public long memoryTokens(String service) {
+        ServiceInfo info = services.get(service);
+        return info == null ? 0 : info.memoryTokens();
+    }
+
     private static String hostName(String host) {
         int colon = host.indexOf(':');
         String name = colon < 0 ? host : host.substring(0, colon);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The slots that nodes hold, by node, upstream and item.
@@ -47,7 +48,7 @@
      *
      * @param startNanos time of the grant, or of the hello that reported the slot
      * @param dueNanos time at which the item's result is due; {@code Long.MAX_VALUE} if unknown or an online request
-     * @param tokens tokens of the item, 0 if they are not known or for an online request
+     * @param tokens tokens of the item, or those that an online request adds to the memory, 0 if they are not known
      * @param partialRun whether the hold time covers only part of a run: the run resumed partial output, or began
      *     before the node joined this scheduler
      */
@@ -88,6 +89,18 @@
             return items;
         }
 
+        /** Returns the tokens of each online request. */
+        List<Integer> onlineTokens() {
+            return online.stream().map(Lease::tokens).toList();
+        }
+
+        /** Returns the tokens of each request and item. */
+        List<Integer> tokens() {
+            return Stream.concat(online.stream(), items.stream())
+                    .map(Lease::tokens)
+                    .toList();
+        }
+
         int total() {
             return online.size() + items.size();
         }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -99,7 +99,8 @@
                 .setPriority(request.priority())
                 .setCharged(request.charged())
                 .setPromptTokens(request.promptTokens())
-                .setOutputTokens(request.maxOutputTokens());
+                .setOutputTokens(request.maxOutputTokens())
+                .setSharedTokens(request.sharedTokens());
         request.origin()
                 .ifPresent(origin -> acquire.setOrigin(Origin.newBuilder()
                         .setVersion(origin.version().orElse(""))
@@ -134,7 +135,8 @@
                 acquire.getPriority(),
                 acquire.getCharged(),
                 acquire.getPromptTokens(),
-                acquire.getOutputTokens());
+                acquire.getOutputTokens(),
+                acquire.getSharedTokens());
     }
 
     static Buffer release(long lease, ReleaseReason reason, int keptEvents) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -22,6 +22,7 @@
  *     the caller may have counted already
  * @param promptTokens tokens of the prompt, 0 if unknown
  * @param maxOutputTokens largest number of tokens of the output, 0 if unknown
+ * @param sharedTokens tokens of the shared part of the prompt, 0 if unknown
  */
 public record SlotRequest(
         String node,
@@ -37,7 +38,8 @@
         int priority,
         boolean charged,
         int promptTokens,
-        int maxOutputTokens) {
+        int maxOutputTokens,
+        int sharedTokens) {
     /** Creates a request without a workspace, of the highest priority. */
     public SlotRequest(
             String node,
@@ -49,7 +51,31 @@
             long prefix,
             boolean retry,
             Optional<StreamOrigin> origin) {
-        this(node, lease, service, timeToTarget, timeToDeadline, excluded, prefix, retry, origin, "", 0, false, 0, 0);
+        this(
+                node,
+                lease,
+                service,
+                timeToTarget,
+                timeToDeadline,
+                excluded,
+                prefix,
+                retry,
+                origin,
+                "",
+                0,
+                false,
+                0,
+                0,
+                0);
+    }
+
+    /**
+     * Returns the tokens that the request adds to the memory of an engine, 0 if they are not known.
+     *
+     * @param prefixCached whether the engine has the shared part of the prompt already
+     */
+    long neededTokens(boolean prefixCached) {
+        return Math.max(0, (long) promptTokens - (prefixCached ? sharedTokens : 0)) + maxOutputTokens;
     }
 
     /** Returns whether the request continues a stream of which it is not known where it began. */
@@ -73,6 +99,7 @@
                 priority,
                 charged,
                 promptTokens,
-                maxOutputTokens);
+                maxOutputTokens,
+                sharedTokens);
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -23,6 +23,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Places online requests and batch items on the slots of engines.
@@ -41,34 +42,6 @@
     /** Initial estimate of the hold time of an online request. */
     private static final double INITIAL_ONLINE_SECONDS = 0.7;
 
-    // Placement scores, in points; the upstream with the most points gets the request. The base score is 200 for a free
-    // slot, 100 for an item's slot and 0 for a place in the upstream's queue. The other scores are added to it or
-    // subtracted from it. As a free slot adds half a point, one point is worth two free slots.
-
-    private static final double FREE_SLOT_SCORE = 200;
-    private static final double ITEM_SLOT_SCORE = 100;
-
-    /** Points subtracted for each online request beyond the upstream's slots. */
-    private static final double QUEUE_SCORE = 10;
-
-    /** Score of each free slot, or of each preemptible one if none is free; spreads requests over upstreams. */
-    private static final double HEADROOM_SCORE = 0.5;
-
-    /** Score of an upstream in the node's failure domain; one elsewhere needs over six more free slots to win. */
-    private static final double SAME_FAILURE_DOMAIN_SCORE = 3;
-
-    /** Score of a cached prompt prefix, worth four free slots; it saves about 3 ms of an engine's time. */
-    private static final double PREFIX_CACHED_SCORE = 2;
-
-    /** Penalty of an upstream on trial after an ejection; half the difference of a free slot and an item's slot. */
-    private static final double SUSPECTED_PENALTY = 50;
-
-    /** Penalty of a slow upstream: an item's slot on another upstream ranks before a free slot there. */
-    private static final double SLOW_PENALTY = 120;
-
-    /** Penalty of an upstream that has used up its limit; an item's slot elsewhere ranks before a free slot there. */
-    private static final double LIMITED_PENALTY = 110;
-
     /** Time between two checks for slow upstreams. */
     private static final Duration SLOW_CHECK_INTERVAL = Duration.ofMillis(100);
 
@@ -107,12 +80,15 @@
     private final PrefixCacheIndex prefixCache = new PrefixCacheIndex();
     private final SlowUpstreamDetector slowUpstreams;
     private final RequestRates rates;
+    private final DomainOverflow overflow;
     private final StreamVersions streamVersions;
     private long lastSlowCheckNanos;
     private BooleanSupplier mayStartItems = () -> true;
     private BooleanSupplier mustStopItems = () -> false;
     private BooleanSupplier mayLearnOrigins = () -> false;
     private Predicate<String> plainService = service -> false;
+    private ToLongFunction<String> memoryTokens = service -> 0;
+    private PlacementCost placementCost = new PlacementCost(Topology.ofRegions(Map.of()));
     private long activeSinceNanos;
     private long nextItemLease;
 
@@ -174,6 +150,7 @@
         this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
         this.rates = new RequestRates(ticker, directory, () -> 1);
+        this.overflow = new DomainOverflow(ticker);
         this.streamVersions = new StreamVersions(ticker, directory);
         this.lastSlowCheckNanos = ticker.nanos();
         // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
@@ -201,6 +178,16 @@
         plainService = condition;
     }
 
+    /** Sets the tokens that an engine of a service keeps in memory, 0 if that is not known. */
+    public void engineMemory(ToLongFunction<String> tokens) {
+        memoryTokens = tokens;
+    }
+
+    /** Sets the distances between failure domains, and the price of traffic between them. */
+    public void topology(Topology topology) {
+        placementCost = new PlacementCost(topology);
+    }
+
     /** Returns where recent streams began. */
     StreamVersions streamVersions() {
         return streamVersions;
@@ -264,6 +251,10 @@
             decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
             return;
         }
+        if (tooLarge(request)) {
+            decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+            return;
+        }
         if (request.origin().isPresent()) {
             acquireForStartedStream(request);
             return;
@@ -287,6 +278,10 @@
         enqueue(request);
     }
 
+    private boolean tooLarge(SlotRequest request) {
+        return EngineMemory.tooLarge(memoryTokens.applyAsLong(request.service()), request.neededTokens(false));
+    }
+
     /** Queues a request for the rest of a stream until its deadline, unless no upstream may continue the stream. */
     private void acquireForStartedStream(SlotRequest received) {
         SlotRequest request = resolveOrigin(received);
@@ -375,15 +370,18 @@
     private boolean tryPlace(SlotRequest request) {
         NodeState node = leases.node(request.node()).orElseThrow();
         Upstream best = null;
-        double bestScore = Double.NEGATIVE_INFINITY;
+        double lowestCost = Double.POSITIVE_INFINITY;
+        double meanHoldSeconds = onlineHoldTimes.meanSeconds(request.service());
         for (Upstream upstream : directory.open(request.service())) {
             if (!hasCapacity(upstream, request)) {
                 continue;
             }
-            double score = score(upstream, node, request);
-            if (score > bestScore) {
+            double cost = placementCost
+                    .estimate(candidate(upstream, request), node.failureDomain, request.sharedTokens(), meanHoldSeconds)
+                    .total();
+            if (cost < lowestCost) {
                 best = upstream;
-                bestScore = score;
+                lowestCost = cost;
             }
         }
         if (best == null) {
@@ -392,10 +390,36 @@
         if (leases.occupancy(best.id()).total() >= best.slots()) {
             preemptionCandidate(best.id()).ifPresent(this::preempt);
         }
+        freeMemory(best, request);
+        reportOverflow(request.service(), node.failureDomain, best.failureDomain());
         grant(request, node, best);
         return true;
     }
 
+    /** Preempts the items beside which a request does not fit into the memory of an engine. */
+    private void freeMemory(Upstream upstream, SlotRequest request) {
+        Occupancy occupancy = leases.occupancy(upstream.id());
+        long capacity = memoryTokens.applyAsLong(upstream.service());
+        long needed = request.neededTokens(prefixCached(upstream, request));
+        while (!occupancy.itemLeases().isEmpty() && !EngineMemory.fits(capacity, occupancy.tokens(), needed)) {
+            preemptionCandidate(upstream.id()).ifPresent(this::preempt);
+        }
+    }
+
+    private void reportOverflow(String service, String from, String to) {
+        overflow.placed(from, to)
+                .ifPresent(change -> log.event(
+                        ServingEvent.DOMAIN_OVERFLOW,
+                        "failureDomain",
+                        from,
+                        "service",
+                        service,
+                        "state",
+                        change.overflows() ? "begins" : "ends",
+                        "share",
+                        change.share()));
+    }
+
     /** Returns whether a request may be sent to an upstream once that has room. */
     private static boolean eligible(Upstream upstream, SlotRequest request) {
         if (request.excluded().contains(upstream.id())) {
@@ -410,7 +434,12 @@
             return false;
         }
         int queued = health.suspected(upstream.id()) ? 0 : queuedRequests(upstream);
-        return leases.occupancy(upstream.id()).onlineCount() < upstream.slots() + queued;
+        Occupancy occupancy = leases.occupancy(upstream.id());
+        return occupancy.onlineCount() < upstream.slots() + queued
+                && EngineMemory.fits(
+                        memoryTokens.applyAsLong(upstream.service()),
+                        occupancy.onlineTokens(),
+                        request.neededTokens(prefixCached(upstream, request)));
     }
 
     private int queuedRequests(Upstream upstream) {
@@ -419,37 +448,28 @@
                 : options.queuedPerUpstream();
     }
 
-    /** Ranks a free slot first, then the slot of an item, then a place in the upstream's queue. */
-    private double score(Upstream upstream, NodeState node, SlotRequest request) {
+    /** Returns what is known of an upstream when a request is placed. */
+    private PlacementCost.Candidate candidate(Upstream upstream, SlotRequest request) {
         Occupancy occupancy = leases.occupancy(upstream.id());
-        int free = upstream.slots() - occupancy.total();
-        int preemptible = upstream.slots() - occupancy.onlineCount();
-        double score;
-        if (free > 0) {
-            score = FREE_SLOT_SCORE + HEADROOM_SCORE * free;
-        } else if (preemptible > 0) {
-            score = ITEM_SLOT_SCORE + HEADROOM_SCORE * preemptible;
-        } else {
-            score = QUEUE_SCORE * preemptible;
-        }
-        if (upstream.failureDomain().equals(node.failureDomain)) {
-            score += SAME_FAILURE_DOMAIN_SCORE;
-        }
-        if (request.prefix() != 0 && prefixCache.mayHaveCached(request.prefix(), upstream.id())) {
-            score += PREFIX_CACHED_SCORE;
-        }
-        if (slowUpstreams.slow(upstream.id())) {
-            score -= SLOW_PENALTY;
-        }
-        if (rates.usedUp(upstream)) {
-            score -= LIMITED_PENALTY;
-        }
-        return health.suspected(upstream.id()) ? score - SUSPECTED_PENALTY : score;
+        return new PlacementCost.Candidate(
+                upstream.failureDomain(),
+                upstream.slots(),
+                occupancy.onlineCount(),
+                occupancy.total() - occupancy.onlineCount(),
+                prefixCached(upstream, request),
+                slowUpstreams.slow(upstream.id()),
+                health.suspected(upstream.id()),
+                rates.usedUp(upstream));
+    }
+
+    private boolean prefixCached(Upstream upstream, SlotRequest request) {
+        return request.prefix() != 0 && prefixCache.mayHaveCached(request.prefix(), upstream.id());
     }
 
     private void grant(SlotRequest request, NodeState node, Upstream upstream) {
+        int tokens = (int) Math.min(Integer.MAX_VALUE, request.neededTokens(prefixCached(upstream, request)));
         leases.add(new Lease(
-                node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE, 0, false));
+                node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE, tokens, false));
         health.sent(upstream.id());
         rates.sent(upstream);
         if (request.prefix() != 0) {
@@ -756,14 +776,18 @@
         return health.usable(upstream.id()) && !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
     }
 
-    /** Returns the upstream of a service with the most free slots for items, empty if none is free. */
-    private Optional<Upstream> freestForItems(String service, Predicate<Upstream> condition) {
+    /** Returns the upstream of a service with the most free slots for items of a size, empty if none is free. */
+    private Optional<Upstream> freestForItems(String service, int tokens, Predicate<Upstream> condition) {
         Upstream best = null;
         int bestFree = 0;
         for (Upstream upstream : directory.open(service)) {
             int free = freeForItems(upstream);
             if (free > bestFree
                     && rates.itemsThatMayStart(upstream) > 0
+                    && EngineMemory.fits(
+                            memoryTokens.applyAsLong(service),
+                            leases.occupancy(upstream.id()).tokens(),
+                            tokens)
                     && mayRunItems(upstream)
                     && condition.test(upstream)) {
                 best = upstream;
@@ -777,9 +801,9 @@
     private boolean tryStart(BacklogItem item, String service) {
         Optional<Upstream> resumable = progress.partialOutput(item.item())
                 .flatMap(ItemProgress.PartialOutput::version)
-                .flatMap(version ->
-                        freestForItems(service, upstream -> upstream.version().equals(version)));
-        Optional<Upstream> freest = resumable.or(() -> freestForItems(service, upstream -> true));
+                .flatMap(version -> freestForItems(
+                        service, item.tokens(), upstream -> upstream.version().equals(version)));
+        Optional<Upstream> freest = resumable.or(() -> freestForItems(service, item.tokens(), upstream -> true));
         if (freest.isEmpty()) {
             return false;
         }
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -45,6 +45,7 @@
                 Optional.ofNullable(headers.get("key")),
                 0,
                 0,
+                0,
                 Duration.ZERO);
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -14,6 +14,7 @@
 import dev.lavenderline.serving.routes.ServiceInfo;
 import dev.lavenderline.serving.routes.WeightedService;
 import dev.lavenderline.serving.slots.NodeEntry;
+import dev.lavenderline.serving.slots.Topology;
 import dev.lavenderline.serving.store.FakeStore;
 import dev.lavenderline.serving.store.KeyedRecord;
 import dev.lavenderline.serving.store.MetadataStore;
@@ -166,7 +167,7 @@
                 Duration.ofSeconds(120),
                 Duration.ofSeconds(8),
                 Optional.empty(),
-                Map.of());
+                Topology.ofRegions(Map.of()));
         CompletableFuture<ServingNode> started = new CompletableFuture<>();
         context.runOnContext(now -> {
             ServingNode node = new ServingNode(
