--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -55,7 +55,8 @@
     /** Pause between polls of the jobs for each ten nodes; keeps all nodes together within the store's rate limit. */
     private static final Duration JOBS_POLL_PAUSE = Duration.ofMillis(100);
 
-    private static final Duration MAX_JOBS_POLL_PAUSE = Duration.ofMillis(600);
+    /** Bounds the time until callers of a node read a result that another node has recorded. */
+    private static final Duration MAX_JOBS_POLL_PAUSE = Duration.ofMillis(1000);
 
     /** Wait of a poll of the rejected prompts; long, as records are rare and schedulers tell their nodes at once. */
     private static final Duration PROMPTS_POLL_WAIT = Duration.ofSeconds(2);
@@ -229,7 +230,11 @@
                 });
     }
 
+    /** Returns the pause between polls of the jobs: short at the scheduler, where new items wait to be started. */
     private Duration jobsPollPause() {
+        if (slots.scheduler().nodeCount() > 0) {
+            return JOBS_POLL_PAUSE;
+        }
         Duration pause = JOBS_POLL_PAUSE.multipliedBy(Math.max(1, schedulerClient.nodeCount() / 10));
         return pause.compareTo(MAX_JOBS_POLL_PAUSE) < 0 ? pause : MAX_JOBS_POLL_PAUSE;
     }
