--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -42,6 +42,9 @@
     ITEM_DECLINED("LL-1465", "batch item not run and returned to the scheduler"),
     RESULT_DELAYED("LL-1466", "result of a batch item waits for the store"),
     RESULT_NOT_RECORDED("LL-1467", "result of a batch item not recorded; the item may run again"),
+    KEY_REJECTED("LL-1470", "API key rejected"),
+    KEYS_NOT_CHECKED("LL-1471", "configuration too old to reject keys; such requests get 503"),
+    KEYS_CHECKED_AGAIN("LL-1472", "configuration confirmed; keys are rejected again"),
     LINES_DROPPED("LL-1490", "log lines dropped"),
     UNEXPECTED("LL-1499", "unexpected failure");
 
--- a/serving/src/main/java/dev/lavenderline/serving/workspaces/Workspaces.java
+++ b/serving/src/main/java/dev/lavenderline/serving/workspaces/Workspaces.java
@@ -79,6 +79,14 @@
         return Optional.ofNullable(byName.get(name));
     }
 
+    /**
+     * Returns the priority of what a workspace has sent to a route with the given priority; that of the route if the
+     * workspace has none or is no longer configured.
+     */
+    public int priority(String workspace, int routePriority) {
+        return named(workspace).map(known -> known.priorityOr(routePriority)).orElse(routePriority);
+    }
+
     /** Returns all workspaces, in no particular order. */
     public Collection<Workspace> all() {
         return byName.values();
