Require keys and keep the workspace with requests and jobs

Callers of a fleet with workspaces need a key on routes that are not public, and for all calls about jobs. Requests without a known one get 401, or 503 while a newer configuration may have it. The caller stays with the request: each send names its workspace and carries neither the key nor a workspace that the caller claims. A job is kept under the caller's id and a hash of its workspace, runs with the name of its workspace whatever happens to its keys, and does not exist for others. Waiting tokens are limited by workspace. Slot requests and items carry workspace, priority, charge and tokens for the scheduler.

Without workspaces, headers and ids stay as they were.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -16,6 +16,7 @@
 import dev.lavenderline.serving.slots.ReleaseReason;
 import dev.lavenderline.serving.slots.RequestTraits;
 import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.workspaces.Caller;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -26,6 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 
 /**
  * Runs the batch items assigned by the scheduler. Keeps the partial output of interrupted runs, from which a
@@ -65,6 +67,7 @@
     private final CallContext context;
     private final JobLedger ledger;
     private final JobStore store;
+    private final BooleanSupplier workspacesEnabled;
     private final Map<Long, Run> runs = new HashMap<>();
     private final Map<ItemRef, PartialOutput> partialOutputs = new HashMap<>();
 
@@ -80,8 +83,14 @@
         }
     }
 
-    public ItemRunner(CallContext context, JobLedger ledger, JobStore store) {
+    /**
+     * Creates a runner.
+     *
+     * @param workspacesEnabled returns whether workspaces are configured
+     */
+    public ItemRunner(CallContext context, JobLedger ledger, JobStore store, BooleanSupplier workspacesEnabled) {
         this.context = context;
+        this.workspacesEnabled = workspacesEnabled;
         this.ledger = ledger;
         this.store = store;
         ledger.onResult(this::removePartialOutput);
@@ -244,7 +253,9 @@
                             upstream.version(),
                             "after",
                             resumedEvents);
-            MultiMap headers = context.wire().itemHeaders(content, job.host(), upstream.id(), output.lastEventId);
+            Caller caller = Caller.ofJob(job.workspace(), workspacesEnabled.getAsBoolean());
+            MultiMap headers =
+                    context.wire().itemHeaders(content, job.host(), upstream.id(), output.lastEventId, caller);
             UpstreamRequest request = new UpstreamRequest(
                     item.getId(),
                     HttpMethod.POST,
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/Job.java
@@ -96,6 +96,11 @@
         return metadata.getRoute();
     }
 
+    /** Returns the name of the workspace that submitted the job, empty if there is none. */
+    public String workspace() {
+        return metadata.getWorkspace();
+    }
+
     /** Returns the value of the Host header for requests that run its items. */
     public String host() {
         return metadata.getHost();
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedRecord;
+import dev.lavenderline.serving.workspaces.Caller;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -183,10 +184,21 @@
         return openJobs;
     }
 
-    /** Returns the tokens of a route's items that have no result, excluding cancelled jobs. */
-    public long waitingTokens(String route) {
+    /** Returns the job of a caller by the id that the caller chose; empty like {@link #find}. */
+    public Optional<Job> find(String callerId, Caller caller) {
+        return find(JobIds.internal(callerId, caller.workspace()))
+                .filter(job -> job.workspace().equals(caller.workspace()));
+    }
+
+    /**
+     * Returns the tokens of a route's items that have no result, excluding cancelled jobs.
+     *
+     * @param workspace name of the workspace whose items count; empty for those of all callers
+     */
+    public long waitingTokens(String route, String workspace) {
         return jobs.values().stream()
                 .filter(job -> job.route().equals(route))
+                .filter(job -> workspace.isEmpty() || job.workspace().equals(workspace))
                 .mapToLong(Job::unfinishedTokens)
                 .sum();
     }
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -79,7 +79,7 @@
     /** Outcome of submitting a job. */
     public enum Acceptance {
         ACCEPTED,
-        /** The job would exceed the route's limit of waiting tokens; it does not run. */
+        /** The job would exceed the route's limit of waiting tokens of its workspace; it does not run. */
         OVER_LIMIT,
         /** The job was not appended in time; it does not run. */
         NOT_APPENDED,
@@ -182,7 +182,7 @@
         return followers.get(partition(job)).refresh();
     }
 
-    /** Accepts a job within the route's limit of waiting tokens; accepting it again has no further effect. */
+    /** Accepts a job within the route's limit of waiting tokens of its workspace; accepting it again has no further effect. */
     public Future<Acceptance> accept(JobSubmission submission, Route route, String host, Duration timeout) {
         JobPart metadata = JobPart.newBuilder()
                 .setJob(submission.id())
@@ -193,6 +193,7 @@
                 .setRetentionMs((int) route.retention().toMillis())
                 .setAttempts(route.attempts())
                 .setAcceptedBy(node)
+                .setWorkspace(submission.workspace())
                 .build();
         if (ledger.find(submission.id()).isPresent()) {
             return Future.succeededFuture(Acceptance.ACCEPTED);
@@ -273,7 +274,8 @@
 
     private boolean overLimit(JobSubmission submission, Route route) {
         return route.maxWaitingTokens() > 0
-                && ledger.waitingTokens(route.name()) + submission.tokens() > route.maxWaitingTokens();
+                && ledger.waitingTokens(route.name(), submission.workspace()) + submission.tokens()
+                        > route.maxWaitingTokens();
     }
 
     private Future<Acceptance> appendJob(JobSubmission submission, Route route, List<JobPart> parts, Duration timeout) {
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
@@ -37,13 +37,19 @@
         }
         for (Job job : ledger.openByDueTime()) {
             Optional<Route> route = current.get().routeNamed(job.route());
-            if (route.isPresent() && !visitItems(job, route.get(), visitor)) {
+            if (route.isEmpty()) {
+                continue;
+            }
+            int priority = current.get()
+                    .workspaces()
+                    .priority(job.workspace(), route.get().priority());
+            if (!visitItems(job, route.get(), priority, visitor)) {
                 return;
             }
         }
     }
 
-    private static boolean visitItems(Job job, Route route, Predicate<BacklogItem> visitor) {
+    private static boolean visitItems(Job job, Route route, int priority, Predicate<BacklogItem> visitor) {
         Map<String, Integer> weights = new HashMap<>();
         for (WeightedService service : route.services()) {
             weights.put(service.service(), service.weight());
@@ -54,7 +60,8 @@
             }
             int tokens = job.item(i).map(JobItem::getTokens).orElse(0);
             ItemRef ref = new ItemRef(job.id(), i);
-            if (!visitor.test(new BacklogItem(ref, weights, job.dueNanos(), job.acceptedBy(), tokens))) {
+            if (!visitor.test(new BacklogItem(
+                    ref, weights, job.dueNanos(), job.acceptedBy(), tokens, job.workspace(), priority))) {
                 return false;
             }
         }
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -189,7 +189,13 @@
                 log,
                 metrics,
                 random::nextInt);
-        this.runner = new ItemRunner(context, ledger, jobs);
+        this.runner = new ItemRunner(
+                context,
+                ledger,
+                jobs,
+                () -> config.current()
+                        .map(current -> current.workspaces().enabled())
+                        .orElse(false));
         this.callers = new CallerServer(vertx, context, config::current, configReader::age, ledger, jobs, timers);
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, schedulerClient::replaceNodes);
         this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultRetention());
--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -3,12 +3,15 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.jobs.ItemResult;
 import dev.lavenderline.serving.jobs.Job;
+import dev.lavenderline.serving.jobs.JobIds;
 import dev.lavenderline.serving.jobs.JobLedger;
 import dev.lavenderline.serving.jobs.JobStore;
 import dev.lavenderline.serving.jobs.JobSubmission;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.Route;
+import dev.lavenderline.serving.workspaces.Caller;
+import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -40,14 +43,16 @@
     private final JobStore store;
     private final Timers timers;
     private final EventLog log;
+    private final WorkspaceMetrics metrics;
     private final Map<String, List<Runnable>> waitingReaders = new HashMap<>();
 
-    BatchCallHandler(WireFormat wire, JobLedger ledger, JobStore store, Timers timers, EventLog log) {
-        this.wire = wire;
+    BatchCallHandler(CallContext context, JobLedger ledger, JobStore store, Timers timers) {
+        this.wire = context.wire();
+        this.log = context.log();
+        this.metrics = context.metrics().workspaces();
         this.ledger = ledger;
         this.store = store;
         this.timers = timers;
-        this.log = log;
         ledger.onResult(this::notifyWaiting);
     }
 
@@ -59,10 +64,10 @@
     }
 
     /** Submits a job and responds with the outcome. */
-    void submit(Route route, String host, RequestInfo info, Buffer body, CallerResponse response) {
+    void submit(Route route, String host, Caller caller, RequestInfo info, Buffer body, CallerResponse response) {
         JobSubmission submission;
         try {
-            submission = wire.parseSubmission(info.id(), body);
+            submission = wire.parseSubmission(info.id(), body).by(caller);
         } catch (BadRequestException e) {
             log.event(ServingEvent.JOB_REJECTED, "job", info.id(), "status", 400, "message", e.getMessage());
             response.sendText(400, e.getMessage());
@@ -79,26 +84,35 @@
         store.accept(submission, route, host, timeout).onSuccess(acceptance -> {
             switch (acceptance) {
                 case ACCEPTED -> {
+                    if (belongsToAnother(submission.id(), caller)) {
+                        reject(submission, response, 409, "the id is that of another job", Duration.ZERO);
+                        return;
+                    }
                     log.event(
                             ServingEvent.JOB_ACCEPTED,
                             "job",
                             submission.id(),
                             "route",
                             route.name(),
+                            "workspace",
+                            caller.workspaceName().orElse(null),
                             "items",
                             submission.items().size(),
                             "tokens",
                             submission.tokens());
                     response.sendText(202, "accepted");
                 }
-                case OVER_LIMIT ->
+                case OVER_LIMIT -> {
+                    metrics.rejected(caller, WorkspaceMetrics.Rejection.QUOTA);
                     reject(
                             submission,
                             response,
                             429,
                             "not run: " + submission.tokens() + " tokens do not fit, "
-                                    + ledger.waitingTokens(route.name()) + " of " + route.maxWaitingTokens() + " wait",
+                                    + ledger.waitingTokens(route.name(), caller.workspace()) + " of "
+                                    + route.maxWaitingTokens() + " wait",
                             OVER_LIMIT_RETRY_DELAY);
+                }
                 case NOT_APPENDED ->
                     reject(submission, response, 503, "not run: the store does not answer", RETRY_DELAY);
                 case UNKNOWN ->
@@ -107,6 +121,16 @@
         });
     }
 
+    /**
+     * Returns whether an internal id is that of another workspace's job: a caller can choose an internal id once no
+     * workspaces are configured any more.
+     */
+    private boolean belongsToAnother(String id, Caller caller) {
+        return ledger.find(id)
+                .filter(job -> !job.workspace().equals(caller.workspace()))
+                .isPresent();
+    }
+
     private void reject(
             JobSubmission submission, CallerResponse response, int status, String message, Duration retryAfter) {
         log.event(ServingEvent.JOB_REJECTED, "job", submission.id(), "status", status, "message", message);
@@ -114,40 +138,40 @@
     }
 
     /** Handles a request about an accepted job. */
-    void handle(BatchCall call, RequestInfo info, CallerResponse response) {
+    void handle(BatchCall call, Caller caller, RequestInfo info, CallerResponse response) {
         if (call instanceof BatchCall.Cancel cancel) {
-            cancel(cancel, response);
+            cancel(cancel, caller, response);
             return;
         }
-        if (ledger.find(call.job()).isPresent()) {
-            handleKnownJob(call, info, response);
+        Optional<Job> known = ledger.find(call.job(), caller);
+        if (known.isPresent()) {
+            handleKnownJob(known.get(), call, info, response);
             return;
         }
         // Another node may have accepted the job since this node last read the partition.
-        store.refresh(call.job())
-                .onSuccess(read -> {
-                    if (ledger.find(call.job()).isPresent()) {
-                        handleKnownJob(call, info, response);
-                    } else {
-                        response.sendText(404, "no job " + call.job());
-                    }
-                })
+        store.refresh(JobIds.internal(call.job(), caller.workspace()))
+                .onSuccess(read -> ledger.find(call.job(), caller)
+                        .ifPresentOrElse(
+                                job -> handleKnownJob(job, call, info, response), () -> notFound(call, response)))
                 .onFailure(failure -> response.sendText(503, "not run: the store does not answer", RETRY_DELAY));
     }
 
-    private void handleKnownJob(BatchCall call, RequestInfo info, CallerResponse response) {
-        Job job = ledger.find(call.job()).orElseThrow();
+    private static void notFound(BatchCall call, CallerResponse response) {
+        response.sendText(404, "no job " + call.job());
+    }
+
+    private void handleKnownJob(Job job, BatchCall call, RequestInfo info, CallerResponse response) {
         if (call instanceof BatchCall.ReadBody read) {
-            sendBody(job, read.item(), response);
+            sendBody(job, read, response);
         } else if (call instanceof BatchCall.ReadResults read) {
             sendResults(job, read.after(), info.maxWait(), response);
         }
     }
 
-    private void sendBody(Job job, String itemId, CallerResponse response) {
-        int index = job.indexOf(itemId);
+    private void sendBody(Job job, BatchCall.ReadBody call, CallerResponse response) {
+        int index = job.indexOf(call.item());
         if (index < 0) {
-            response.sendText(404, "no item " + itemId + " in job " + job.id());
+            response.sendText(404, "no item " + call.item() + " in job " + call.job());
             return;
         }
         store.item(job, index)
@@ -186,17 +210,30 @@
                 .onFailure(failure -> response.sendText(503, "not run: the store does not answer", RETRY_DELAY));
     }
 
-    private void cancel(BatchCall.Cancel call, CallerResponse response) {
-        store.refresh(call.job())
-                .compose(read -> store.cancel(call.job(), CANCEL_TIMEOUT))
+    private void cancel(BatchCall.Cancel call, Caller caller, CallerResponse response) {
+        String id = JobIds.internal(call.job(), caller.workspace());
+        store.refresh(id)
+                .compose(read ->
+                        belongsToAnother(id, caller) ? Future.succeededFuture(true) : store.cancel(id, CANCEL_TIMEOUT))
                 .recover(failure -> Future.succeededFuture(false))
                 .onSuccess(done -> {
-                    if (done) {
-                        log.event(ServingEvent.JOB_ENDED, "job", call.job());
+                    if (done && deniesCancel(call, caller)) {
+                        notFound(call, response);
+                    } else if (done) {
+                        log.event(ServingEvent.JOB_ENDED, "job", id);
                         response.sendText(200, "ended");
                     } else {
                         response.sendText(503, "the store does not answer", RETRY_DELAY);
                     }
                 });
     }
+
+    /**
+     * Returns whether a job that could be cancelled does not exist for its caller. An unknown job of a caller without a
+     * workspace counts as ended.
+     */
+    private boolean deniesCancel(BatchCall.Cancel call, Caller caller) {
+        return ledger.find(call.job(), caller).isEmpty()
+                && (caller.hasWorkspace() || ledger.find(call.job()).isPresent());
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerResponse.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerResponse.java
@@ -53,6 +53,13 @@
         }
     }
 
+    /** Sets a header of a response of this node. */
+    void putHeader(CharSequence name, CharSequence value) {
+        if (!ended()) {
+            response.putHeader(name, value);
+        }
+    }
+
     /** Sends a complete response of an upstream. */
     void send(int status, MultiMap headers, Buffer body) {
         if (ended()) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
+import dev.lavenderline.serving.workspaces.Caller;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -42,7 +43,7 @@
     private static final Duration CLOSE_DELAY = Duration.ofMillis(200);
 
     /**
-     * Age of the configuration above which an unknown route may have been added meanwhile. Below the 2.5 s in which
+     * Age of the configuration above which an unknown route or key may have been added meanwhile. Below the 2.5 s in which
      * changes have to apply, and twice the time between two responses of the store.
      */
     private static final Duration MAX_CONFIG_AGE = Duration.ofSeconds(2);
@@ -52,7 +53,7 @@
     private final Vertx vertx;
     private final CallContext context;
     private final Supplier<Optional<FleetConfig>> config;
-    private final Supplier<Duration> configAge;
+    private final CallerAdmission admission;
     private final BatchCallHandler batch;
     private final Map<HttpConnection, Set<OnlineCall>> callsByConnection = new HashMap<>();
     private HttpServer server;
@@ -77,8 +78,8 @@
         this.vertx = vertx;
         this.context = context;
         this.config = config;
-        this.configAge = configAge;
-        this.batch = new BatchCallHandler(context.wire(), ledger, jobs, timers, context.log());
+        this.admission = new CallerAdmission(context, configAge, MAX_CONFIG_AGE, NOT_READY_RETRY_DELAY);
+        this.batch = new BatchCallHandler(context, ledger, jobs, timers);
     }
 
     /** Starts listening; returns the bound port. */
@@ -211,23 +212,33 @@
                     ? context.wire().parseBatchCall(request.method(), request.uri())
                     : Optional.empty();
             if (call.isPresent()) {
-                batch.handle(call.get(), info, response);
+                admission
+                        .admit(current.get(), info, "", false, response)
+                        .ifPresent(caller -> batch.handle(call.get(), caller, info, response));
             } else {
                 rejectUnknownRoute(request, host, info, current.get(), response);
             }
             return;
         }
-        if (route.get().kind() == RouteKind.BATCH) {
-            batch.submit(route.get(), host, info, body, response);
+        boolean batchRoute = route.get().kind() == RouteKind.BATCH;
+        // A job without a workspace could not be read, so a submission needs a key also on a public route.
+        boolean publicAccess = route.get().publicAccess() && !batchRoute;
+        Optional<Caller> caller =
+                admission.admit(current.get(), info, route.get().name(), publicAccess, response);
+        if (caller.isEmpty()) {
             return;
         }
-        handleOnline(request, body, response, arrivalNanos, info, route.get(), current.get());
+        if (batchRoute) {
+            batch.submit(route.get(), host, caller.get(), info, body, response);
+            return;
+        }
+        handleOnline(request, body, response, arrivalNanos, info, route.get(), caller.get(), current.get());
     }
 
     /** Rejects a request without a route. Only a node with the newest configuration may deny the route. */
     private void rejectUnknownRoute(
             HttpServerRequest request, String host, RequestInfo info, FleetConfig current, CallerResponse response) {
-        boolean outdated = configAge.get().compareTo(MAX_CONFIG_AGE) > 0;
+        boolean outdated = admission.configOutdated();
         context.log()
                 .event(
                         ServingEvent.REQUEST_ENDED,
@@ -255,6 +266,7 @@
             long arrivalNanos,
             RequestInfo info,
             Route route,
+            Caller caller,
             FleetConfig current) {
         Set<OnlineCall> open = callsByConnection.get(request.connection());
         if (open == null) {
@@ -264,6 +276,7 @@
         OnlineCall call = new OnlineCall(
                 context,
                 route,
+                caller,
                 info,
                 request.method(),
                 request.uri(),
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -12,6 +12,8 @@
 import dev.lavenderline.serving.slots.SlotRequest;
 import dev.lavenderline.serving.slots.StreamOrigin;
 import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.workspaces.Caller;
+import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -67,6 +69,7 @@
 
     private final CallContext context;
     private final Route route;
+    private final Caller caller;
     private final RequestInfo info;
     private final HttpMethod method;
     private final String uri;
@@ -94,6 +97,10 @@
     private boolean countedLocally;
 
     private boolean done;
+
+    /** Whether a slot has been requested, which counts toward the quota of the workspace once. */
+    private boolean slotRequested;
+
     private long lease = -1;
 
     /** Lease with which a slot is requested while the upstream is silent, or -1. */
@@ -118,6 +125,7 @@
     OnlineCall(
             CallContext context,
             Route route,
+            Caller caller,
             RequestInfo info,
             HttpMethod method,
             String uri,
@@ -128,6 +136,7 @@
             Runnable onDone) {
         this.context = context;
         this.route = route;
+        this.caller = caller;
         this.info = info;
         this.method = method;
         this.uri = uri;
@@ -242,6 +251,9 @@
     }
 
     private SlotRequest slotRequest(long number, Set<String> unusable) {
+        // A request that this node has placed itself has been counted by the node.
+        boolean charged = caller.hasWorkspace() && !slotRequested && sends == 0;
+        slotRequested = true;
         return new SlotRequest(
                 context.node(),
                 number,
@@ -251,7 +263,12 @@
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
                 callerRetries() || sends > 0 || origin.isPresent(),
-                origin);
+                origin,
+                caller.workspace(),
+                caller.priorityOr(route.priority()),
+                charged,
+                info.promptTokens(),
+                info.maxOutputTokens());
     }
 
     /** Returns whether the caller has received events of this stream in an earlier attempt. */
@@ -343,7 +360,7 @@
         lastSuspectNanos = sentNanos;
         paused = false;
         MultiMap upstreamHeaders =
-                context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), lastEventId);
+                context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), lastEventId, caller);
         UpstreamRequest request = new UpstreamRequest(info.id(), method, uri, upstreamHeaders, body);
         ResponseListener listener = route.kind() == RouteKind.STREAMING
                 ? (route.resumable() ? new ResumableStream() : new PlainStream())
@@ -459,7 +476,7 @@
         if (possibleRuns > 0) {
             fail(502, "an upstream failed while it may have run the request", Duration.ZERO);
         } else {
-            fail(503, "not run: upstreams refuse", NO_UPSTREAM_RETRY_DELAY);
+            failForCapacity("not run: upstreams refuse", NO_UPSTREAM_RETRY_DELAY);
         }
     }
 
@@ -507,7 +524,7 @@
         if (possibleRuns > 0) {
             fail(502, "an upstream failed and no other is free", Duration.ZERO);
         } else {
-            fail(503, "not run: no free upstream", retryAfter);
+            failForCapacity("not run: no free upstream", retryAfter);
         }
     }
 
@@ -522,7 +539,7 @@
         if (possibleRuns > 0) {
             fail(504, "no complete answer in time", Duration.ZERO);
         } else {
-            fail(503, "not run: no free upstream in time", NO_UPSTREAM_RETRY_DELAY);
+            failForCapacity("not run: no free upstream in time", NO_UPSTREAM_RETRY_DELAY);
         }
     }
 
@@ -549,6 +566,11 @@
         }
     }
 
+    private void failForCapacity(String message, Duration retryAfter) {
+        context.metrics().workspaces().rejected(caller, WorkspaceMetrics.Rejection.CAPACITY);
+        fail(503, message, retryAfter);
+    }
+
     private void fail(int status, String message, Duration retryAfter) {
         response.sendText(status, message, retryAfter);
         finish(status + " " + message, ReleaseReason.CANCELLED);
@@ -579,6 +601,8 @@
                         info.id(),
                         "route",
                         route.name(),
+                        "workspace",
+                        caller.workspaceName().orElse(null),
                         "kind",
                         route.kind(),
                         "service",
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -33,4 +33,10 @@
     public RequestInfo {
         sharedParts = List.copyOf(sharedParts);
     }
+
+    /** Omits the key, which must not appear in logs and messages. */
+    @Override
+    public String toString() {
+        return "RequestInfo{" + id + "}";
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/ServingMetrics.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/ServingMetrics.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
+import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,12 @@
 /** Counters and latency timers of the process. Thread-safe. */
 public final class ServingMetrics {
     private final MetricRegistry registry = new MetricRegistry();
+    private final WorkspaceMetrics workspaces = new WorkspaceMetrics();
+
+    /** Returns the counters by workspace. */
+    public WorkspaceMetrics workspaces() {
+        return workspaces;
+    }
 
     /** Increments a counter. */
     public void count(String name) {
@@ -39,7 +46,7 @@
                     .append(entry.getValue().getCount())
                     .append('\n');
         }
-        return text.toString();
+        return text.append(workspaces.text()).toString();
     }
 
     private static void appendQuantile(StringBuilder text, String name, double quantile, double nanos) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.proto.jobs.JobItem;
 import dev.lavenderline.serving.jobs.Job;
 import dev.lavenderline.serving.jobs.JobSubmission;
+import dev.lavenderline.serving.workspaces.Caller;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -34,12 +35,19 @@
     /** Encodes results of a job, with their outputs, of which the first is at a position. */
     Buffer encodeResults(Job job, int position, List<ItemResult> results);
 
-    /** Returns the headers to send to an upstream: the caller's end-to-end headers and those of this protocol. */
+    /**
+     * Returns the headers to send to an upstream: the caller's end-to-end headers and those of this protocol. Those of
+     * an identified caller name its workspace, if it has one, and include neither a key nor a workspace that it sent.
+     */
     MultiMap upstreamHeaders(
-            MultiMap callerHeaders, String instance, Optional<Duration> remaining, OptionalLong lastEventId);
-
-    /** Returns the headers to send to an upstream with a batch item. */
-    MultiMap itemHeaders(JobItem item, String host, String instance, OptionalLong lastEventId);
+            MultiMap callerHeaders,
+            String instance,
+            Optional<Duration> remaining,
+            OptionalLong lastEventId,
+            Caller caller);
+
+    /** Returns the headers to send to an upstream with a batch item; the caller's headers are treated as above. */
+    MultiMap itemHeaders(JobItem item, String host, String instance, OptionalLong lastEventId, Caller caller);
 
     /** Returns hashes of the parts of an item's prompt that other requests may share, as in {@link RequestInfo}. */
     List<Long> sharedParts(JobItem item);
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -10,6 +10,7 @@
 import dev.lavenderline.serving.online.RequestInfo;
 import dev.lavenderline.serving.online.ResponseInfo;
 import dev.lavenderline.serving.online.WireFormat;
+import dev.lavenderline.serving.workspaces.Caller;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -24,7 +25,7 @@
 /**
  * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, parts
  * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, limit (requests a second), key,
- * retry (milliseconds). A job's body is a comma-separated list of item ids; those that begin with "crash" have the parts 1
+ * tenant (name of the workspace), tokens (of prompt and output), retry (milliseconds). A job's body is a comma-separated list of item ids; those that begin with "crash" have the parts 1
  * and 666, the others 1. Stateless and thread-safe.
  */
 public final class TestWireFormat implements WireFormat {
@@ -43,11 +44,16 @@
                 0,
                 sharedParts(headers),
                 Optional.ofNullable(headers.get("key")),
-                0,
-                0,
+                tokens(headers, 0),
+                tokens(headers, 1),
                 Duration.ZERO);
     }
 
+    private static int tokens(MultiMap headers, int position) {
+        String tokens = headers.get("tokens");
+        return tokens == null ? 0 : Integer.parseInt(tokens.split(",", -1)[position]);
+    }
+
     private static List<Long> sharedParts(MultiMap headers) {
         String parts = headers.get("parts");
         return parts == null
@@ -100,19 +106,29 @@
 
     @Override
     public MultiMap upstreamHeaders(
-            MultiMap callerHeaders, String instance, Optional<Duration> remaining, OptionalLong lastEventId) {
+            MultiMap callerHeaders,
+            String instance,
+            Optional<Duration> remaining,
+            OptionalLong lastEventId,
+            Caller caller) {
         MultiMap headers = MultiMap.caseInsensitiveMultiMap();
         headers.add("id", String.valueOf(callerHeaders.get("id")));
         headers.add("instance", instance);
+        if (!caller.identified()) {
+            Optional.ofNullable(callerHeaders.get("key")).ifPresent(key -> headers.add("key", key));
+            Optional.ofNullable(callerHeaders.get("tenant")).ifPresent(name -> headers.add("tenant", name));
+        }
+        caller.workspaceName().ifPresent(name -> headers.set("tenant", name));
         remaining.ifPresent(time -> headers.add("left", Long.toString(time.toMillis())));
         lastEventId.ifPresent(id -> headers.add("after", Long.toString(id)));
         return headers;
     }
 
     @Override
-    public MultiMap itemHeaders(JobItem item, String host, String instance, OptionalLong lastEventId) {
+    public MultiMap itemHeaders(JobItem item, String host, String instance, OptionalLong lastEventId, Caller caller) {
         MultiMap headers = MultiMap.caseInsensitiveMultiMap();
         headers.add("id", item.getId());
+        caller.workspaceName().ifPresent(name -> headers.set("tenant", name));
         headers.add("instance", instance);
         lastEventId.ifPresent(id -> headers.add("after", Long.toString(id)));
         return headers;
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -64,7 +64,8 @@
                     metrics,
                     bound -> 0),
             ledger,
-            store);
+            store,
+            () -> false);
 
     private final class RecordingSlots implements SlotClient {
         @Override
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -20,12 +20,15 @@
 import dev.lavenderline.serving.store.FakeStore;
 import dev.lavenderline.serving.store.FakeStore.AppendOutcome;
 import dev.lavenderline.serving.store.Partition;
+import dev.lavenderline.serving.workspaces.Caller;
+import dev.lavenderline.serving.workspaces.Workspace;
 import io.vertx.core.Future;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -180,6 +183,30 @@
         assertTrue(ledger.find("j").isEmpty());
     }
 
+    /** Guards against a workspace whose jobs keep those of others out, and against two jobs that share an id. */
+    @Test
+    void workspacesHaveLimitsAndIdsOfTheirOwn() {
+        Caller acme = Caller.of(new Workspace("acme", OptionalInt.empty(), 0, 0));
+        Caller beta = Caller.of(new Workspace("beta", OptionalInt.empty(), 0, 0));
+        JobSubmission own = submission("j", 3).by(acme);
+        JobSubmission guessed = submission(own.id(), 1).by(beta);
+        assertEquals("j~", own.id().replaceFirst("[0-9a-f]{16}$", ""));
+        assertNotEquals(own.id(), guessed.id());
+        for (JobSubmission accepted : List.of(own, submission("j", 3).by(beta), own)) {
+            assertEquals(
+                    Acceptance.ACCEPTED,
+                    jobs.accept(accepted, route(400), "host", TIMEOUT).result());
+        }
+        Future<Acceptance> second = jobs.accept(submission("k", 2).by(acme), route(400), "host", TIMEOUT);
+        time.advance(TIMEOUT);
+        assertEquals(Acceptance.OVER_LIMIT, second.result());
+        assertEquals(600, ledger.waitingTokens("batch", ""));
+        assertEquals("beta", ledger.find("j", beta).orElseThrow().workspace());
+        assertTrue(ledger.find(own.id(), beta).isEmpty());
+        assertTrue(ledger.find(own.id(), Caller.unidentified()).isEmpty());
+        assertTrue(ledger.find("j", Caller.unidentified()).isEmpty());
+    }
+
     @Test
     void rejectsJobAboveTheWaitingTokenLimit() {
         assertEquals(Acceptance.ACCEPTED, accept(jobs, "a", 3, 400).result());
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -5,7 +5,6 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.VertxTimers;
 import dev.lavenderline.serving.TestWireFormat;
-import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.node.ServingSettings.Address;
 import dev.lavenderline.serving.routes.CallerLimits;
 import dev.lavenderline.serving.routes.FleetConfig;
@@ -19,6 +18,8 @@
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.workspaces.Workspace;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vavr.control.Either;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -27,10 +28,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Nodes on one event loop with an in-memory store. Confined to the thread of the test, but for the event loop. */
@@ -44,11 +48,15 @@
     final FakeStore store = new FakeStore();
     final List<ServingNode> nodes = new ArrayList<>();
 
+    /** The events that all nodes have logged. */
+    final List<String> logged = new CopyOnWriteArrayList<>();
+
     /** The nodes' ports for callers. */
     final List<Integer> ports = new ArrayList<>();
 
     /**
-     * Decodes text. A configuration is its version; an upstream its service, its port, and optionally its version,
+     * Decodes text. A configuration is its version, followed by "workspaces" and an entry "name=key+key" for each if
+     * there are any, with a priority after a slash if it has one; an upstream its service, its port, and optionally its version,
      * "started" with a number, and "draining".
      */
     private static final class TextRecordDecoder implements ControlRecordDecoder {
@@ -59,7 +67,8 @@
 
         @Override
         public Either<String, FleetConfig> config(byte[] value) {
-            long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+            List<String> words = List.of(new String(value, StandardCharsets.UTF_8).split(" "));
+            long version = Long.parseLong(words.get(0));
             return Either.right(new FleetConfig(
                     version,
                     List.of(
@@ -68,9 +77,23 @@
                             route("stream", RouteKind.STREAMING, "engines", false),
                             route("resumable", RouteKind.STREAMING, "engines", true),
                             route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
+                            route("public", RouteKind.SAFE, "plain", false),
                             route("batch", RouteKind.BATCH, "engines", true)),
                     List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
-                    CallerLimits.defaults()));
+                    CallerLimits.defaults(),
+                    words.size() < 2 ? Workspaces.none() : workspaces(words.subList(2, words.size()))));
+        }
+
+        private static Workspaces workspaces(List<String> entries) {
+            Workspaces.Builder workspaces = new Workspaces.Builder();
+            for (String entry : entries) {
+                String[] parts = entry.split("[=/]");
+                OptionalInt priority =
+                        parts.length > 2 ? OptionalInt.of(Integer.parseInt(parts[2])) : OptionalInt.empty();
+                List<String> keys = parts[1].isEmpty() ? List.of() : List.of(parts[1].split("\\+"));
+                workspaces.add(new Workspace(parts[0], priority, 0, 0), keys);
+            }
+            return workspaces.build();
         }
 
         private static Route route(String name, RouteKind kind, String service, boolean resumable) {
@@ -93,7 +116,7 @@
                     Duration.ofSeconds(18),
                     Duration.ofSeconds(60),
                     1_000,
-                    false);
+                    name.equals("public"));
         }
 
         @Override
@@ -177,7 +200,7 @@
                     new TestWireFormat(),
                     Ticker.system(),
                     new VertxTimers(vertx),
-                    EventLog.NONE,
+                    (event, fields) -> logged.add(event + " " + Arrays.asList(fields)),
                     RandomSource.SPLIT_MIX_64.create(7));
             node.start().onSuccess(listening -> started.complete(node)).onFailure(started::completeExceptionally);
         });
--- a/serving/src/test/java/dev/lavenderline/serving/node/ScriptedUpstream.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ScriptedUpstream.java
@@ -20,6 +20,9 @@
     /** The events after which requests asked to continue. */
     final List<String> resumedAfter = new CopyOnWriteArrayList<>();
 
+    /** What each request said of its caller: its path, the workspace and the key. */
+    final List<String> callers = new CopyOnWriteArrayList<>();
+
     final List<String> cancelled = new CopyOnWriteArrayList<>();
     volatile BiConsumer<HttpServerRequest, String> script;
 
@@ -41,6 +44,7 @@
     private void handle(HttpServerRequest request) {
         request.body().onSuccess(body -> {
             requests.add(request.uri() + " " + body);
+            callers.add(request.path() + " " + request.getHeader("tenant") + " " + request.getHeader("key"));
             Optional.ofNullable(request.getHeader("after")).ifPresent(resumedAfter::add);
             request.response().closeHandler(closed -> {
                 if (!request.response().ended()) {
