--- a/serving/src/test/java/dev/lavenderline/serving/ManualTime.java
+++ b/serving/src/test/java/dev/lavenderline/serving/ManualTime.java
@@ -8,12 +8,13 @@
 import java.util.Comparator;
 import java.util.List;
 
-/** Clock and timers that a test advances manually. Not thread-safe. */
+/** Clocks and timers that a test advances manually. Not thread-safe. */
 public final class ManualTime implements Ticker, Timers {
     private static final Instant START = Instant.parse("2026-12-03T00:00:00Z");
 
     private final List<Task> tasks = new ArrayList<>();
     private long nanos;
+    private Duration wallOffset = Duration.ZERO;
     private long nextNumber;
 
     private static final class Task {
@@ -33,7 +34,7 @@
 
     @Override
     public Instant now() {
-        return START.plusNanos(nanos);
+        return START.plusNanos(nanos).plus(wallOffset);
     }
 
     @Override
@@ -57,7 +58,15 @@
         return () -> task.cancelled = true;
     }
 
-    /** Advances the clock and runs due tasks in order of their time, then of their creation. */
+    /**
+     * Moves the wall clock alone: forward as when a host resumes, whose monotonic clock stood still, or back as when the
+     * clock is corrected.
+     */
+    public void moveWall(Duration by) {
+        wallOffset = wallOffset.plus(by);
+    }
+
+    /** Advances both clocks and runs due tasks in order of their time, then of their creation. */
     public void advance(Duration by) {
         long end = nanos + by.toNanos();
         while (true) {
