Record when the last question to the store was asked

The store holds a poll for up to a second, and a response may be late: it proves what was true when the poll was sent. PartitionFollower.asked() is the time at which the last poll, load or refresh was sent that read up to the end of the partition; for a load of several pages, that of the first. age() is unchanged.

--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -4,12 +4,14 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 /**
@@ -43,6 +45,7 @@
 
     private long nextOffset = -1;
     private long lastResponseNanos;
+    private Optional<ClockReading> asked = Optional.empty();
     private Duration retryDelay = MIN_RETRY_DELAY;
     private Duration overdueDelay = MIN_OVERDUE_DELAY;
     private boolean storeLost;
@@ -58,6 +61,9 @@
     /** End offset of the partition at the first page, -1 before that page. */
     private long endOffsetAtFirstPage = -1;
 
+    /** When the first page of the load in progress was requested. */
+    private Optional<ClockReading> firstPageAsked = Optional.empty();
+
     /**
      * Creates a follower.
      *
@@ -105,6 +111,18 @@
         return nextOffset < 0 ? Duration.ofDays(1) : Duration.ofNanos(ticker.nanos() - lastResponseNanos);
     }
 
+    /**
+     * Returns the latest time as of which all records of the partition are known to have been handled: when the last
+     * poll, load or refresh that read up to the partition's end was sent; empty before the first.
+     */
+    public Optional<ClockReading> asked() {
+        return asked;
+    }
+
+    private void recordAsked(ClockReading sent) {
+        asked = Optional.of(asked.map(known -> sent.younger(known, ticker)).orElse(sent));
+    }
+
     private void load() {
         if (stopped) {
             return;
@@ -114,28 +132,31 @@
         String after = pageRecords.isEmpty()
                 ? ""
                 : pageRecords.get(pageRecords.size() - 1).key();
-        long started = ticker.nanos();
+        ClockReading sent = ClockReading.now(ticker);
         store.newest(partition, after)
-                .onSuccess(page -> handlePage(page, Duration.ofNanos(ticker.nanos() - started)))
+                .onSuccess(page -> handlePage(page, sent))
                 .onFailure(failure -> retryLater(failure, this::load));
     }
 
-    private void handlePage(KeyedPage page, Duration elapsed) {
+    private void handlePage(KeyedPage page, ClockReading sent) {
         if (stopped) {
             return;
         }
+        firstPageAsked = firstPageAsked.or(() -> Optional.of(sent));
         // Pages are not a snapshot: later ones may miss records appended after the first, so polls start at its end.
         endOffsetAtFirstPage = endOffsetAtFirstPage < 0 ? page.endOffset() : endOffsetAtFirstPage;
         pageRecords.addAll(page.records());
         recordResponse();
         if (page.hasMore() && !page.records().isEmpty()) {
             // Pauses as long as the page took, so that requests are served; decoding is slow in a new process.
-            timers.after(elapsed, this::load);
+            timers.after(Duration.ofNanos(ticker.nanos() - sent.nanos()), this::load);
             return;
         }
         List<KeyedRecord> records = List.copyOf(pageRecords);
         runListener(() -> listener.reset(records), null);
         nextOffset = endOffsetAtFirstPage;
+        firstPageAsked.ifPresent(this::recordAsked);
+        firstPageAsked = Optional.empty();
         loads++;
         pageRecords.clear();
         endOffsetAtFirstPage = -1;
@@ -151,6 +172,7 @@
         }
         long number = ++latestPoll;
         long loadsBefore = loads;
+        ClockReading sent = ClockReading.now(ticker);
         Timers.Timer overdue = timers.after(pollWait.plus(overdueDelay), () -> pollOverdue(number));
         store.read(partition, nextOffset, pollWait).onComplete(response -> {
             overdue.cancel();
@@ -158,7 +180,7 @@
                 return;
             }
             if (response.succeeded()) {
-                handleSlice(response.result());
+                handleSlice(response.result(), Optional.of(sent));
             }
             if (number == latestPoll) {
                 pollEnded(response);
@@ -202,7 +224,8 @@
             return Future.failedFuture(
                     new StoreException(StoreException.Reason.REJECTED, partition + " has not been loaded yet"));
         }
-        return readNext().compose(slice -> readUpTo(slice.endOffset()));
+        ClockReading sent = ClockReading.now(ticker);
+        return readNext().compose(slice -> readUpTo(slice.endOffset())).onSuccess(read -> recordAsked(sent));
     }
 
     /** Reads up to an offset that the store has stated as the partition's end. */
@@ -222,16 +245,26 @@
     }
 
     private Future<LogSlice> readNext() {
-        return store.read(partition, nextOffset, Duration.ZERO).onSuccess(this::handleSlice);
+        ClockReading sent = ClockReading.now(ticker);
+        return store.read(partition, nextOffset, Duration.ZERO)
+                .onSuccess(slice -> handleSlice(slice, Optional.of(sent)));
     }
 
-    private void handleSlice(LogSlice slice) {
+    /**
+     * Handles records.
+     *
+     * @param sent when the request for them was sent, empty if they were not read from the store
+     */
+    private void handleSlice(LogSlice slice, Optional<ClockReading> sent) {
         int handled = (int) Math.max(0, Math.min(slice.records().size(), nextOffset - slice.firstOffset()));
         for (KeyedRecord record :
                 slice.records().subList(handled, slice.records().size())) {
             runListener(() -> listener.record(record), record.key());
         }
         nextOffset = Math.max(nextOffset, slice.nextOffset());
+        if (nextOffset >= slice.endOffset()) {
+            sent.ifPresent(this::recordAsked);
+        }
         recordResponse();
         runListener(listener::caughtUp, null);
     }
@@ -247,7 +280,7 @@
 
     /** Handles records that this process has appended at the given offset, without reading them back. */
     public void handleAppended(long offset, List<KeyedRecord> records) {
-        handleSlice(new LogSlice(offset, records, offset + records.size()));
+        handleSlice(new LogSlice(offset, records, offset + records.size()), Optional.empty());
     }
 
     private void recordResponse() {
--- a/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
@@ -151,6 +151,57 @@
         assertEquals(1, follower.nextOffset());
     }
 
+    private void assertAsked(Duration since) {
+        assertEquals(since, follower.asked().orElseThrow().age(time));
+    }
+
+    /** Guards against an old state of the partition that counts as the state at the time of the last page. */
+    @Test
+    void loadOfSeveralPagesIsAskedWithTheFirst() {
+        append("a", "b", "c", "d");
+        store.pageSize(2);
+        store.failPageReads(2);
+        store.holdPolls(true);
+        follower.start();
+        assertTrue(follower.asked().isEmpty());
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(4, follower.nextOffset());
+        assertAsked(Duration.ofSeconds(1));
+    }
+
+    /** Guards against a poll that the store held, and records of this process, that count as of their arrival. */
+    @Test
+    void pollIsAskedWhenItIsSent() {
+        store.holdPolls(true);
+        follower.start();
+        time.advance(Duration.ofMillis(900));
+        follower.handleAppended(0, List.of(new KeyedRecord("a", new byte[] {1})));
+        assertAsked(Duration.ofMillis(900));
+        store.log(PARTITION).add(new KeyedRecord("a", new byte[] {1}));
+        store.releasePolls();
+        time.advance(Duration.ofMillis(10));
+        assertAsked(Duration.ofMillis(910));
+        time.advance(Duration.ofMillis(400));
+        append("b", "c");
+        assertTrue(follower.refresh().succeeded());
+        assertAsked(Duration.ZERO);
+    }
+
+    /** Guards against a response that leaves out the newest records and counts as the state of the partition. */
+    @Test
+    void responseThatEndsBeforeThePartitionIsNotCounted() {
+        store.holdPolls(true);
+        follower.start();
+        append("a", "b");
+        store.sliceSize(1);
+        time.advance(Duration.ofMillis(500));
+        store.releasePolls();
+        assertEquals(1, follower.nextOffset());
+        assertAsked(Duration.ofMillis(500));
+        time.advance(Duration.ofMillis(10));
+        assertAsked(Duration.ZERO);
+    }
+
     /** Guards against polls that pile up at an overloaded store. */
     @Test
     void overduePollsBackOff() {
