Exchange configurations and their age between nodes

A node that the store rejects could neither learn of a new configuration nor know that there was none. Pings and pongs now carry the sender's version and its age. A pong confirms the version as of the time at which the ping was sent, a ping as of that of the pong that it echoes, each minus the age. A node that hears of a newer version requests its bytes from the peer, at most once a second while they are of no use, and applies them like a record of the store. Versions never go back; a malformed configuration, a version 0 and an answer to no known frame confirm nothing. An unknown route is denied also while only another node has confirmed the configuration within 2 s, and no longer once another node holds a newer one.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -13,6 +13,7 @@
 import dev.lavenderline.serving.online.ServingMetrics;
 import dev.lavenderline.serving.online.UpstreamConnections;
 import dev.lavenderline.serving.online.WireFormat;
+import dev.lavenderline.serving.slots.ConfigExchange;
 import dev.lavenderline.serving.slots.CrashingPrompts;
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.slots.LocalPlacement;
@@ -26,6 +27,7 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
+import dev.lavenderline.serving.workspaces.ConfigAge;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -85,6 +87,7 @@
     private final Timers timers;
     private final EventLog log;
     private final ServingMetrics metrics = new ServingMetrics();
+    private final ConfigAge configAge;
     private final ConfigFollower config;
     private final UpstreamDirectory directory;
     private final PartitionFollower configReader;
@@ -117,10 +120,12 @@
         this.ticker = ticker;
         this.timers = timers;
         this.log = log;
-        this.config = new ConfigFollower(decoder, log);
+        this.configAge = new ConfigAge(ticker);
+        this.config = new ConfigFollower(decoder, configAge, log);
         this.directory = new UpstreamDirectory(ticker);
         this.configReader = new PartitionFollower(
                 store, CONFIG_PARTITION, config, ticker, timers, log, POLL_WAIT, () -> CONFIG_POLL_PAUSE);
+        config.storeAsked(configReader::asked);
         this.upstreamReader = new PartitionFollower(
                 store,
                 UPSTREAMS_PARTITION,
@@ -170,6 +175,7 @@
                 () -> jobs.age(),
                 prompts,
                 SlotScheduler.Options.defaults());
+        slots.exchangeConfig(new ConfigExchange(configAge, config, ticker));
         slots.scheduler()
                 .plainServices(service -> !config.current()
                         .map(current -> current.modelEngines(service))
@@ -190,7 +196,7 @@
                 metrics,
                 random::nextInt);
         this.runner = new ItemRunner(context, ledger, jobs);
-        this.callers = new CallerServer(vertx, context, config::current, configReader::age, ledger, jobs, timers);
+        this.callers = new CallerServer(vertx, context, config::current, this::configAge, ledger, jobs, timers);
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, schedulerClient::replaceNodes);
         this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultRetention());
         this.status = new StatusServer(vertx, this::ready, metrics::text);
@@ -218,6 +224,19 @@
                 });
     }
 
+    /**
+     * Returns the time since a response of the store, or a question to another node, that confirmed the configuration;
+     * a day if another node holds a newer one.
+     */
+    private Duration configAge() {
+        if (configAge.newerVersion().isPresent()) {
+            return Duration.ofDays(1);
+        }
+        Duration byStore = configReader.age();
+        Duration byAny = configAge.age();
+        return byAny.compareTo(byStore) < 0 ? byAny : byStore;
+    }
+
     private Duration jobsPollPause() {
         Duration pause = JOBS_POLL_PAUSE.multipliedBy(Math.max(1, schedulerClient.nodeCount() / 10));
         return pause.compareTo(MAX_JOBS_POLL_PAUSE) < 0 ? pause : MAX_JOBS_POLL_PAUSE;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -88,12 +88,14 @@
     private int nodeCount = 1;
     private boolean nodesKnown;
     private long nextLease;
+    private ConfigExchange config;
 
     private record Pending(SlotRequest request, Listener listener, long sinceNanos) {}
 
     private final class Connection {
         final NodeEntry target;
         NetSocket socket;
+        ConfigExchange.Link configLink;
         boolean active;
         boolean closed;
         long lastFrameNanos;
@@ -124,6 +126,7 @@
                 return;
             }
             socket = opened;
+            configLink = config.connect(socket::write);
             socket.handler(new SlotFrames.Decoder(this::frame, problem -> {
                 log.event(ServingEvent.FRAME_MALFORMED, "peer", target.name(), "message", problem);
                 connectionLost(this, problem);
@@ -135,7 +138,7 @@
 
         void ping() {
             lastPingNanos = ticker.nanos();
-            socket.write(SlotFrames.ping(lastPingNanos));
+            socket.write(configLink.ping(lastPingNanos));
         }
 
         void activate() {
@@ -175,7 +178,12 @@
         void frame(SlotFrame frame) {
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
-                case PONG -> pong(Duration.ofMillis(frame.getPong().getStoreAgeMs()));
+                case PONG -> {
+                    configLink.pongReceived(frame.getPong());
+                    pong(Duration.ofMillis(frame.getPong().getStoreAgeMs()));
+                }
+                case CONFIG_REQUEST -> configLink.requested(frame.getConfigRequest());
+                case CONFIG_RECORD -> configLink.received(frame.getConfigRecord());
                 case GRANTED ->
                     granted(
                             self.name(),
@@ -286,6 +294,12 @@
         // Starts at the wall clock, so that lease numbers of an earlier process of this node are not reused. Bit 62 is
         // left to item leases, which the scheduler numbers.
         this.nextLease = ticker.now().toEpochMilli() << 20 & 0x3fff_ffff_ffff_ffffL;
+        this.config = ConfigExchange.none(ticker);
+    }
+
+    /** Sets the exchange of configurations with the scheduler's node; call it before {@link #start}. */
+    void exchangeConfig(ConfigExchange exchange) {
+        config = exchange;
     }
 
     /** Starts selecting and checking the scheduler; items run on the executor. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -1,7 +1,10 @@
 package dev.lavenderline.serving.slots;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import dev.lavenderline.proto.slots.Acquire;
+import dev.lavenderline.proto.slots.ConfigRecord;
+import dev.lavenderline.proto.slots.ConfigRequest;
 import dev.lavenderline.proto.slots.Granted;
 import dev.lavenderline.proto.slots.Hello;
 import dev.lavenderline.proto.slots.Leaving;
@@ -153,14 +156,33 @@
         return frame(SlotFrame.newBuilder().setSuspect(Suspect.newBuilder().setUpstream(upstream)));
     }
 
-    static Buffer ping(long sequence) {
-        return frame(SlotFrame.newBuilder().setPing(Ping.newBuilder().setSequence(sequence)));
+    static Buffer ping(long sequence, ConfigStatement config, long echo) {
+        return frame(SlotFrame.newBuilder()
+                .setPing(Ping.newBuilder()
+                        .setSequence(sequence)
+                        .setConfigVersion(config.version())
+                        .setConfigAgeMs(config.ageMillis())
+                        .setEcho(echo)));
+    }
+
+    static Buffer pong(long sequence, Duration jobStateAge, ConfigStatement config, long stamp) {
+        return frame(SlotFrame.newBuilder()
+                .setPong(Pong.newBuilder()
+                        .setSequence(sequence)
+                        .setStoreAgeMs((int) Math.min(Integer.MAX_VALUE, jobStateAge.toMillis()))
+                        .setConfigVersion(config.version())
+                        .setConfigAgeMs(config.ageMillis())
+                        .setStamp(stamp)));
+    }
+
+    static Buffer configRequest(long heldVersion) {
+        return frame(SlotFrame.newBuilder()
+                .setConfigRequest(ConfigRequest.newBuilder().setVersion(heldVersion)));
     }
 
-    static Buffer pong(long sequence, Duration jobStateAge) {
+    static Buffer configRecord(long version, byte[] value) {
         return frame(SlotFrame.newBuilder()
-                .setPong(Pong.newBuilder().setSequence(sequence).setStoreAgeMs((int)
-                        Math.min(Integer.MAX_VALUE, jobStateAge.toMillis()))));
+                .setConfigRecord(ConfigRecord.newBuilder().setVersion(version).setValue(ByteString.copyFrom(value))));
     }
 
     static Buffer granted(long lease, String upstream) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -53,15 +53,18 @@
     private String selfName = "";
     private SlotDecisionListener localListener;
     private NetServer server;
+    private ConfigExchange config;
 
     private final class Peer {
         final NetSocket socket;
         String node = "";
         String failureDomain = "";
+        final ConfigExchange.Link configLink;
         long lastFrameNanos = ticker.nanos();
 
         Peer(NetSocket socket) {
             this.socket = socket;
+            this.configLink = config.connect(socket::write);
             socket.handler(new SlotFrames.Decoder(this::frame, problem -> {
                 log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", problem);
                 socket.close();
@@ -74,7 +77,9 @@
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> join(this, frame);
-                case PING -> socket.write(SlotFrames.pong(frame.getPing().getSequence(), jobStateAge.get()));
+                case PING -> socket.write(configLink.pong(frame.getPing(), jobStateAge.get()));
+                case CONFIG_REQUEST -> configLink.requested(frame.getConfigRequest());
+                case CONFIG_RECORD -> configLink.received(frame.getConfigRecord());
                 case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire()));
                 case RELEASE ->
                     scheduler.released(
@@ -117,6 +122,12 @@
         this.vertx = vertx;
         this.ticker = ticker;
         this.log = log;
+        this.config = ConfigExchange.none(ticker);
+    }
+
+    /** Sets the exchange of configurations with the nodes that use this scheduler; call it before {@link #listen}. */
+    void exchangeConfig(ConfigExchange exchange) {
+        config = exchange;
     }
 
     /** Sets the scheduler and the listener for this node's own decisions; call it before {@link #listen}. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -91,6 +91,12 @@
         return jobStateAge.get().compareTo(MAX_FRESH_AGE) < 0;
     }
 
+    /** Sets the exchange of configurations with other nodes; call it before {@link #listen}. */
+    public void exchangeConfig(ConfigExchange exchange) {
+        server.exchangeConfig(exchange);
+        client.exchangeConfig(exchange);
+    }
+
     /** Starts accepting connections of other nodes; returns the port. */
     public Future<Integer> listen(String host, int port) {
         return server.listen(host, port);
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
@@ -132,7 +132,9 @@
                             received.add(frame);
                             if (frame.hasPing()) {
                                 vertx.setTimer(
-                                        pongDelay.toMillis(), later -> socket.write(SlotFrames.pong(1, Duration.ZERO)));
+                                        pongDelay.toMillis(),
+                                        later -> socket.write(
+                                                SlotFrames.pong(1, Duration.ZERO, ConfigStatement.NONE, 0)));
                             } else if (frame.hasHello()) {
                                 socket.write(SlotFrames.granted(lease, "e1"));
                             }
