Refuse keys while the configuration may be outdated

A request with a removed key could run on a node that did not know of the removal: one cut from the store, suspended or just restarted. With keyRevocationSeconds, KeyFreshness admits a key only while the configuration has been confirmed within that time less 250 ms. CallerServer asks it when it admits a request with a key, batch calls included, and answers 503 "not run" else; public routes are not checked. OnlineCall asks again right before each send, where the key must still be valid: 401 or 503 if nothing may have run, 502 else. A silent upstream is kept then instead of being replaced.

Without the setting, or without workspaces, nothing is checked.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -13,6 +13,7 @@
 import dev.lavenderline.serving.online.ServingMetrics;
 import dev.lavenderline.serving.online.UpstreamConnections;
 import dev.lavenderline.serving.online.WireFormat;
+import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.slots.ConfigExchange;
 import dev.lavenderline.serving.slots.CrashingPrompts;
 import dev.lavenderline.serving.slots.ItemRef;
@@ -28,6 +29,8 @@
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
 import dev.lavenderline.serving.workspaces.ConfigAge;
+import dev.lavenderline.serving.workspaces.KeyFreshness;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -88,6 +91,7 @@
     private final EventLog log;
     private final ServingMetrics metrics = new ServingMetrics();
     private final ConfigAge configAge;
+    private final KeyFreshnessEvents keyEvents;
     private final ConfigFollower config;
     private final UpstreamDirectory directory;
     private final PartitionFollower configReader;
@@ -183,6 +187,11 @@
         this.schedulerClient = slots.client();
         this.connections = new UpstreamConnections(vertx, ticker);
         connections.onResponseInfo(this::responseReceived);
+        KeyFreshness keys = new KeyFreshness(
+                settings.keyRevocation(),
+                configAge,
+                () -> config.current().map(FleetConfig::workspaces).orElse(Workspaces.none()));
+        this.keyEvents = new KeyFreshnessEvents(keys, configAge, log);
         CallContext context = new CallContext(
                 settings.self().name(),
                 wire,
@@ -194,6 +203,7 @@
                 timers,
                 log,
                 metrics,
+                keys,
                 random::nextInt);
         this.runner = new ItemRunner(context, ledger, jobs);
         this.callers = new CallerServer(vertx, context, config::current, this::configAge, ledger, jobs, timers);
@@ -274,6 +284,7 @@
         // Saves wakeups on nodes whose scheduler is not in use.
         timers.after(active ? SCHEDULING_PERIOD : IDLE_SCHEDULING_PERIOD, this::schedule);
         directory.expire();
+        keyEvents.check();
         if (active) {
             slots.scheduler().schedule();
         }
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -43,7 +43,8 @@
 
     /**
      * Age of the configuration above which an unknown route may have been added meanwhile. Below the 2.5 s in which
-     * changes have to apply, and twice the time between two responses of the store.
+     * changes have to apply, and twice the time between two responses of the store. A confirmation by another node
+     * counts as well; its age includes the time for which the store held a poll, so it is often above 2 s.
      */
     private static final Duration MAX_CONFIG_AGE = Duration.ofSeconds(2);
 
@@ -64,7 +65,8 @@
     /**
      * Creates a server.
      *
-     * @param configAge returns the time since the store confirmed that the configuration is the newest one
+     * @param configAge returns the time since the store or another node confirmed that the configuration is the newest
+     *     one
      */
     public CallerServer(
             Vertx vertx,
@@ -211,12 +213,17 @@
                     ? context.wire().parseBatchCall(request.method(), request.uri())
                     : Optional.empty();
             if (call.isPresent()) {
-                batch.handle(call.get(), info, response);
+                if (keyAdmitted(request, info, Optional.empty(), response)) {
+                    batch.handle(call.get(), info, response);
+                }
             } else {
                 rejectUnknownRoute(request, host, info, current.get(), response);
             }
             return;
         }
+        if (!keyAdmitted(request, info, route, response)) {
+            return;
+        }
         if (route.get().kind() == RouteKind.BATCH) {
             batch.submit(route.get(), host, info, body, response);
             return;
@@ -248,6 +255,29 @@
         }
     }
 
+    /** Returns whether this node may decide on the key of a request; if not, rejects the request as not run. */
+    private boolean keyAdmitted(
+            HttpServerRequest request, RequestInfo info, Optional<Route> route, CallerResponse response) {
+        if (info.apiKey().isEmpty()
+                || route.map(Route::publicAccess).orElse(false)
+                || context.keys().fresh()) {
+            return true;
+        }
+        context.log()
+                .event(
+                        ServingEvent.REQUEST_ENDED,
+                        "request",
+                        info.id(),
+                        "route",
+                        route.map(Route::name).orElse(null),
+                        "uri",
+                        request.uri(),
+                        "outcome",
+                        "503 " + KeyCheck.OUTDATED_MESSAGE);
+        response.sendText(503, KeyCheck.OUTDATED_MESSAGE, KeyCheck.RETRY_DELAY);
+        return false;
+    }
+
     private void handleOnline(
             HttpServerRequest request,
             Buffer body,
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -77,6 +77,7 @@
     private final long arrivalNanos;
     private final long deadlineNanos;
     private final RequestTraits traits;
+    private final KeyCheck keyCheck;
     private final Set<String> excluded = new HashSet<>();
     private final Timers.Timer deadlineTimer;
 
@@ -136,6 +137,7 @@
         this.response = response;
         this.onDone = onDone;
         this.traits = new RequestTraits(info.sharedParts(), this::hash);
+        this.keyCheck = new KeyCheck(context.keys(), route, info);
         this.lastEventId = info.lastEventId();
         this.origin = resumedByCaller()
                 ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
@@ -208,7 +210,7 @@
     }
 
     private void tryUpstream() {
-        if (remaining().isZero() || rejectedForCrashes()) {
+        if (remaining().isZero() || rejectedForCrashes() || rejectedForKey()) {
             return;
         }
         if (placedLocally()) {
@@ -289,6 +291,13 @@
         return true;
     }
 
+    /** Ends the request if its key must not be used now. Sends follow this check at once. */
+    private boolean rejectedForKey() {
+        Optional<KeyCheck.Refusal> refusal = keyCheck.refusal(possibleRuns > 0);
+        refusal.ifPresent(cause -> fail(cause.status(), cause.message(), cause.retryAfter()));
+        return refusal.isPresent();
+    }
+
     /** Returns a hash of what stays the same when the caller sends the request again. */
     private long hash() {
         MessageDigest digest;
@@ -304,7 +313,7 @@
     }
 
     private void slotGranted(String upstreamId) {
-        if (rejectedForCrashes()) {
+        if (rejectedForCrashes() || rejectedForKey()) {
             return;
         }
         Optional<Upstream> found = usable(upstreamId);
@@ -373,7 +382,8 @@
     private void seekReplacement() {
         if (replacementLease >= 0
                 || remaining().isZero()
-                || context.slots().rejectedFor(traits).isPresent()) {
+                || context.slots().rejectedFor(traits).isPresent()
+                || keyCheck.refusal(true).isPresent()) {
             return;
         }
         Set<String> unusable = new HashSet<>(excluded);
@@ -400,6 +410,10 @@
     }
 
     private void replacementGranted(String upstreamId) {
+        if (keyCheck.refusal(true).isPresent()) {
+            releaseReplacement(ReleaseReason.CANCELLED);
+            return;
+        }
         Optional<Upstream> found = usable(upstreamId);
         if (found.isEmpty()) {
             excluded.add(upstreamId);
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -62,6 +62,7 @@
                     time,
                     (event, fields) -> logged.add(event + " " + List.of(fields)),
                     metrics,
+                    null,
                     bound -> 0),
             ledger,
             store);
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -19,6 +19,8 @@
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.workspaces.Workspace;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vavr.control.Either;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -27,9 +29,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -48,10 +52,10 @@
     final List<Integer> ports = new ArrayList<>();
 
     /**
-     * Decodes text. A configuration is its version; an upstream its service, its port, and optionally its version,
+     * Decodes text. A configuration is its version and keys, each of a workspace of its own; an upstream its service, its port, and optionally its version,
      * "started" with a number, and "draining".
      */
-    private static final class TextRecordDecoder implements ControlRecordDecoder {
+    static final class TextRecordDecoder implements ControlRecordDecoder {
         @Override
         public String configKey() {
             return "config";
@@ -59,18 +63,29 @@
 
         @Override
         public Either<String, FleetConfig> config(byte[] value) {
-            long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+            String[] words = new String(value, StandardCharsets.UTF_8).split(" ", -1);
+            long version = Long.parseLong(words[0]);
             return Either.right(new FleetConfig(
                     version,
                     List.of(
                             route("safe", RouteKind.SAFE, "plain", false),
                             route("unsafe", RouteKind.UNSAFE, "plain", false),
+                            route("public", RouteKind.SAFE, "plain", false),
                             route("stream", RouteKind.STREAMING, "engines", false),
                             route("resumable", RouteKind.STREAMING, "engines", true),
                             route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
                             route("batch", RouteKind.BATCH, "engines", true)),
                     List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
-                    CallerLimits.defaults()));
+                    CallerLimits.defaults(),
+                    workspaces(words)));
+        }
+
+        private static Workspaces workspaces(String[] words) {
+            Workspaces.Builder workspaces = new Workspaces.Builder();
+            Arrays.stream(words)
+                    .skip(1)
+                    .forEach(key -> workspaces.add(new Workspace("w-" + key, OptionalInt.empty(), 0, 0), List.of(key)));
+            return words.length == 1 ? Workspaces.none() : workspaces.build();
         }
 
         private static Route route(String name, RouteKind kind, String service, boolean resumable) {
@@ -93,7 +108,7 @@
                     Duration.ofSeconds(18),
                     Duration.ofSeconds(60),
                     1_000,
-                    false);
+                    name.equals("public"));
         }
 
         @Override
@@ -154,6 +169,12 @@
 
     /** Starts a node and waits until it is ready. */
     ServingNode startNode(String name) throws IOException {
+        return startNode(name, store, Ticker.system(), Optional.empty());
+    }
+
+    /** Starts a node with its own view of the store and its own clocks, and waits until it is ready. */
+    ServingNode startNode(String name, MetadataStore nodeStore, Ticker ticker, Optional<Duration> keyRevocation)
+            throws IOException {
         int callers = freePort();
         ServingSettings settings = new ServingSettings(
                 new NodeEntry(name, LOOPBACK, freePort(), "a", 0, 1),
@@ -165,17 +186,17 @@
                 100_000,
                 Duration.ofSeconds(120),
                 Duration.ofSeconds(8),
-                Optional.empty(),
+                keyRevocation,
                 Map.of());
         CompletableFuture<ServingNode> started = new CompletableFuture<>();
         context.runOnContext(now -> {
             ServingNode node = new ServingNode(
                     vertx,
                     settings,
-                    store,
+                    nodeStore,
                     new TextRecordDecoder(),
                     new TestWireFormat(),
-                    Ticker.system(),
+                    ticker,
                     new VertxTimers(vertx),
                     EventLog.NONE,
                     RandomSource.SPLIT_MIX_64.create(7));
