Let the request of a test wait until its key is removed

waitingRequestIsNotSentOnceItsKeyIsRemoved passed without the check at the grant of a slot: its request arrived after the removal, and an engine of two slots takes three requests. It now occupies all three and waits before it removes the key.

--- a/serving/src/test/java/dev/lavenderline/serving/node/KeyRevocationTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/KeyRevocationTest.java
@@ -2,6 +2,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.lavenderline.core.Ticker;
@@ -24,6 +25,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -300,22 +302,26 @@
         assertEquals(1, upstream.requests.size());
     }
 
-    /** Guards against a key that is removed while its request waits for a slot; the engine has two. */
+    /** Guards against a key that is removed while its request waits for a slot; the engine takes three. */
     @Test
     void waitingRequestIsNotSentOnceItsKeyIsRemoved() throws Exception {
         startNode("n0");
         List<Runnable> held = new ArrayList<>();
         upstream.script = (request, body) -> held.add(() -> request.response().end("id: 1\ndata: text\n\n"));
-        List<CompletableFuture<HttpResponse<String>>> running =
-                List.of(send(0, "POST", "/long/a", "k2", "a"), send(0, "POST", "/long/b", "k2", "b"));
-        await().atMost(TIMEOUT).until(() -> upstream.requests.size() == 2);
-        CompletableFuture<HttpResponse<String>> waiting = send(0, "POST", "/long/c", "k1", "c");
+        List<CompletableFuture<HttpResponse<String>>> running = Stream.of("a", "b", "c")
+                .map(id -> send(0, "POST", "/long/" + id, "k2", id))
+                .toList();
+        await().atMost(TIMEOUT).until(() -> upstream.requests.size() == 3);
+        CompletableFuture<HttpResponse<String>> waiting = send(0, "POST", "/long/d", "k1", "d");
+        // Time for the request to be admitted; nothing outside the node shows that it waits.
+        TimeUnit.MILLISECONDS.sleep(300);
+        assertFalse(waiting.isDone());
         removeKey();
         await().atMost(TIMEOUT).until(() -> post(0, "/safe/x", "k1") == 401);
         harness.context.runOnContext(now -> held.forEach(Runnable::run));
         running.forEach(response -> assertEquals(200, response.join().statusCode()));
         assertEquals(401, waiting.join().statusCode());
-        assertEquals(2, upstream.requests.size());
+        assertEquals(3, upstream.requests.size());
     }
 
     /** A silent upstream may still answer: no other one gets the request, and the answer is delivered. */
