--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -46,6 +46,8 @@
     KEY_REJECTED("LL-1470", "API key rejected"),
     KEYS_NOT_CHECKED("LL-1471", "configuration too old to reject keys; such requests get 503"),
     KEYS_CHECKED_AGAIN("LL-1472", "configuration confirmed; keys are rejected again"),
+    CONFIG_TOO_OLD("LL-1475", "configuration too old to check keys; requests with keys are refused"),
+    CONFIG_CONFIRMED("LL-1476", "configuration confirmed again; requests with keys are served"),
     LINES_DROPPED("LL-1490", "log lines dropped"),
     UNEXPECTED("LL-1499", "unexpected failure");
 
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -13,6 +13,8 @@
 import dev.lavenderline.serving.online.ServingMetrics;
 import dev.lavenderline.serving.online.UpstreamConnections;
 import dev.lavenderline.serving.online.WireFormat;
+import dev.lavenderline.serving.routes.FleetConfig;
+import dev.lavenderline.serving.slots.ConfigExchange;
 import dev.lavenderline.serving.slots.CrashingPrompts;
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.slots.LocalPlacement;
@@ -26,6 +28,9 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
+import dev.lavenderline.serving.workspaces.ConfigAge;
+import dev.lavenderline.serving.workspaces.KeyFreshness;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -92,6 +97,8 @@
     private final Timers timers;
     private final EventLog log;
     private final ServingMetrics metrics = new ServingMetrics();
+    private final ConfigAge configAge;
+    private final KeyFreshnessEvents keyEvents;
     private final ConfigFollower config;
     private final UpstreamDirectory directory;
     private final PartitionFollower configReader;
@@ -124,10 +131,12 @@
         this.ticker = ticker;
         this.timers = timers;
         this.log = log;
-        this.config = new ConfigFollower(decoder, log);
+        this.configAge = new ConfigAge(ticker);
+        this.config = new ConfigFollower(decoder, configAge, log);
         this.directory = new UpstreamDirectory(ticker);
         this.configReader = new PartitionFollower(
                 store, CONFIG_PARTITION, config, ticker, timers, log, POLL_WAIT, () -> CONFIG_POLL_PAUSE);
+        config.storeAsked(configReader::asked);
         this.upstreamReader = new PartitionFollower(
                 store,
                 UPSTREAMS_PARTITION,
@@ -177,6 +186,7 @@
                 () -> jobs.age(),
                 prompts,
                 SlotScheduler.Options.defaults());
+        slots.exchangeConfig(new ConfigExchange(configAge, config, ticker));
         slots.scheduler()
                 .plainServices(service -> !config.current()
                         .map(current -> current.modelEngines(service))
@@ -189,6 +199,11 @@
         this.schedulerClient = slots.client();
         this.connections = new UpstreamConnections(vertx, ticker);
         connections.onResponseInfo(this::responseReceived);
+        KeyFreshness keys = new KeyFreshness(
+                settings.keyRevocation(),
+                configAge,
+                () -> config.current().map(FleetConfig::workspaces).orElse(Workspaces.none()));
+        this.keyEvents = new KeyFreshnessEvents(keys, configAge, log);
         CallContext context = new CallContext(
                 settings.self().name(),
                 wire,
@@ -200,6 +215,7 @@
                 timers,
                 log,
                 metrics,
+                keys,
                 random::nextInt);
         this.runner = new ItemRunner(
                 context,
@@ -208,7 +224,7 @@
                 () -> config.current()
                         .map(current -> current.workspaces().enabled())
                         .orElse(false));
-        this.callers = new CallerServer(vertx, context, config::current, configReader::age, ledger, jobs, timers);
+        this.callers = new CallerServer(vertx, context, config::current, this::configAge, ledger, jobs, timers);
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, schedulerClient::replaceNodes);
         this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultRetention());
         this.status = new StatusServer(vertx, this::ready, metrics::text);
@@ -236,6 +252,19 @@
                 });
     }
 
+    /**
+     * Returns the time since a response of the store, or a question to another node, that confirmed the configuration;
+     * a day if another node holds a newer one.
+     */
+    private Duration configAge() {
+        if (configAge.newerVersion().isPresent()) {
+            return Duration.ofDays(1);
+        }
+        Duration byStore = configReader.age();
+        Duration byAny = configAge.age();
+        return byAny.compareTo(byStore) < 0 ? byAny : byStore;
+    }
+
     /** Returns the pause between polls of the jobs: short at the scheduler, where new items wait to be started. */
     private Duration jobsPollPause() {
         if (slots.scheduler().nodeCount() > 0) {
@@ -277,6 +306,7 @@
         // Saves wakeups on nodes whose scheduler is not in use.
         timers.after(active ? SCHEDULING_PERIOD : IDLE_SCHEDULING_PERIOD, this::schedule);
         directory.expire();
+        keyEvents.check();
         if (active) {
             slots.scheduler().schedule();
         }
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerAdmission.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerAdmission.java
@@ -1,8 +1,11 @@
 package dev.lavenderline.serving.online;
 
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.workspaces.Caller;
 import dev.lavenderline.serving.workspaces.CallerCheck;
+import dev.lavenderline.serving.workspaces.KeyFreshness;
 import dev.lavenderline.serving.workspaces.KeyRejectionLog;
 import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import io.vavr.control.Either;
@@ -21,6 +24,8 @@
     private final Duration retryDelay;
     private final KeyRejectionLog rejections;
     private final WorkspaceMetrics metrics;
+    private final KeyFreshness keys;
+    private final EventLog log;
 
     /**
      * Creates an admission.
@@ -35,6 +40,8 @@
         this.retryDelay = retryDelay;
         this.rejections = new KeyRejectionLog(context.timers(), context.log());
         this.metrics = context.metrics().workspaces();
+        this.keys = context.keys();
+        this.log = context.log();
     }
 
     /** Returns whether there may be a newer configuration that this node does not know of. */
@@ -52,6 +59,11 @@
             FleetConfig config, RequestInfo info, String route, boolean publicAccess, CallerResponse response) {
         Either<CallerCheck.Refusal, Caller> decision =
                 CallerCheck.identify(config.workspaces(), info.apiKey(), publicAccess, this::configOutdated);
+        if (decision.isRight() && !publicAccess && info.apiKey().isPresent() && !keys.fresh()) {
+            logOutdated(info, route);
+            response.sendText(503, KeyCheck.OUTDATED_MESSAGE, KeyCheck.RETRY_DELAY);
+            return Optional.empty();
+        }
         if (decision.isRight()) {
             rejections.recheck(this::configOutdated);
             metrics.request(decision.get());
@@ -68,4 +80,15 @@
         }
         return Optional.empty();
     }
+
+    private void logOutdated(RequestInfo info, String route) {
+        log.event(
+                ServingEvent.REQUEST_ENDED,
+                "request",
+                info.id(),
+                "route",
+                route,
+                "outcome",
+                "503 " + KeyCheck.OUTDATED_MESSAGE);
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -43,8 +43,9 @@
     private static final Duration CLOSE_DELAY = Duration.ofMillis(200);
 
     /**
-     * Age of the configuration above which an unknown route or key may have been added meanwhile. Below the 2.5 s in which
-     * changes have to apply, and twice the time between two responses of the store.
+     * Age of the configuration above which an unknown route or key may have been added meanwhile. Below the 2.5 s in
+     * which changes have to apply, and twice the time between two responses of the store. A confirmation by another
+     * node counts as well; its age includes the time for which the store held a poll, so it is often above 2 s.
      */
     private static final Duration MAX_CONFIG_AGE = Duration.ofSeconds(2);
 
@@ -66,7 +67,8 @@
     /**
      * Creates a server.
      *
-     * @param configAge returns the time since the store confirmed that the configuration is the newest one
+     * @param configAge returns the time since the store or another node confirmed that the configuration is the newest
+     *     one
      */
     public CallerServer(
             Vertx vertx,
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -80,6 +80,7 @@
     private final long arrivalNanos;
     private final long deadlineNanos;
     private final RequestTraits traits;
+    private final KeyCheck keyCheck;
     private final Set<String> excluded = new HashSet<>();
     private final Timers.Timer deadlineTimer;
 
@@ -145,6 +146,7 @@
         this.response = response;
         this.onDone = onDone;
         this.traits = new RequestTraits(info.sharedParts(), this::hash);
+        this.keyCheck = new KeyCheck(context.keys(), route, info);
         this.lastEventId = info.lastEventId();
         this.origin = resumedByCaller()
                 ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
@@ -217,7 +219,7 @@
     }
 
     private void tryUpstream() {
-        if (remaining().isZero() || rejectedForCrashes()) {
+        if (remaining().isZero() || rejectedForCrashes() || rejectedForKey()) {
             return;
         }
         if (placedLocally()) {
@@ -307,6 +309,13 @@
         return true;
     }
 
+    /** Ends the request if its key must not be used now. Sends follow this check at once. */
+    private boolean rejectedForKey() {
+        Optional<KeyCheck.Refusal> refusal = keyCheck.refusal(possibleRuns > 0);
+        refusal.ifPresent(cause -> fail(cause.status(), cause.message(), cause.retryAfter()));
+        return refusal.isPresent();
+    }
+
     /** Returns a hash of what stays the same when the caller sends the request again. */
     private long hash() {
         MessageDigest digest;
@@ -322,7 +331,7 @@
     }
 
     private void slotGranted(String upstreamId) {
-        if (rejectedForCrashes()) {
+        if (rejectedForCrashes() || rejectedForKey()) {
             return;
         }
         Optional<Upstream> found = usable(upstreamId);
@@ -391,7 +400,8 @@
     private void seekReplacement() {
         if (replacementLease >= 0
                 || remaining().isZero()
-                || context.slots().rejectedFor(traits).isPresent()) {
+                || context.slots().rejectedFor(traits).isPresent()
+                || keyCheck.refusal(true).isPresent()) {
             return;
         }
         Set<String> unusable = new HashSet<>(excluded);
@@ -418,6 +428,10 @@
     }
 
     private void replacementGranted(String upstreamId) {
+        if (keyCheck.refusal(true).isPresent()) {
+            releaseReplacement(ReleaseReason.CANCELLED);
+            return;
+        }
         Optional<Upstream> found = usable(upstreamId);
         if (found.isEmpty()) {
             excluded.add(upstreamId);
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -57,10 +57,11 @@
 
     /**
      * Decodes text. A configuration is its version, followed by "workspaces" and an entry "name=key+key" for each if
-     * there are any, with a priority after a slash if it has one; an upstream its service, its port, and optionally its version,
+     * there are any, with a priority after a slash if it has one, or by keys, each of a workspace of its own; an
+     * upstream its service, its port, and optionally its version,
      * "started" with a number, and "draining".
      */
-    private static final class TextRecordDecoder implements ControlRecordDecoder {
+    static final class TextRecordDecoder implements ControlRecordDecoder {
         @Override
         public String configKey() {
             return "config";
@@ -75,6 +76,7 @@
                     List.of(
                             route("safe", RouteKind.SAFE, "plain", false),
                             route("unsafe", RouteKind.UNSAFE, "plain", false),
+                            route("public", RouteKind.SAFE, "plain", false),
                             route("stream", RouteKind.STREAMING, "engines", false),
                             route("resumable", RouteKind.STREAMING, "engines", true),
                             route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
@@ -82,12 +84,20 @@
                             route("batch", RouteKind.BATCH, "engines", true)),
                     List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
                     CallerLimits.defaults(),
-                    words.size() < 2 ? Workspaces.none() : workspaces(words.subList(2, words.size()))));
+                    workspaces(words.subList(1, words.size()))));
         }
 
-        private static Workspaces workspaces(List<String> entries) {
+        private static Workspaces workspaces(List<String> words) {
+            if (words.isEmpty()) {
+                return Workspaces.none();
+            }
             Workspaces.Builder workspaces = new Workspaces.Builder();
-            for (String entry : entries) {
+            if (!words.get(0).equals("workspaces")) {
+                words.forEach(
+                        key -> workspaces.add(new Workspace("w-" + key, OptionalInt.empty(), 0, 0), List.of(key)));
+                return workspaces.build();
+            }
+            for (String entry : words.subList(1, words.size())) {
                 String[] parts = entry.split("[=/]");
                 OptionalInt priority =
                         parts.length > 2 ? OptionalInt.of(Integer.parseInt(parts[2])) : OptionalInt.empty();
@@ -178,6 +188,12 @@
 
     /** Starts a node and waits until it is ready. */
     ServingNode startNode(String name) throws IOException {
+        return startNode(name, store, Ticker.system(), Optional.empty());
+    }
+
+    /** Starts a node with its own view of the store and its own clocks, and waits until it is ready. */
+    ServingNode startNode(String name, MetadataStore nodeStore, Ticker ticker, Optional<Duration> keyRevocation)
+            throws IOException {
         int callers = freePort();
         ServingSettings settings = new ServingSettings(
                 new NodeEntry(name, LOOPBACK, freePort(), "a", 0, 1),
@@ -189,17 +205,17 @@
                 100_000,
                 Duration.ofSeconds(120),
                 Duration.ofSeconds(8),
-                Optional.empty(),
+                keyRevocation,
                 Topology.ofRegions(Map.of()));
         CompletableFuture<ServingNode> started = new CompletableFuture<>();
         context.runOnContext(now -> {
             ServingNode node = new ServingNode(
                     vertx,
                     settings,
-                    store,
+                    nodeStore,
                     new TextRecordDecoder(),
                     new TestWireFormat(),
-                    Ticker.system(),
+                    ticker,
                     new VertxTimers(vertx),
                     (event, fields) -> logged.add(event + " " + Arrays.asList(fields)),
                     RandomSource.SPLIT_MIX_64.create(7));
--- a/serving/src/test/java/dev/lavenderline/serving/online/SlotRequestsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/SlotRequestsTest.java
@@ -15,6 +15,9 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.workspaces.Caller;
+import dev.lavenderline.serving.workspaces.ConfigAge;
+import dev.lavenderline.serving.workspaces.KeyFreshness;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -71,8 +74,20 @@
         UpstreamConnections connections = new UpstreamConnections(vertx, ticker);
         VertxTimers timers = new VertxTimers(vertx);
         WireFormat wire = new TestWireFormat();
+        KeyFreshness keys = new KeyFreshness(Optional.empty(), new ConfigAge(ticker), Workspaces::none);
         return new CallContext(
-                "n1", wire, connections, directory, slots, null, ticker, timers, EventLog.NONE, metrics, bound -> 0);
+                "n1",
+                wire,
+                connections,
+                directory,
+                slots,
+                null,
+                ticker,
+                timers,
+                EventLog.NONE,
+                metrics,
+                keys,
+                bound -> 0);
     }
 
     /** Serves one request, whose call gets the grants, and returns the requests for slots. */
