Keep the quotas of workspaces over all nodes

Nodes admit requests that need no slot by themselves while much of the quota is left, and ask otherwise (QuotaClient). Requests for slots are charged when they reach the scheduler and give their admission back if they get no slot (QuotaServer).

--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -42,6 +42,7 @@
     ITEM_DECLINED("LL-1465", "batch item not run and returned to the scheduler"),
     RESULT_DELAYED("LL-1466", "result of a batch item waits for the store"),
     RESULT_NOT_RECORDED("LL-1467", "result of a batch item not recorded; the item may run again"),
+    QUOTA_REACHED("LL-1477", "requests beyond the quota of a workspace rejected"),
     LINES_DROPPED("LL-1490", "log lines dropped"),
     UNEXPECTED("LL-1499", "unexpected failure");
 
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -13,6 +13,7 @@
 import dev.lavenderline.serving.online.ServingMetrics;
 import dev.lavenderline.serving.online.UpstreamConnections;
 import dev.lavenderline.serving.online.WireFormat;
+import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.slots.CrashingPrompts;
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.slots.LocalPlacement;
@@ -26,6 +27,7 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -174,7 +176,9 @@
                 .plainServices(service -> !config.current()
                         .map(current -> current.modelEngines(service))
                         .orElse(true));
+        slots.limit(() -> config.current().map(FleetConfig::workspaces).orElse(Workspaces.none()));
         this.schedulerClient = slots.client();
+        schedulerClient.countQuotas(metrics::count);
         this.connections = new UpstreamConnections(vertx, ticker);
         connections.onResponseInfo(this::responseReceived);
         CallContext context = new CallContext(
@@ -256,7 +260,7 @@
         timers.after(active ? SCHEDULING_PERIOD : IDLE_SCHEDULING_PERIOD, this::schedule);
         directory.expire();
         if (active) {
-            slots.scheduler().schedule();
+            slots.schedule();
         }
         if (!readyLogged && ready()) {
             readyLogged = true;
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
+import dev.lavenderline.serving.workspaces.Workspace;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -274,6 +275,7 @@
                 () -> open.remove(self[0]));
         self[0] = call;
         open.add(call);
+        info.apiKey().flatMap(current.workspaces()::ofKey).map(Workspace::name).ifPresent(call::chargeTo);
         String service = OnlineCall.chooseService(route, context);
         call.start(current.modelEngines(service), service);
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -12,6 +12,7 @@
 import dev.lavenderline.serving.slots.SlotRequest;
 import dev.lavenderline.serving.slots.StreamOrigin;
 import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.workspaces.QuotaClient;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -93,6 +94,12 @@
     /** Whether {@link LocalPlacement} counts the request at its current upstream. */
     private boolean countedLocally;
 
+    /** Name of the caller's workspace, empty if there is none. */
+    private String workspace = "";
+
+    /** Whether the request has been admitted by the quota of its workspace. */
+    private boolean charged;
+
     private boolean done;
     private long lease = -1;
 
@@ -165,6 +172,11 @@
                 .orElse(false);
     }
 
+    /** Sets the workspace whose quota the request counts toward; call it before {@link #start}. */
+    void chargeTo(String name) {
+        workspace = name;
+    }
+
     void start(boolean modelEngines, String service) {
         this.service = service;
         this.modelEngines = modelEngines;
@@ -212,6 +224,10 @@
             return;
         }
         if (placedLocally()) {
+            if (toBeCharged()) {
+                context.slots().admit(workspace, new QuotaAnswer());
+                return;
+            }
             origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
             if (origin.isPresent() && requiredVersion().isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
@@ -230,6 +246,7 @@
         context.slots().acquire(slotRequest(lease, excluded), new SlotClient.Listener() {
             @Override
             public void granted(String upstreamId) {
+                charged = true;
                 endOnException(() -> slotGranted(upstreamId));
             }
 
@@ -238,9 +255,49 @@
                 lease = -1;
                 rejectWithoutUpstream(retryAfter);
             }
+
+            @Override
+            public void overQuota(Duration retryAfter) {
+                lease = -1;
+                rejectOverQuota(retryAfter);
+            }
         });
     }
 
+    /** Returns whether the next send counts toward the quota: the first one of a request that begins no stream anew. */
+    private boolean toBeCharged() {
+        return !workspace.isEmpty() && !charged && origin.isEmpty();
+    }
+
+    private final class QuotaAnswer implements QuotaClient.Listener {
+        @Override
+        public void admitted() {
+            charged = true;
+            if (!done) {
+                endOnException(OnlineCall.this::tryUpstream);
+            }
+        }
+
+        @Override
+        public void overQuota(Duration retryAfter) {
+            rejectOverQuota(retryAfter);
+        }
+
+        @Override
+        public void undecided() {
+            if (!done) {
+                fail(503, "not run: no decision on the quota", NO_UPSTREAM_RETRY_DELAY);
+            }
+        }
+    }
+
+    /** Ends a request beyond the quota of its workspace, which has not been sent. */
+    private void rejectOverQuota(Duration retryAfter) {
+        if (!done) {
+            fail(429, "not run: the quota of the workspace is used up", retryAfter);
+        }
+    }
+
     private SlotRequest slotRequest(long number, Set<String> unusable) {
         return new SlotRequest(
                 context.node(),
@@ -251,7 +308,12 @@
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
                 callerRetries() || sends > 0 || origin.isPresent(),
-                origin);
+                origin,
+                workspace,
+                0,
+                toBeCharged(),
+                0,
+                0);
     }
 
     /** Returns whether the caller has received events of this stream in an earlier attempt. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -8,6 +8,8 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
+import dev.lavenderline.serving.workspaces.QuotaClient;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -23,6 +25,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -65,6 +68,7 @@
     private final StreamVersions streamVersions;
     private final CrashingPrompts prompts;
     private final UpstreamDirectory directory;
+    private final QuotaConnection quotas;
     private final SlotServer server;
     private final LocalPlacement placement;
     private final Ticker ticker;
@@ -134,6 +138,9 @@
         }
 
         void ping() {
+            if (active) {
+                quotas.report();
+            }
             lastPingNanos = ticker.nanos();
             socket.write(SlotFrames.ping(lastPingNanos));
         }
@@ -152,8 +159,11 @@
             }
             if (local()) {
                 scheduler.joined(self.name(), self.failureDomain(), self.capacity(), List.copyOf(heldSlots.values()));
+                quotas.connectedLocally();
             } else {
-                socket.write(SlotFrames.hello(self, heldSlots.values(), streamVersions.groups(), directory.notices()));
+                socket.write(SlotFrames.hello(
+                        self, heldSlots.values(), streamVersions.groups(), directory.notices(), quotas.usage()));
+                quotas.connected(socket::write);
                 prompts.recentCrashes()
                         .forEach(crash -> socket.write(SlotFrames.requestCrashed(
                                 new RequestTraits(crash.parts(), crash::request),
@@ -175,17 +185,29 @@
         void frame(SlotFrame frame) {
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
-                case PONG -> pong(Duration.ofMillis(frame.getPong().getStoreAgeMs()));
+                case PONG -> {
+                    if (active) {
+                        quotas.acknowledged(frame.getPong().getSequence());
+                    }
+                    pong(Duration.ofMillis(frame.getPong().getStoreAgeMs()));
+                }
                 case GRANTED ->
                     granted(
                             self.name(),
                             frame.getGranted().getLease(),
                             frame.getGranted().getUpstream());
-                case REJECTED ->
-                    rejected(
-                            self.name(),
-                            frame.getRejected().getLease(),
-                            Duration.ofMillis(frame.getRejected().getRetryAfterMs()));
+                case REJECTED -> {
+                    long lease = frame.getRejected().getLease();
+                    Duration delay = Duration.ofMillis(frame.getRejected().getRetryAfterMs());
+                    if (frame.getRejected().getOverQuota()) {
+                        overQuota(self.name(), lease, delay);
+                    } else {
+                        rejected(self.name(), lease, delay);
+                    }
+                }
+                case QUOTA_DECISION -> quotas.decided(frame.getQuotaDecision());
+                case LIMITED_WORKSPACES ->
+                    quotas.limited(frame.getLimitedWorkspaces().getWorkspacesList());
                 case RUN_ITEM ->
                     run(
                             self.name(),
@@ -266,7 +288,11 @@
             EventLog log,
             Supplier<Duration> jobStateAge,
             CrashingPrompts prompts,
-            UpstreamDirectory directory) {
+            UpstreamDirectory directory,
+            QuotaServer quotaServer,
+            Supplier<Workspaces> workspaces) {
+        this.quotas = new QuotaConnection(
+                self.name(), new QuotaClient(ticker, workspaces, this::nodeCount), quotaServer, timers);
         this.prompts = prompts;
         this.directory = directory;
         this.jobStateAge = jobStateAge;
@@ -406,6 +432,7 @@
         }
         if (current == connection) {
             current = null;
+            quotas.disconnected();
             placement.schedulerLost();
             startSearch();
         }
@@ -454,16 +481,29 @@
         }
         long lease = request.lease();
         pending.remove(lease);
-        Optional<Upstream> upstream = placement.pick(request.service(), request.excluded(), version);
+        Optional<Upstream> upstream = quotas.mayRun(request)
+                ? placement.pick(request.service(), request.excluded(), version)
+                : Optional.empty();
         if (upstream.isEmpty()) {
             entry.listener().rejected(Duration.ofSeconds(1));
             return;
         }
+        quotas.run(request);
         localPlacements.put(lease, upstream.get().id());
         heldSlots.put(lease, new Holding(lease, upstream.get().id(), Optional.empty()));
         entry.listener().granted(upstream.get().id());
     }
 
+    @Override
+    public void admit(String workspace, QuotaClient.Listener listener) {
+        quotas.admit(workspace, listener);
+    }
+
+    /** Sets what counts admissions and rejections by quotas, by the name of the metric. */
+    public void countQuotas(Consumer<String> counter) {
+        quotas.countWith(counter);
+    }
+
     @Override
     public void release(long lease, ReleaseReason reason, int keptEvents) {
         pending.remove(lease);
@@ -569,6 +609,7 @@
                 return;
             }
             heldSlots.put(lease, new Holding(lease, upstream, Optional.empty()));
+            quotas.granted(entry.request());
             entry.listener().granted(upstream);
         });
     }
@@ -583,6 +624,17 @@
         });
     }
 
+    @Override
+    public void overQuota(String node, long lease, Duration retryAfter) {
+        context.runOnContext(now -> {
+            Pending entry = pending.remove(lease);
+            if (entry != null) {
+                quotas.rejected();
+                entry.listener().overQuota(retryAfter);
+            }
+        });
+    }
+
     @Override
     public void run(String node, long lease, String upstream, ItemRef item) {
         context.runOnContext(now -> {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.slots;
 
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
+import dev.lavenderline.serving.workspaces.QuotaClient;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -13,6 +14,11 @@
 
         /** The request gets no slot; the caller may retry after the delay. */
         void rejected(Duration retryAfter);
+
+        /** The quota of the workspace is used up until the delay is over. */
+        default void overQuota(Duration retryAfter) {
+            rejected(retryAfter);
+        }
     }
 
     /** Returns a number for a new lease. */
@@ -21,6 +27,12 @@
     /** Requests a slot. */
     void acquire(SlotRequest request, Listener listener);
 
+    /**
+     * Asks whether a request that needs no slot is within the quota of its workspace. The listener may be called before
+     * the method returns.
+     */
+    void admit(String workspace, QuotaClient.Listener listener);
+
     /**
      * Releases a slot, or withdraws a request without a decision.
      *
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotDecisionListener.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotDecisionListener.java
@@ -10,6 +10,11 @@
     /** Rejects an online request; its caller may retry after the delay. */
     void rejected(String node, long lease, Duration retryAfter);
 
+    /** Rejects an online request whose workspace has used up its quota, which has room after the delay. */
+    default void overQuota(String node, long lease, Duration retryAfter) {
+        rejected(node, lease, retryAfter);
+    }
+
     /** Starts an item on a node. */
     void run(String node, long lease, String upstream, ItemRef item);
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -25,6 +25,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -36,7 +37,7 @@
 
     private SlotFrames() {}
 
-    private static Buffer frame(SlotFrame.Builder frame) {
+    static Buffer frame(SlotFrame.Builder frame) {
         byte[] bytes = frame.build().toByteArray();
         return Buffer.buffer(bytes.length + 4).appendInt(bytes.length).appendBytes(bytes);
     }
@@ -45,8 +46,10 @@
             NodeEntry self,
             Collection<Holding> holdings,
             List<StreamVersions.Group> streams,
-            List<UpstreamNotice> notices) {
+            List<UpstreamNotice> notices,
+            Map<String, List<Integer>> quotaUsage) {
         Hello.Builder hello = Hello.newBuilder()
+                .addAllUsage(QuotaFrames.usage(quotaUsage))
                 .addAllNotices(notices.stream().map(SlotFrames::encode).toList())
                 .addAllStreams(streams.stream().map(SlotFrames::encode).toList())
                 .setNode(self.name())
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -113,6 +113,7 @@
     private BooleanSupplier mustStopItems = () -> false;
     private BooleanSupplier mayLearnOrigins = () -> false;
     private Predicate<String> plainService = service -> false;
+    private RequestCharges charges = RequestCharges.NONE;
     private long activeSinceNanos;
     private long nextItemLease;
 
@@ -201,6 +202,11 @@
         plainService = condition;
     }
 
+    /** Sets what charges requests to the quotas of their workspaces; it also has to receive the decisions. */
+    void chargeTo(RequestCharges quotas) {
+        charges = quotas;
+    }
+
     /** Returns where recent streams began. */
     StreamVersions streamVersions() {
         return streamVersions;
@@ -245,6 +251,7 @@
             waiting.removeIf(entry -> entry.request().node().equals(name));
             progress.nodeLeft(name);
             decliningNodes.nodeLeft(name);
+            charges.nodeLeft(name);
         }
     }
 
@@ -264,6 +271,9 @@
             decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
             return;
         }
+        if (!charges.admit(request)) {
+            return;
+        }
         if (request.origin().isPresent()) {
             acquireForStartedStream(request);
             return;
@@ -480,6 +490,7 @@
     public void released(String nodeName, long number, ReleaseReason reason, int keptEvents) {
         waiting.removeIf(entry ->
                 entry.request().lease() == number && entry.request().node().equals(nodeName));
+        charges.released(nodeName, number);
         Optional<Lease> found = leases.find(nodeName, number);
         if (found.isEmpty()) {
             return;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -50,6 +50,7 @@
     private final Map<String, List<String>> unreplicatedStreams = new HashMap<>();
     private Supplier<List<String>> preferredNodes = List::of;
     private SlotScheduler scheduler;
+    private QuotaServer quotas;
     private String selfName = "";
     private SlotDecisionListener localListener;
     private NetServer server;
@@ -74,7 +75,15 @@
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> join(this, frame);
-                case PING -> socket.write(SlotFrames.pong(frame.getPing().getSequence(), jobStateAge.get()));
+                case QUOTA_REPORT -> quotas.report(node, QuotaFrames.admissions(frame.getQuotaReport()));
+                case QUOTA_REQUEST ->
+                    socket.write(QuotaFrames.decision(
+                            frame.getQuotaRequest().getId(),
+                            quotas.decide(node, frame.getQuotaRequest().getWorkspace())));
+                case PING -> {
+                    quotas.pinged(node);
+                    socket.write(SlotFrames.pong(frame.getPing().getSequence(), jobStateAge.get()));
+                }
                 case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire()));
                 case RELEASE ->
                     scheduler.released(
@@ -131,6 +140,13 @@
         this.localListener = localListener;
     }
 
+    /** Sets the quotas to keep; call it before {@link #listen}. */
+    void keep(QuotaServer quotasOfNodes) {
+        quotas = quotasOfNodes;
+        quotas.onLimitedChange(
+                limited -> peers.values().forEach(peer -> peer.socket.write(QuotaFrames.limited(limited))));
+    }
+
     /** Starts accepting connections; returns the port. */
     Future<Integer> listen(String host, int port) {
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
@@ -161,6 +177,8 @@
                 .forEach(group -> scheduler.streamVersions().record(SlotFrames.streams(group)));
         List<Holding> holdings = SlotFrames.holdings(frame.getHello());
         scheduler.joined(peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
+        quotas.joined(peer.node, QuotaFrames.usage(frame.getHello()));
+        peer.socket.write(QuotaFrames.limited(quotas.limited()));
         log.event(ServingEvent.NODE_JOINED, "peer", peer.node, "holdings", holdings.size());
         prompts.rejected().forEach(parts -> peer.socket.write(SlotFrames.promptRejected(parts)));
         prompts.recentCrashes().forEach(crash -> peer.socket.write(SlotFrames.requestSuspected(crash.request())));
@@ -276,6 +294,15 @@
         }
     }
 
+    @Override
+    public void overQuota(String node, long lease, Duration retryAfter) {
+        if (node.equals(selfName)) {
+            localListener.overQuota(node, lease, retryAfter);
+        } else {
+            send(node, QuotaFrames.overQuota(lease, retryAfter));
+        }
+    }
+
     @Override
     public void run(String node, long lease, String upstream, ItemRef item) {
         if (node.equals(selfName)) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -6,6 +6,8 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
+import dev.lavenderline.serving.workspaces.QuotaLedger;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
@@ -29,6 +31,8 @@
     private final SlotScheduler scheduler;
     private final SchedulerClient client;
     private final Timers timers;
+    private final QuotaServer quotas;
+    private Supplier<Workspaces> workspaces = Workspaces::none;
 
     public SlotService(
             Vertx vertx,
@@ -46,9 +50,25 @@
         this.timers = timers;
         this.server = new SlotServer(vertx, ticker, timers, log, jobStateAge, prompts, directory);
         UpstreamHealth health = new UpstreamHealth(ticker);
-        this.scheduler = new SlotScheduler(ticker, directory, health, backlog, server, log, random, options);
+        QuotaLedger ledger = new QuotaLedger(ticker, () -> workspaces.get(), this::registeredCount);
+        this.quotas = new QuotaServer(ledger, server, ticker, log);
+        this.scheduler = new SlotScheduler(ticker, directory, health, backlog, quotas, log, random, options);
+        scheduler.chargeTo(quotas);
+        server.keep(quotas);
         this.client = new SchedulerClient(
-                vertx, self, scheduler, server, placement, ticker, timers, log, jobStateAge, prompts, directory);
+                vertx,
+                self,
+                scheduler,
+                server,
+                placement,
+                ticker,
+                timers,
+                log,
+                jobStateAge,
+                prompts,
+                directory,
+                quotas,
+                () -> workspaces.get());
         // A node that is partitioned from the store and the other nodes would run the same items as they do.
         scheduler.startItemsWhile(() -> mayStartItems(
                 scheduler.nodeCount(), client.registeredCount(), scheduler.activeFor(), jobStateAge.get()));
@@ -79,6 +99,21 @@
         return activeFor.compareTo(JOIN_PERIOD) > 0 && (majority || jobStateAge.compareTo(MAX_FRESH_AGE) < 0);
     }
 
+    private OptionalInt registeredCount() {
+        return client.registeredCount();
+    }
+
+    /** Sets what returns the workspaces of the current configuration, whose quotas apply. */
+    public void limit(Supplier<Workspaces> current) {
+        workspaces = current;
+    }
+
+    /** Places waiting requests and items and updates the quotas. Call it every few tens of milliseconds. */
+    public void schedule() {
+        scheduler.schedule();
+        quotas.refresh();
+    }
+
     private boolean allJoined() {
         return scheduler.nodeCount() >= client.nodeCount();
     }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -22,6 +22,7 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
+import dev.lavenderline.serving.workspaces.QuotaClient;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -67,6 +68,11 @@
             store);
 
     private final class RecordingSlots implements SlotClient {
+        @Override
+        public void admit(String workspace, QuotaClient.Listener listener) {
+            throw new UnsupportedOperationException("items have no quota");
+        }
+
         @Override
         public long newLease() {
             throw new UnsupportedOperationException();
