--- a/serving/src/main/java/dev/lavenderline/serving/workspaces/QuotaLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/workspaces/QuotaLedger.java
@@ -63,7 +63,7 @@
         ADMITTED,
         OVER_QUOTA,
 
-        /** The share of these nodes is used up, but as far as they know not the quota of the workspace. */
+        /** The share of these nodes is used up, but not the quota of the workspace, or this is not known yet. */
         UNDECIDED
     }
 
@@ -136,13 +136,16 @@
         return Optional.of(account);
     }
 
+    private boolean joining() {
+        return ticker.nanos() - activeSinceNanos < JOIN_PERIOD.toNanos();
+    }
+
     /** Returns the part of a quota that this scheduler grants. */
     private Quota share(Quota quota) {
         int joined = joinedNodes.size();
         int registered = Math.max(1, registeredNodes.get().orElse(joined + 1));
-        boolean joining = ticker.nanos() - activeSinceNanos < JOIN_PERIOD.toNanos();
         boolean majority = 2 * joined > registered;
-        if (joined >= registered || (majority && !joining)) {
+        if (joined >= registered || (majority && !joining())) {
             return quota;
         }
         double part = (double) joined / registered;
@@ -169,8 +172,12 @@
         return Decision.ADMITTED;
     }
 
-    private static Decision rejection(Account account, long nowNanos) {
-        if (account.ofAllNodes.requestsLeft(nowNanos, account.quota) >= 1) {
+    /**
+     * Rejects a request. While nodes join, no quota counts as used up: requests that they held for lack of a scheduler
+     * arrive at once.
+     */
+    private Decision rejection(Account account, long nowNanos) {
+        if (joining() || account.ofAllNodes.requestsLeft(nowNanos, account.quota) >= 1) {
             return Decision.UNDECIDED;
         }
         // At least 1 ms, which the protocol needs to tell this from a request without a decision.
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -19,6 +19,8 @@
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.workspaces.Workspace;
+import dev.lavenderline.serving.workspaces.Workspaces;
 import io.vavr.control.Either;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -30,6 +32,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -48,7 +51,7 @@
     final List<Integer> ports = new ArrayList<>();
 
     /**
-     * Decodes text. A configuration is its version; an upstream its service, its port, and optionally its version,
+     * Decodes text. A configuration is its version and its workspaces; an upstream its service, its port, and optionally its version,
      * "started" with a number, and "draining".
      */
     private static final class TextRecordDecoder implements ControlRecordDecoder {
@@ -59,7 +62,8 @@
 
         @Override
         public Either<String, FleetConfig> config(byte[] value) {
-            long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+            List<String> words = List.of(new String(value, StandardCharsets.UTF_8).split(" "));
+            long version = Long.parseLong(words.get(0));
             return Either.right(new FleetConfig(
                     version,
                     List.of(
@@ -70,7 +74,27 @@
                             route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
                             route("batch", RouteKind.BATCH, "engines", true)),
                     List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
-                    CallerLimits.defaults()));
+                    CallerLimits.defaults(),
+                    workspaces(words)));
+        }
+
+        /** Returns workspaces with their names as keys, of "name:requestsPerSecond:burst" each. */
+        private static Workspaces workspaces(List<String> words) {
+            if (words.size() == 1) {
+                return Workspaces.none();
+            }
+            Workspaces.Builder workspaces = new Workspaces.Builder();
+            for (String word : words.subList(1, words.size())) {
+                String[] parts = word.split(":", -1);
+                workspaces.add(
+                        new Workspace(
+                                parts[0],
+                                OptionalInt.empty(),
+                                Double.parseDouble(parts[1]),
+                                Double.parseDouble(parts[2])),
+                        List.of(parts[0]));
+            }
+            return workspaces.build();
         }
 
         private static Route route(String name, RouteKind kind, String service, boolean resumable) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/QuotaFleet.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/QuotaFleet.java
@@ -48,6 +48,11 @@
     long framesToScheduler;
     long framesToNodes;
 
+    /** Frames that no node would send without quotas. */
+    long quotaFramesToScheduler;
+
+    long quotaFramesToNodes;
+
     /** What became of the requests of a workspace. */
     static final class Requests {
         final List<Long> admittedNanos = new ArrayList<>();
@@ -102,7 +107,10 @@
             lastUpNanos = delivery(lastUpNanos);
             at(lastUpNanos, () -> {
                 if (!closed && !cut) {
-                    decode(frame, received -> scheduler.fromNode(this, received));
+                    decode(frame, received -> {
+                        quotaFramesToScheduler += ofQuota(received) ? 1 : 0;
+                        scheduler.fromNode(this, received);
+                    });
                 }
             });
         }
@@ -112,7 +120,10 @@
             lastDownNanos = delivery(lastDownNanos);
             at(lastDownNanos, () -> {
                 if (!closed && !cut) {
-                    decode(frame, node::fromScheduler);
+                    decode(frame, received -> {
+                        quotaFramesToNodes += ofQuota(received) ? 1 : 0;
+                        node.fromScheduler(received);
+                    });
                 }
             });
         }
@@ -122,7 +133,6 @@
     final class Node {
         final String name;
         final Map<String, Link> peers = new HashMap<>();
-        private final Map<Long, Consumer<Optional<Duration>>> acquiring = new HashMap<>();
         private final Map<Long, SlotRequest> requested = new HashMap<>();
         Workspaces workspaces;
         QuotaServer server;
@@ -149,7 +159,6 @@
             server.onLimitedChange(limited -> peers.values().forEach(peer -> peer.down(QuotaFrames.limited(limited))));
             quotas = new QuotaConnection(
                     name, new QuotaClient(QuotaFleet.this, () -> workspaces, nodes::size), server, QuotaFleet.this);
-            acquiring.clear();
             requested.clear();
         }
 
@@ -347,6 +356,13 @@
                 .handle(frame);
     }
 
+    private static boolean ofQuota(SlotFrame frame) {
+        return switch (frame.getBodyCase()) {
+            case QUOTA_REPORT, QUOTA_REQUEST, QUOTA_DECISION, LIMITED_WORKSPACES -> true;
+            default -> false;
+        };
+    }
+
     Requests outcome(String workspace) {
         return requests.computeIfAbsent(workspace, name -> new Requests());
     }
@@ -364,8 +380,8 @@
     }
 
     Node randomNode() {
-        List<Node> running = nodes.stream().filter(node -> !node.suspended).toList();
-        return running.get(random.nextInt(running.size()));
+        Node node = nodes.get(random.nextInt(nodes.size()));
+        return node.suspended ? randomNode() : node;
     }
 
     /** Connects all nodes to the scheduler of one, over a time. */
