--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -48,6 +48,7 @@
     KEYS_CHECKED_AGAIN("LL-1472", "configuration confirmed; keys are rejected again"),
     CONFIG_TOO_OLD("LL-1475", "configuration too old to check keys; requests with keys are refused"),
     CONFIG_CONFIRMED("LL-1476", "configuration confirmed again; requests with keys are served"),
+    QUOTA_REACHED("LL-1477", "requests beyond the quota of a workspace rejected"),
     LINES_DROPPED("LL-1490", "log lines dropped"),
     UNEXPECTED("LL-1499", "unexpected failure");
 
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -196,7 +196,9 @@
                         .map(current -> current.memoryTokens(service))
                         .orElse(0L));
         slots.scheduler().topology(settings.topology());
+        slots.limit(() -> config.current().map(FleetConfig::workspaces).orElse(Workspaces.none()));
         this.schedulerClient = slots.client();
+        schedulerClient.countQuotas(metrics::count);
         this.connections = new UpstreamConnections(vertx, ticker);
         connections.onResponseInfo(this::responseReceived);
         KeyFreshness keys = new KeyFreshness(
@@ -308,7 +310,7 @@
         directory.expire();
         keyEvents.check();
         if (active) {
-            slots.scheduler().schedule();
+            slots.schedule();
         }
         if (!readyLogged && ready()) {
             readyLogged = true;
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -13,6 +13,7 @@
 import dev.lavenderline.serving.slots.StreamOrigin;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.workspaces.Caller;
+import dev.lavenderline.serving.workspaces.QuotaClient;
 import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -97,10 +98,10 @@
     /** Whether {@link LocalPlacement} counts the request at its current upstream. */
     private boolean countedLocally;
 
-    private boolean done;
+    /** Whether the request has been admitted by the quota of its workspace. */
+    private boolean charged;
 
-    /** Whether a slot has been requested, which counts toward the quota of the workspace once. */
-    private boolean slotRequested;
+    private boolean done;
 
     private long lease = -1;
 
@@ -223,6 +224,10 @@
             return;
         }
         if (placedLocally()) {
+            if (toBeCharged()) {
+                context.slots().admit(caller.workspace(), new QuotaAnswer());
+                return;
+            }
             origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
             if (origin.isPresent() && requiredVersion().isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
@@ -241,6 +246,7 @@
         context.slots().acquire(slotRequest(lease, excluded), new SlotClient.Listener() {
             @Override
             public void granted(String upstreamId) {
+                charged = true;
                 endOnException(() -> slotGranted(upstreamId));
             }
 
@@ -249,13 +255,51 @@
                 lease = -1;
                 rejectWithoutUpstream(retryAfter);
             }
+
+            @Override
+            public void overQuota(Duration retryAfter) {
+                lease = -1;
+                rejectOverQuota(retryAfter);
+            }
         });
     }
 
+    /** Returns whether the next send counts toward the quota: the first one of a request that begins no stream anew. */
+    private boolean toBeCharged() {
+        return caller.hasWorkspace() && !charged && origin.isEmpty();
+    }
+
+    private final class QuotaAnswer implements QuotaClient.Listener {
+        @Override
+        public void admitted() {
+            charged = true;
+            if (!done) {
+                endOnException(OnlineCall.this::tryUpstream);
+            }
+        }
+
+        @Override
+        public void overQuota(Duration retryAfter) {
+            rejectOverQuota(retryAfter);
+        }
+
+        @Override
+        public void undecided() {
+            if (!done) {
+                fail(503, "not run: no decision on the quota", NO_UPSTREAM_RETRY_DELAY);
+            }
+        }
+    }
+
+    /** Ends a request beyond the quota of its workspace, which has not been sent. */
+    private void rejectOverQuota(Duration retryAfter) {
+        if (!done) {
+            context.metrics().workspaces().rejected(caller, WorkspaceMetrics.Rejection.QUOTA);
+            fail(429, "not run: the quota of the workspace is used up", retryAfter);
+        }
+    }
+
     private SlotRequest slotRequest(long number, Set<String> unusable) {
-        // A request that this node has placed itself has been counted by the node.
-        boolean charged = caller.hasWorkspace() && !slotRequested && sends == 0;
-        slotRequested = true;
         return new SlotRequest(
                 context.node(),
                 number,
@@ -268,7 +312,7 @@
                 origin,
                 caller.workspace(),
                 caller.priorityOr(route.priority()),
-                charged,
+                toBeCharged(),
                 info.promptTokens(),
                 info.maxOutputTokens(),
                 info.sharedTokens());
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -89,6 +89,7 @@
     private Predicate<String> plainService = service -> false;
     private ToLongFunction<String> memoryTokens = service -> 0;
     private PlacementCost placementCost = new PlacementCost(Topology.ofRegions(Map.of()));
+    private RequestCharges charges = RequestCharges.NONE;
     private long activeSinceNanos;
     private long nextItemLease;
 
@@ -188,6 +189,11 @@
         placementCost = new PlacementCost(topology);
     }
 
+    /** Sets what charges requests to the quotas of their workspaces; it also has to receive the decisions. */
+    void chargeTo(RequestCharges quotas) {
+        charges = quotas;
+    }
+
     /** Returns where recent streams began. */
     StreamVersions streamVersions() {
         return streamVersions;
@@ -232,6 +238,7 @@
             waiting.removeIf(entry -> entry.request().node().equals(name));
             progress.nodeLeft(name);
             decliningNodes.nodeLeft(name);
+            charges.nodeLeft(name);
         }
     }
 
@@ -255,6 +262,9 @@
             decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
             return;
         }
+        if (!charges.admit(request)) {
+            return;
+        }
         if (request.origin().isPresent()) {
             acquireForStartedStream(request);
             return;
@@ -500,6 +510,7 @@
     public void released(String nodeName, long number, ReleaseReason reason, int keptEvents) {
         waiting.removeIf(entry ->
                 entry.request().lease() == number && entry.request().node().equals(nodeName));
+        charges.released(nodeName, number);
         Optional<Lease> found = leases.find(nodeName, number);
         if (found.isEmpty()) {
             return;
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -57,7 +57,7 @@
 
     /**
      * Decodes text. A configuration is its version, followed by "workspaces" and an entry "name=key+key" for each if
-     * there are any, with a priority after a slash if it has one, or by keys, each of a workspace of its own; an
+     * there are any, with a priority after a slash if it has one, or by keys, each of a workspace of its own, with its rate and burst after colons if it has a quota; an
      * upstream its service, its port, and optionally its version,
      * "started" with a number, and "draining".
      */
@@ -87,14 +87,19 @@
                     workspaces(words.subList(1, words.size()))));
         }
 
+        private static void addOwnWorkspace(Workspaces.Builder workspaces, String[] parts) {
+            double rate = parts.length > 1 ? Double.parseDouble(parts[1]) : 0;
+            double burst = parts.length > 2 ? Double.parseDouble(parts[2]) : 0;
+            workspaces.add(new Workspace("w-" + parts[0], OptionalInt.empty(), rate, burst), List.of(parts[0]));
+        }
+
         private static Workspaces workspaces(List<String> words) {
             if (words.isEmpty()) {
                 return Workspaces.none();
             }
             Workspaces.Builder workspaces = new Workspaces.Builder();
             if (!words.get(0).equals("workspaces")) {
-                words.forEach(
-                        key -> workspaces.add(new Workspace("w-" + key, OptionalInt.empty(), 0, 0), List.of(key)));
+                words.forEach(word -> addOwnWorkspace(workspaces, word.split(":", -1)));
                 return workspaces.build();
             }
             for (String entry : words.subList(1, words.size())) {
