Divide the emulator's load among workspaces

The emulator could not show how evenly a scheduler serves workspaces. Patterns name groups of workspaces with their share of the load, priority and a time in which they send a multiple of it; the table has the served share of all, of the worst-served tenth and of each priority. As in the nodes, the latency target of a returning caller counts from its return, and retry delays are drawn.

--- a/emulator/src/main/java/dev/lavenderline/emulator/Emulation.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Emulation.java
@@ -51,10 +51,10 @@
     static Outcome run(LoadPattern pattern, SlotScheduler.Options options, Draws draws) {
         Emulation emulation = new Emulation(pattern, options, draws);
         emulation.time.runUntil(1000 * (pattern.durationSeconds() + pattern.drainSeconds()));
-        emulation
-                .openItems
-                .values()
-                .forEach(item -> emulation.outcome.kind(ITEMS).failed(item.drawn.outputTokens()));
+        emulation.openItems.values().forEach(item -> {
+            emulation.outcome.kind(ITEMS).failed(item.drawn.outputTokens());
+            emulation.outcome.items(item.drawn.sender()).unserved++;
+        });
         emulation.outcome.mostLimitedArrivals =
                 emulation.fleet.mostLimitedArrivals(LIMIT_SETTLE_MILLIS, LIMIT_WINDOW_MILLIS);
         emulation.outcome.prefilledSharedTokens = emulation.fleet.prefilledSharedTokens();
@@ -68,12 +68,17 @@
     private final class OnlineCall {
         final Draws.Request request;
         final double deadlineMillis;
+
+        /** When the last attempt of the caller reached its node, which sets the latency target from there. */
+        double arrivalMillis;
+
         int retriesLeft;
         boolean retry;
         boolean done;
 
         OnlineCall(Draws.Request request) {
             this.request = request;
+            this.arrivalMillis = request.atMillis();
             this.deadlineMillis = request.atMillis() + request.kind().deadlineMillis();
             this.retriesLeft = request.kind().retries();
         }
@@ -84,10 +89,9 @@
 
         void attempt() {
             double now = time.millis();
-            double toTarget = request.atMillis() + request.kind().targetMillis() - now;
+            double toTarget = arrivalMillis + request.kind().targetMillis() - now;
             Attempt attempt = new Attempt(this);
-            attempt.lease = fleet.acquire(
-                    request.node(), millis(toTarget), millis(deadlineMillis - now), request.prefix(), retry, attempt);
+            attempt.lease = fleet.acquire(request, millis(toTarget), millis(deadlineMillis - now), retry, attempt);
             time.after(Math.min(CALLER_PATIENCE_MILLIS, deadlineMillis - now), attempt::abandonWithoutEvent);
             time.after(deadlineMillis - now, attempt::abandon);
         }
@@ -96,12 +100,18 @@
             double wait = retryAfter.toNanos() / 1e6;
             double left = deadlineMillis - time.millis();
             if (retriesLeft == 0 || wait > left * MAX_RETRY_WAIT) {
-                end(() -> kind().refused(request.outputTokens()));
+                end(() -> {
+                    kind().refused(request.outputTokens());
+                    outcome.online(request.sender()).unserved++;
+                });
                 return;
             }
             retriesLeft--;
             retry = true;
-            time.after(wait, this::attempt);
+            time.after(wait, () -> {
+                arrivalMillis = time.millis();
+                attempt();
+            });
         }
 
         void served(double firstEventMillis) {
@@ -110,14 +120,19 @@
             end(() -> {
                 if (inTime) {
                     kind().inTime(request.outputTokens(), took, request.atMillis());
+                    outcome.online(request.sender()).inTime++;
                 } else {
                     kind().late(request.outputTokens(), took);
+                    outcome.online(request.sender()).late++;
                 }
             });
         }
 
         void failed() {
-            end(() -> kind().failed(request.outputTokens()));
+            end(() -> {
+                kind().failed(request.outputTokens());
+                outcome.online(request.sender()).unserved++;
+            });
         }
 
         private void end(Runnable record) {
@@ -245,7 +260,9 @@
                 Map.of(Fleet.SERVICE, 1),
                 (long) (drawn.dueMillis() * 1e6),
                 "node-" + drawn.node(),
-                pattern.batch().promptTokens() + drawn.outputTokens());
+                pattern.batch().promptTokens() + drawn.outputTokens(),
+                drawn.sender().workspace(),
+                drawn.sender().priority());
         openItems.put(ref, new BatchItem(drawn, item));
         fleet.submitted(item);
     }
@@ -330,8 +347,10 @@
             double took = time.millis() - drawn.atMillis();
             if (time.millis() <= drawn.dueMillis()) {
                 outcome.kind(ITEMS).inTime(drawn.outputTokens(), took, time.millis());
+                outcome.items(drawn.sender()).inTime++;
             } else {
                 outcome.kind(ITEMS).late(drawn.outputTokens(), took);
+                outcome.items(drawn.sender()).late++;
             }
         }
 
--- a/emulator/src/main/java/dev/lavenderline/emulator/Experiment.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Experiment.java
@@ -62,6 +62,7 @@
             figures.put(name + " p99 ms", (double) kind.millis.getValueAtPercentile(99));
             figures.put(name + " in time, largest tenth", kind.inTimeShareOfLargest());
         });
+        figures.putAll(outcome.shares());
         figures.put("bound of items in time", (double) result.boundOfItems());
         figures.put("item runs", (double) outcome.itemRuns);
         figures.put("preemptions", (double) outcome.preemptions);
--- a/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
@@ -55,6 +56,7 @@
     private ItemStarter items = (lease, upstream, item) -> {};
     private ItemStopper stopper = lease -> {};
     private Optional<SlotScheduler> scheduler = Optional.empty();
+    private final SplittableRandom retryRandom = new SplittableRandom(0);
     private long nextLease;
     private int nextEngine;
 
@@ -118,8 +120,8 @@
     }
 
     private void startScheduler() {
-        SlotScheduler started =
-                new SlotScheduler(time, directory, health, this::visit, this, EventLog.NONE, () -> 0.5, options);
+        SlotScheduler started = new SlotScheduler(
+                time, directory, health, this::visit, this, EventLog.NONE, retryRandom::nextDouble, options);
         for (int node = 0; node < pattern.nodes(); node++) {
             List<Holding> holdings = new ArrayList<>();
             String name = nodeName(node);
@@ -173,7 +175,8 @@
     }
 
     /** Requests a slot for an online request; returns the lease number. */
-    long acquire(int node, Duration toTarget, Duration toDeadline, long prefix, boolean retry, SlotWaiter waiter) {
+    long acquire(Draws.Request drawn, Duration toTarget, Duration toDeadline, boolean retry, SlotWaiter waiter) {
+        int node = drawn.node();
         long lease = nextLease++;
         if (scheduler.isEmpty()) {
             placeLocally(node, lease, waiter);
@@ -181,7 +184,20 @@
         }
         waiters.put(lease, waiter);
         SlotRequest request = new SlotRequest(
-                nodeName(node), lease, SERVICE, toTarget, toDeadline, Set.of(), prefix, retry, Optional.empty());
+                nodeName(node),
+                lease,
+                SERVICE,
+                toTarget,
+                toDeadline,
+                Set.of(),
+                drawn.prefix(),
+                retry,
+                Optional.empty(),
+                drawn.sender().workspace(),
+                drawn.sender().priority(),
+                false,
+                0,
+                0);
         time.after(pattern.schedulerDelayMillis(), () -> {
             if (waiters.containsKey(lease)) {
                 scheduler.ifPresent(current -> current.acquire(request));
--- a/emulator/src/main/java/dev/lavenderline/emulator/LoadPattern.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/LoadPattern.java
@@ -21,6 +21,7 @@
  * @param online kinds of online requests
  * @param batch batch jobs
  * @param faults faults, in any order
+ * @param workspaces workspaces that the load is divided among; none if it has no workspaces
  */
 record LoadPattern(
         double durationSeconds,
@@ -33,7 +34,8 @@
         Swing swing,
         List<Online> online,
         Batch batch,
-        List<Fault> faults) {
+        List<Fault> faults,
+        List<Workspace> workspaces) {
 
     /**
      * Model engines.
@@ -138,6 +140,30 @@
         }
     }
 
+    /**
+     * Workspaces of equal load.
+     *
+     * @param name name, followed by a number if there are several
+     * @param count number of workspaces
+     * @param share load of each one, as a fraction of that of the pattern
+     * @param priority priority of the requests and items, 0 is the highest
+     * @param factor factor of the load of each one from {@code fromSeconds} for {@code forSeconds}
+     */
+    record Workspace(
+            String name, int count, double share, int priority, double factor, double fromSeconds, double forSeconds) {
+        Workspace {
+            check(name != null && !name.isBlank(), "workspaces: name is missing");
+            check(count > 0 && share > 0 && priority >= 0, name + ": count and share must be positive");
+            check(factor > 0 && fromSeconds >= 0 && forSeconds >= 0, name + ": factor must be positive");
+        }
+
+        /** Returns the load of all of them at a time, as a fraction of that of the pattern. */
+        double load(double atMillis) {
+            boolean changed = atMillis >= 1000 * fromSeconds && atMillis < 1000 * (fromSeconds + forSeconds);
+            return count * share * (changed ? factor : 1);
+        }
+    }
+
     LoadPattern {
         check(durationSeconds > 0 && drainSeconds >= 0, "durationSeconds must be positive");
         check(nodes > 0 && failureDomains > 0, "nodes and failureDomains must be positive");
@@ -145,6 +171,7 @@
         check(engines != null && swing != null && batch != null, "engines, swing and batch are required");
         online = online == null ? List.of() : List.copyOf(online);
         faults = faults == null ? List.of() : List.copyOf(faults);
+        workspaces = workspaces == null ? List.of() : List.copyOf(workspaces);
     }
 
     private static void check(boolean condition, String problem) {
--- a/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToIntFunction;
 import org.HdrHistogram.Histogram;
 
 /** What happened in one run of a pattern. Not thread-safe. */
@@ -12,9 +15,14 @@
     /** Share of the requests of a kind that counts as its largest. */
     private static final double LARGEST_SHARE = 0.1;
 
+    /** Share of the workspaces that counts as the worst-served ones. */
+    private static final double WORST_SHARE = 0.1;
+
     private static final long MAX_MILLIS = 600_000;
 
     private final Map<String, Kind> kinds = new LinkedHashMap<>();
+    private final Map<Draws.Sender, Served> onlineBySender = new HashMap<>();
+    private final Map<Draws.Sender, Served> itemsBySender = new HashMap<>();
     int preemptions;
     int itemRuns;
     long prefilledSharedTokens;
@@ -23,36 +31,47 @@
     /** The most requests in {@link Emulation#LIMIT_WINDOW_MILLIS} at an engine that named a limit. */
     int mostLimitedArrivals;
 
+    /** How the requests, or the batch items, of one sender were served. */
+    static final class Served {
+        int inTime;
+        int late;
+        int unserved;
+
+        double inTimeShare() {
+            return (double) inTime / (inTime + late + unserved);
+        }
+    }
+
     /** The requests of one kind, or the batch items. */
     static final class Kind {
         final Histogram millis = new Histogram(MAX_MILLIS, 3);
         final Map<Integer, Integer> inTimeBySecond = new LinkedHashMap<>();
-        private final List<Served> requests = new ArrayList<>();
+        private final List<Request> requests = new ArrayList<>();
         int late;
         int refused;
         int failed;
 
-        private record Served(int tokens, boolean inTime) {}
+        private record Request(int tokens, boolean inTime) {}
 
         void inTime(int tokens, double tookMillis, double atMillis) {
-            requests.add(new Served(tokens, true));
+            requests.add(new Request(tokens, true));
             millis.recordValue((long) Math.min(MAX_MILLIS, tookMillis));
             inTimeBySecond.merge((int) (atMillis / 1000), 1, Integer::sum);
         }
 
         void late(int tokens, double tookMillis) {
-            requests.add(new Served(tokens, false));
+            requests.add(new Request(tokens, false));
             millis.recordValue((long) Math.min(MAX_MILLIS, tookMillis));
             late++;
         }
 
         void refused(int tokens) {
-            requests.add(new Served(tokens, false));
+            requests.add(new Request(tokens, false));
             refused++;
         }
 
         void failed(int tokens) {
-            requests.add(new Served(tokens, false));
+            requests.add(new Request(tokens, false));
             failed++;
         }
 
@@ -61,14 +80,14 @@
         }
 
         int inTime() {
-            return (int) requests.stream().filter(Served::inTime).count();
+            return (int) requests.stream().filter(Request::inTime).count();
         }
 
         /** Returns the share of the largest tenth that was in time. */
         double inTimeShareOfLargest() {
             int largest = (int) Math.ceil(requests.size() * LARGEST_SHARE);
             return requests.stream()
-                    .sorted(Comparator.comparingInt(Served::tokens).reversed())
+                    .sorted(Comparator.comparingInt(Request::tokens).reversed())
                     .limit(largest)
                     .mapToInt(served -> served.inTime() ? 1 : 0)
                     .average()
@@ -76,6 +95,53 @@
         }
     }
 
+    Served online(Draws.Sender sender) {
+        return onlineBySender.computeIfAbsent(sender, key -> new Served());
+    }
+
+    Served items(Draws.Sender sender) {
+        return itemsBySender.computeIfAbsent(sender, key -> new Served());
+    }
+
+    /** Returns the shares in time of all workspaces, of the worst-served tenth of them, and of each priority. */
+    Map<String, Double> shares() {
+        Map<String, Double> shares = new TreeMap<>();
+        addShares("streams", onlineBySender, shares);
+        addShares("items", itemsBySender, shares);
+        return shares;
+    }
+
+    private static void addShares(String what, Map<Draws.Sender, Served> bySender, Map<String, Double> shares) {
+        if (bySender.keySet().stream().allMatch(Draws.Sender.NONE::equals)) {
+            return;
+        }
+        List<Served> worstFirst = bySender.values().stream()
+                .sorted(Comparator.comparingDouble(Served::inTimeShare))
+                .toList();
+        List<Served> worst = worstFirst.subList(0, (int) Math.ceil(worstFirst.size() * WORST_SHARE));
+        shares.put("share of " + what + " in time", share(worstFirst, served -> served.inTime));
+        shares.put("share of " + what + " in time, worst", share(worst, served -> served.inTime));
+        shares.put("share of " + what + " served", share(worstFirst, served -> served.inTime + served.late));
+        shares.put("share of " + what + " served, worst", share(worst, served -> served.inTime + served.late));
+        bySender.keySet().stream().mapToInt(Draws.Sender::priority).distinct().forEach(priority -> {
+            List<Served> some = bySender.entrySet().stream()
+                    .filter(entry -> entry.getKey().priority() == priority)
+                    .map(Map.Entry::getValue)
+                    .toList();
+            shares.put("share of " + what + " in time, prio " + priority, share(some, served -> served.inTime));
+            shares.put(
+                    "share of " + what + " served, prio " + priority,
+                    share(some, served -> served.inTime + served.late));
+        });
+    }
+
+    private static double share(List<Served> some, ToIntFunction<Served> counted) {
+        int sent = some.stream()
+                .mapToInt(served -> served.inTime + served.late + served.unserved)
+                .sum();
+        return (double) some.stream().mapToInt(counted).sum() / sent;
+    }
+
     Kind kind(String name) {
         return kinds.computeIfAbsent(name, key -> new Kind());
     }
