Sort workspaces by each share of their own

The worst-served tenth was that with the lowest share in time for all figures, so that the served share of the worst could exceed that of others.

--- a/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Outcome.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.emulator;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -36,10 +37,6 @@
         int inTime;
         int late;
         int unserved;
-
-        double inTimeShare() {
-            return (double) inTime / (inTime + late + unserved);
-        }
     }
 
     /** The requests of one kind, or the batch items. */
@@ -115,27 +112,31 @@
         if (bySender.keySet().stream().allMatch(Draws.Sender.NONE::equals)) {
             return;
         }
-        List<Served> worstFirst = bySender.values().stream()
-                .sorted(Comparator.comparingDouble(Served::inTimeShare))
+        addShares("share of " + what + " in time", served -> served.inTime, bySender, shares);
+        addShares("share of " + what + " served", served -> served.inTime + served.late, bySender, shares);
+    }
+
+    private static void addShares(
+            String name,
+            ToIntFunction<Served> counted,
+            Map<Draws.Sender, Served> bySender,
+            Map<String, Double> shares) {
+        List<Served> worst = bySender.values().stream()
+                .sorted(Comparator.comparingDouble(served -> share(List.of(served), counted)))
+                .limit((long) Math.ceil(bySender.size() * WORST_SHARE))
                 .toList();
-        List<Served> worst = worstFirst.subList(0, (int) Math.ceil(worstFirst.size() * WORST_SHARE));
-        shares.put("share of " + what + " in time", share(worstFirst, served -> served.inTime));
-        shares.put("share of " + what + " in time, worst", share(worst, served -> served.inTime));
-        shares.put("share of " + what + " served", share(worstFirst, served -> served.inTime + served.late));
-        shares.put("share of " + what + " served, worst", share(worst, served -> served.inTime + served.late));
+        shares.put(name, share(bySender.values(), counted));
+        shares.put(name + ", worst", share(worst, counted));
         bySender.keySet().stream().mapToInt(Draws.Sender::priority).distinct().forEach(priority -> {
             List<Served> some = bySender.entrySet().stream()
                     .filter(entry -> entry.getKey().priority() == priority)
                     .map(Map.Entry::getValue)
                     .toList();
-            shares.put("share of " + what + " in time, prio " + priority, share(some, served -> served.inTime));
-            shares.put(
-                    "share of " + what + " served, prio " + priority,
-                    share(some, served -> served.inTime + served.late));
+            shares.put(name + ", prio " + priority, share(some, counted));
         });
     }
 
-    private static double share(List<Served> some, ToIntFunction<Served> counted) {
+    private static double share(Collection<Served> some, ToIntFunction<Served> counted) {
         int sent = some.stream()
                 .mapToInt(served -> served.inTime + served.late + served.unserved)
                 .sum();
