Order waiting requests by priority and workspace

Requests that waited for a slot went by their latency targets alone, so that a burst of one workspace, or of callers of a lower priority, displaced the others. WaitingRequests holds them now: resumed streams, priorities, returning callers, fair queueing over workspaces, targets; one of eight slots goes to a lower priority. A request is rejected if those that go before it take too long, and the retry delay is spread over the time to serve what waits.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -93,7 +93,6 @@
     private final Backlog backlog;
     private final SlotDecisionListener decisions;
     private final EventLog log;
-    private final DoubleSupplier random;
     private final Options options;
 
     private final LeaseTable leases = new LeaseTable();
@@ -101,7 +100,7 @@
     private final ItemRanking ranking;
     private final DecliningNodes decliningNodes;
     private final MovedSlots movedSlots;
-    private final List<WaitingRequest> waiting = new ArrayList<>();
+    private final WaitingRequests waiting;
     private final HoldTimeEstimate onlineHoldTimes = new HoldTimeEstimate(INITIAL_ONLINE_SECONDS);
     private final ItemTimeEstimate itemTimes = new ItemTimeEstimate();
     private final PrefixCacheIndex prefixCache = new PrefixCacheIndex();
@@ -149,8 +148,6 @@
         }
     }
 
-    private record WaitingRequest(SlotRequest request, long targetNanos, long deadlineNanos) {}
-
     public SlotScheduler(
             Ticker ticker,
             UpstreamDirectory directory,
@@ -166,8 +163,8 @@
         this.backlog = backlog;
         this.decisions = decisions;
         this.log = log;
-        this.random = random;
         this.options = options;
+        this.waiting = new WaitingRequests(ticker, random, options);
         this.progress = new ItemProgress(ticker);
         this.ranking = new ItemRanking(ticker, progress, itemTimes);
         this.decliningNodes = new DecliningNodes(ticker);
@@ -242,7 +239,7 @@
     /** Removes a node that is gone. */
     public void left(String name) {
         if (leases.removeNode(name)) {
-            waiting.removeIf(entry -> entry.request().node().equals(name));
+            waiting.removeIf(request -> request.node().equals(name));
             progress.nodeLeft(name);
             decliningNodes.nodeLeft(name);
         }
@@ -261,30 +258,23 @@
     /** Grants a slot for the request, queues it, or rejects it if it would wait too long or its node has not joined. */
     public void acquire(SlotRequest request) {
         if (leases.node(request.node()).isEmpty()) {
-            decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+            reject(request, options.minRetryAfter());
             return;
         }
         if (request.origin().isPresent()) {
             acquireForStartedStream(request);
             return;
         }
-        if (tryPlace(request)) {
-            return;
+        if (waiting.othersWaitBefore(request)) {
+            placeWaitingRequests();
         }
-        Optional<Duration> expectedWait = expectedWait(request.service());
-        if (expectedWait.isEmpty()) {
-            decisions.rejected(request.node(), request.lease(), retryAfter(Duration.ZERO));
-            return;
-        }
-        Duration wait = expectedWait.get();
-        Duration maxWait = request.retry()
-                ? request.timeToDeadline()
-                : request.timeToTarget().minus(options.firstEventTime());
-        if (wait.compareTo(maxWait) > 0) {
-            decisions.rejected(request.node(), request.lease(), retryAfter(wait));
-            return;
+        if (!tryPlace(request)) {
+            waiting.offer(request, slotsPerSecond(request.service())).ifPresent(delay -> reject(request, delay));
         }
-        enqueue(request);
+    }
+
+    private void reject(SlotRequest request, Duration retryDelay) {
+        decisions.rejected(request.node(), request.lease(), retryDelay);
     }
 
     /** Queues a request for the rest of a stream until its deadline, unless no upstream may continue the stream. */
@@ -293,7 +283,7 @@
         if (!mayContinue(request)) {
             rejectStartedStream(request);
         } else if (!tryPlace(request)) {
-            enqueue(request);
+            waiting.add(request);
         }
     }
 
@@ -327,41 +317,19 @@
                 origin.attempt().orElse(null),
                 "version",
                 origin.version().orElse(null));
-        decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
-    }
-
-    private void enqueue(SlotRequest request) {
-        long now = ticker.nanos();
-        waiting.add(new WaitingRequest(
-                request,
-                now + request.timeToTarget().toNanos(),
-                now + request.timeToDeadline().toNanos()));
+        reject(request, options.minRetryAfter());
     }
 
-    private Duration retryAfter(Duration wait) {
-        long spread = (long) (options.retryAfterJitter().toMillis() * random.getAsDouble());
-        Duration earliest = wait.compareTo(options.minRetryAfter()) > 0 ? wait : options.minRetryAfter();
-        return earliest.plusMillis(spread);
-    }
-
-    /** Estimates the time until a request that is queued now gets a slot; empty if no upstream can be used now. */
-    private Optional<Duration> expectedWait(String service) {
-        double requestsPerSecond = directory.open(service).stream()
+    /** Returns the rate at which slots of a service become free for online requests, 0 if no upstream can be used now. */
+    private double slotsPerSecond(String service) {
+        return directory.open(service).stream()
                 .filter(upstream -> health.usable(upstream.id()))
-                .mapToDouble(this::requestsPerSecond)
+                .mapToDouble(this::slotsPerSecond)
                 .sum();
-        if (requestsPerSecond == 0) {
-            return Optional.empty();
-        }
-        long ahead = waiting.stream()
-                .filter(entry -> entry.request().service().equals(service))
-                .count();
-        double seconds = (ahead + 1) / requestsPerSecond;
-        return Optional.of(Duration.ofNanos((long) (seconds * 1e9)));
     }
 
     /** Returns the rate at which slots of an upstream become free for online requests, or its limit if lower. */
-    private double requestsPerSecond(Upstream upstream) {
+    private double slotsPerSecond(Upstream upstream) {
         double meanSeconds = onlineHoldTimes.meanSeconds(upstream.service());
         OptionalDouble limit = rates.highestRate(upstream);
         if (limit.isPresent()) {
@@ -406,7 +374,11 @@
     }
 
     private boolean hasCapacity(Upstream upstream, SlotRequest request) {
-        if (!eligible(upstream, request) || !health.usable(upstream.id()) || !rates.mayTake(upstream)) {
+        return eligible(upstream, request) && hasRoom(upstream);
+    }
+
+    private boolean hasRoom(Upstream upstream) {
+        if (!health.usable(upstream.id()) || !rates.mayTake(upstream)) {
             return false;
         }
         int queued = health.suspected(upstream.id()) ? 0 : queuedRequests(upstream);
@@ -478,8 +450,7 @@
      * @param keptEvents output events of an item that the node keeps; if there are any, the item resumes there
      */
     public void released(String nodeName, long number, ReleaseReason reason, int keptEvents) {
-        waiting.removeIf(entry ->
-                entry.request().lease() == number && entry.request().node().equals(nodeName));
+        waiting.withdraw(nodeName, number);
         Optional<Lease> found = leases.find(nodeName, number);
         if (found.isEmpty()) {
             return;
@@ -501,6 +472,9 @@
             if (lease.item().isPresent()) {
                 itemTimes.record(service, lease.tokens(), heldNanos);
             } else {
+                if (!limited(lease.upstream())) {
+                    waiting.slotReleased(service);
+                }
                 onlineHoldTimes.record(service, heldNanos);
             }
         });
@@ -668,22 +642,14 @@
         if (waiting.isEmpty()) {
             return;
         }
-        long now = ticker.nanos();
-        List<WaitingRequest> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparing((WaitingRequest entry) -> entry.targetNanos() - now < 0)
-                .thenComparingLong(WaitingRequest::targetNanos));
-        for (WaitingRequest entry : order) {
-            SlotRequest request = resolveOrigin(entry.request());
-            if (request.origin().isPresent() && !mayContinue(request)) {
-                waiting.remove(entry);
-                rejectStartedStream(request);
-            } else if (entry.deadlineNanos() - now <= 0) {
-                waiting.remove(entry);
-                decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
-            } else if (tryPlace(request)) {
-                waiting.remove(entry);
-            }
-        }
+        waiting.removeExpired()
+                .forEach(request ->
+                        reject(request, waiting.retryDelay(request.service(), slotsPerSecond(request.service()))));
+        waiting.removeIf(request -> request.origin().isPresent() && !mayContinue(resolveOrigin(request)))
+                .forEach(request -> rejectStartedStream(resolveOrigin(request)));
+        waiting.place(
+                service -> directory.open(service).stream().anyMatch(this::hasRoom),
+                request -> tryPlace(resolveOrigin(request)));
     }
 
     /** Starts items by their rank; those of the first in order of due times, the urgent ones least urgent first. */
