Share slots for items among workspaces

Items started in order of due times, so that 2,000 items of one workspace came before all others. ItemOrder keeps a bounded number of items of each workspace and starts them by rank, priority, tokens run by the workspace, and due time; without workspaces nothing changes. Items of the least urgent priority are preempted first.

--- a/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.emulator;
 
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.slots.Backlog;
 import dev.lavenderline.serving.slots.BacklogItem;
 import dev.lavenderline.serving.slots.Holding;
 import dev.lavenderline.serving.slots.ItemRef;
@@ -121,7 +122,7 @@
 
     private void startScheduler() {
         SlotScheduler started = new SlotScheduler(
-                time, directory, health, this::visit, this, EventLog.NONE, retryRandom::nextDouble, options);
+                time, directory, health, new SharedBacklog(), this, EventLog.NONE, retryRandom::nextDouble, options);
         for (int node = 0; node < pattern.nodes(); node++) {
             List<Holding> holdings = new ArrayList<>();
             String name = nodeName(node);
@@ -140,12 +141,20 @@
         time.after(SCHEDULE_MILLIS, this::schedulePeriodically);
     }
 
-    private void visit(Predicate<BacklogItem> visitor) {
-        for (BacklogItem item : List.copyOf(backlog)) {
-            if (!visitor.test(item)) {
-                return;
+    private final class SharedBacklog implements Backlog {
+        @Override
+        public void visit(Predicate<BacklogItem> visitor) {
+            for (BacklogItem item : List.copyOf(backlog)) {
+                if (!visitor.test(item)) {
+                    return;
+                }
             }
         }
+
+        @Override
+        public boolean shared() {
+            return !pattern.workspaces().isEmpty();
+        }
     }
 
     /** Applies a fault now. */
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
@@ -43,6 +43,11 @@
         }
     }
 
+    @Override
+    public boolean shared() {
+        return config.get().map(current -> current.workspaces().enabled()).orElse(false);
+    }
+
     private static boolean visitItems(Job job, Route route, Predicate<BacklogItem> visitor) {
         Map<String, Integer> weights = new HashMap<>();
         for (WeightedService service : route.services()) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemTimeEstimate.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemTimeEstimate.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.slots;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -39,4 +40,10 @@
         }
         return tokens == 0 || known.tokens == 0 ? known.seconds : known.seconds * tokens / known.tokens;
     }
+
+    /** Returns the tokens that are left of an item that ran for a time; an item of unknown size counts as one token. */
+    double tokensLeft(String service, int tokens, Duration ranFor) {
+        double ran = ranFor.toNanos() / 1e9 / seconds(service, tokens);
+        return Math.max(1, tokens) * Math.max(0, 1 - ran);
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LeaseTable.java
@@ -48,6 +48,8 @@
      * @param startNanos time of the grant, or of the hello that reported the slot
      * @param dueNanos time at which the item's result is due; {@code Long.MAX_VALUE} if unknown or an online request
      * @param tokens tokens of the item, 0 if they are not known or for an online request
+     * @param workspace workspace of the item, empty if there is none or it is not known, or for an online request
+     * @param priority priority of the item, 0 if it is not known or for an online request
      * @param partialRun whether the hold time covers only part of a run: the run resumed partial output, or began
      *     before the node joined this scheduler
      */
@@ -59,6 +61,8 @@
             long startNanos,
             long dueNanos,
             int tokens,
+            String workspace,
+            int priority,
             boolean partialRun) {
         @Override
         public boolean equals(Object other) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -98,6 +98,7 @@
     private final LeaseTable leases = new LeaseTable();
     private final ItemProgress progress;
     private final ItemRanking ranking;
+    private final ItemOrder itemOrder;
     private final DecliningNodes decliningNodes;
     private final MovedSlots movedSlots;
     private final WaitingRequests waiting;
@@ -167,6 +168,7 @@
         this.waiting = new WaitingRequests(ticker, random, options);
         this.progress = new ItemProgress(ticker);
         this.ranking = new ItemRanking(ticker, progress, itemTimes);
+        this.itemOrder = new ItemOrder(ticker, backlog, ranking::rank, this::startable);
         this.decliningNodes = new DecliningNodes(ticker);
         this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
@@ -226,6 +228,8 @@
                     ticker.nanos(),
                     Long.MAX_VALUE,
                     0,
+                    "",
+                    0,
                     true));
         }
     }
@@ -421,7 +425,16 @@
 
     private void grant(SlotRequest request, NodeState node, Upstream upstream) {
         leases.add(new Lease(
-                node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE, 0, false));
+                node,
+                request.lease(),
+                upstream.id(),
+                Optional.empty(),
+                ticker.nanos(),
+                Long.MAX_VALUE,
+                0,
+                "",
+                0,
+                false));
         health.sent(upstream.id());
         rates.sent(upstream);
         if (request.prefix() != 0) {
@@ -430,11 +443,15 @@
         decisions.granted(node.name, request.lease(), upstream.id());
     }
 
-    /** Returns the lease of the item to preempt: one past its due time, else the one due last. */
+    /**
+     * Returns the lease of the item to preempt: of the least urgent priority, one past its due time, else the one due
+     * last. Even an item of the most urgent priority gives way, as it has seconds to run again and a stream has not.
+     */
     private Optional<Lease> preemptionCandidate(String upstream) {
         long now = ticker.nanos();
         return leases.occupancy(upstream).itemLeases().stream()
-                .max(Comparator.comparing((Lease lease) -> lease.dueNanos() - now < 0)
+                .max(Comparator.comparingInt(Lease::priority)
+                        .thenComparing(lease -> lease.dueNanos() - now < 0)
                         .thenComparingLong(Lease::dueNanos)
                         .thenComparingLong(Lease::startNanos));
     }
@@ -489,6 +506,12 @@
         if (ran && !declined) {
             decliningNodes.ran(node, lease.startNanos());
         }
+        if (reason != ReleaseReason.COMPLETED && backlog.shared()) {
+            directory
+                    .find(lease.upstream())
+                    .map(upstream -> itemTimes.tokensLeft(upstream.service(), lease.tokens(), ranFor(item, lease)))
+                    .ifPresent(notRun -> itemOrder.charge(lease.workspace(), -notRun));
+        }
         Optional<ItemProgress.PartialOutput> kept = keptEvents == 0
                 ? Optional.empty()
                 : Optional.of(new ItemProgress.PartialOutput(
@@ -585,10 +608,12 @@
     /** Records that an item has a result. */
     public void resultRecorded(ItemRef item) {
         progress.resultRecorded(item);
+        itemOrder.ended(item);
     }
 
     /** Preempts the running items of a cancelled job. */
     public void jobCancelled(String job) {
+        itemOrder.changed();
         leases.activeItemLeases().stream()
                 .filter(lease -> lease.item().orElseThrow().job().equals(job))
                 .forEach(this::preempt);
@@ -659,6 +684,13 @@
             return;
         }
         Map<String, Integer> capacities = new HashMap<>();
+        if (backlog.shared()) {
+            itemOrder.start(
+                    services -> services.stream()
+                            .anyMatch(service -> capacities.computeIfAbsent(service, this::itemCapacity) > 0),
+                    item -> startOnAvailableService(item, capacities));
+            return;
+        }
         Deque<BacklogItem> urgent = new ArrayDeque<>();
         List<BacklogItem> late = new ArrayList<>();
         backlog.visit(item -> {
@@ -686,14 +718,15 @@
         return !leases.hasLease(item.item()) && !movedSlots.holds(item.item()) && progress.startable(item.item());
     }
 
-    private void startOnAvailableService(BacklogItem item, Map<String, Integer> capacities) {
+    private boolean startOnAvailableService(BacklogItem item, Map<String, Integer> capacities) {
         for (String service : item.services().keySet()) {
             int left = capacities.computeIfAbsent(service, this::itemCapacity);
             if (left > 0 && tryStart(item, service)) {
                 capacities.put(service, left - 1);
-                return;
+                return true;
             }
         }
+        return false;
     }
 
     /** Returns the number of further items that a service can run. */
@@ -760,8 +793,16 @@
                 ticker.nanos(),
                 item.dueNanos(),
                 item.tokens(),
+                item.workspace(),
+                item.priority(),
                 resumed);
         leases.add(lease);
+        if (backlog.shared()) {
+            Duration ran = progress.partialOutput(item.item())
+                    .map(ItemProgress.PartialOutput::ranFor)
+                    .orElse(Duration.ZERO);
+            itemOrder.charge(item.workspace(), itemTimes.tokensLeft(service, item.tokens(), ran));
+        }
         rates.sent(best);
         decisions.run(node.name, lease.number(), best.id(), item.item());
         return true;
