--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -66,15 +66,15 @@
     private final Backlog backlog;
     private final SlotDecisionListener decisions;
     private final EventLog log;
-    private final DoubleSupplier random;
     private final Options options;
 
     private final LeaseTable leases = new LeaseTable();
     private final ItemProgress progress;
     private final ItemRanking ranking;
+    private final ItemOrder itemOrder;
     private final DecliningNodes decliningNodes;
     private final MovedSlots movedSlots;
-    private final List<WaitingRequest> waiting = new ArrayList<>();
+    private final WaitingRequests waiting;
     private final HoldTimeEstimate onlineHoldTimes = new HoldTimeEstimate(INITIAL_ONLINE_SECONDS);
     private final ItemTimeEstimate itemTimes = new ItemTimeEstimate();
     private final PrefixCacheIndex prefixCache = new PrefixCacheIndex();
@@ -126,8 +126,6 @@
         }
     }
 
-    private record WaitingRequest(SlotRequest request, long targetNanos, long deadlineNanos) {}
-
     public SlotScheduler(
             Ticker ticker,
             UpstreamDirectory directory,
@@ -143,10 +141,11 @@
         this.backlog = backlog;
         this.decisions = decisions;
         this.log = log;
-        this.random = random;
         this.options = options;
+        this.waiting = new WaitingRequests(ticker, random, options);
         this.progress = new ItemProgress(ticker);
         this.ranking = new ItemRanking(ticker, progress, itemTimes);
+        this.itemOrder = new ItemOrder(ticker, backlog, ranking::rank, this::startable);
         this.decliningNodes = new DecliningNodes(ticker);
         this.movedSlots = new MovedSlots(ticker);
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
@@ -222,6 +221,8 @@
                     ticker.nanos(),
                     Long.MAX_VALUE,
                     0,
+                    "",
+                    0,
                     true));
         }
     }
@@ -235,7 +236,7 @@
     /** Removes a node that is gone. */
     public void left(String name) {
         if (leases.removeNode(name)) {
-            waiting.removeIf(entry -> entry.request().node().equals(name));
+            waiting.removeIf(request -> request.node().equals(name));
             progress.nodeLeft(name);
             decliningNodes.nodeLeft(name);
             charges.nodeLeft(name);
@@ -255,11 +256,11 @@
     /** Grants a slot for the request, queues it, or rejects it if it would wait too long or its node has not joined. */
     public void acquire(SlotRequest request) {
         if (leases.node(request.node()).isEmpty()) {
-            decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+            reject(request, options.minRetryAfter());
             return;
         }
         if (tooLarge(request)) {
-            decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
+            reject(request, options.minRetryAfter());
             return;
         }
         if (!charges.admit(request)) {
@@ -269,23 +270,16 @@
             acquireForStartedStream(request);
             return;
         }
-        if (tryPlace(request)) {
-            return;
+        if (waiting.othersWaitBefore(request)) {
+            placeWaitingRequests();
         }
-        Optional<Duration> expectedWait = expectedWait(request.service());
-        if (expectedWait.isEmpty()) {
-            decisions.rejected(request.node(), request.lease(), retryAfter(Duration.ZERO));
-            return;
+        if (!tryPlace(request)) {
+            waiting.offer(request, slotsPerSecond(request.service())).ifPresent(delay -> reject(request, delay));
         }
-        Duration wait = expectedWait.get();
-        Duration maxWait = request.retry()
-                ? request.timeToDeadline()
-                : request.timeToTarget().minus(options.firstEventTime());
-        if (wait.compareTo(maxWait) > 0) {
-            decisions.rejected(request.node(), request.lease(), retryAfter(wait));
-            return;
-        }
-        enqueue(request);
+    }
+
+    private void reject(SlotRequest request, Duration retryDelay) {
+        decisions.rejected(request.node(), request.lease(), retryDelay);
     }
 
     private boolean tooLarge(SlotRequest request) {
@@ -298,7 +292,7 @@
         if (!mayContinue(request)) {
             rejectStartedStream(request);
         } else if (!tryPlace(request)) {
-            enqueue(request);
+            waiting.add(request);
         }
     }
 
@@ -332,41 +326,19 @@
                 origin.attempt().orElse(null),
                 "version",
                 origin.version().orElse(null));
-        decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
-    }
-
-    private void enqueue(SlotRequest request) {
-        long now = ticker.nanos();
-        waiting.add(new WaitingRequest(
-                request,
-                now + request.timeToTarget().toNanos(),
-                now + request.timeToDeadline().toNanos()));
+        reject(request, options.minRetryAfter());
     }
 
-    private Duration retryAfter(Duration wait) {
-        long spread = (long) (options.retryAfterJitter().toMillis() * random.getAsDouble());
-        Duration earliest = wait.compareTo(options.minRetryAfter()) > 0 ? wait : options.minRetryAfter();
-        return earliest.plusMillis(spread);
-    }
-
-    /** Estimates the time until a request that is queued now gets a slot; empty if no upstream can be used now. */
-    private Optional<Duration> expectedWait(String service) {
-        double requestsPerSecond = directory.open(service).stream()
+    /** Returns the rate at which slots of a service become free for online requests, 0 if no upstream can be used now. */
+    private double slotsPerSecond(String service) {
+        return directory.open(service).stream()
                 .filter(upstream -> health.usable(upstream.id()))
-                .mapToDouble(this::requestsPerSecond)
+                .mapToDouble(this::slotsPerSecond)
                 .sum();
-        if (requestsPerSecond == 0) {
-            return Optional.empty();
-        }
-        long ahead = waiting.stream()
-                .filter(entry -> entry.request().service().equals(service))
-                .count();
-        double seconds = (ahead + 1) / requestsPerSecond;
-        return Optional.of(Duration.ofNanos((long) (seconds * 1e9)));
     }
 
     /** Returns the rate at which slots of an upstream become free for online requests, or its limit if lower. */
-    private double requestsPerSecond(Upstream upstream) {
+    private double slotsPerSecond(Upstream upstream) {
         double meanSeconds = onlineHoldTimes.meanSeconds(upstream.service());
         OptionalDouble limit = rates.highestRate(upstream);
         if (limit.isPresent()) {
@@ -440,18 +412,22 @@
     }
 
     private boolean hasCapacity(Upstream upstream, SlotRequest request) {
-        if (!eligible(upstream, request) || !health.usable(upstream.id()) || !rates.mayTake(upstream)) {
-            return false;
-        }
-        int queued = health.suspected(upstream.id()) ? 0 : queuedRequests(upstream);
-        Occupancy occupancy = leases.occupancy(upstream.id());
-        return occupancy.onlineCount() < upstream.slots() + queued
+        return eligible(upstream, request)
+                && hasRoom(upstream)
                 && EngineMemory.fits(
                         memoryTokens.applyAsLong(upstream.service()),
-                        occupancy.onlineTokens(),
+                        leases.occupancy(upstream.id()).onlineTokens(),
                         request.neededTokens(prefixCached(upstream, request)));
     }
 
+    private boolean hasRoom(Upstream upstream) {
+        if (!health.usable(upstream.id()) || !rates.mayTake(upstream)) {
+            return false;
+        }
+        int queued = health.suspected(upstream.id()) ? 0 : queuedRequests(upstream);
+        return leases.occupancy(upstream.id()).onlineCount() < upstream.slots() + queued;
+    }
+
     private int queuedRequests(Upstream upstream) {
         return plainService.test(upstream.service())
                 ? PLAIN_SERVICE_QUEUE * upstream.slots()
@@ -479,7 +455,16 @@
     private void grant(SlotRequest request, NodeState node, Upstream upstream) {
         int tokens = (int) Math.min(Integer.MAX_VALUE, request.neededTokens(prefixCached(upstream, request)));
         leases.add(new Lease(
-                node, request.lease(), upstream.id(), Optional.empty(), ticker.nanos(), Long.MAX_VALUE, tokens, false));
+                node,
+                request.lease(),
+                upstream.id(),
+                Optional.empty(),
+                ticker.nanos(),
+                Long.MAX_VALUE,
+                tokens,
+                "",
+                0,
+                false));
         health.sent(upstream.id());
         rates.sent(upstream);
         if (request.prefix() != 0) {
@@ -488,11 +473,15 @@
         decisions.granted(node.name, request.lease(), upstream.id());
     }
 
-    /** Returns the lease of the item to preempt: one past its due time, else the one due last. */
+    /**
+     * Returns the lease of the item to preempt: of the least urgent priority, one past its due time, else the one due
+     * last. Even an item of the most urgent priority gives way, as it has seconds to run again and a stream has not.
+     */
     private Optional<Lease> preemptionCandidate(String upstream) {
         long now = ticker.nanos();
         return leases.occupancy(upstream).itemLeases().stream()
-                .max(Comparator.comparing((Lease lease) -> lease.dueNanos() - now < 0)
+                .max(Comparator.comparingInt(Lease::priority)
+                        .thenComparing(lease -> lease.dueNanos() - now < 0)
                         .thenComparingLong(Lease::dueNanos)
                         .thenComparingLong(Lease::startNanos));
     }
@@ -508,8 +497,7 @@
      * @param keptEvents output events of an item that the node keeps; if there are any, the item resumes there
      */
     public void released(String nodeName, long number, ReleaseReason reason, int keptEvents) {
-        waiting.removeIf(entry ->
-                entry.request().lease() == number && entry.request().node().equals(nodeName));
+        waiting.withdraw(nodeName, number);
         charges.released(nodeName, number);
         Optional<Lease> found = leases.find(nodeName, number);
         if (found.isEmpty()) {
@@ -532,6 +520,9 @@
             if (lease.item().isPresent()) {
                 itemTimes.record(service, lease.tokens(), heldNanos);
             } else {
+                if (!limited(lease.upstream())) {
+                    waiting.slotReleased(service);
+                }
                 onlineHoldTimes.record(service, heldNanos);
             }
         });
@@ -546,6 +537,12 @@
         if (ran && !declined) {
             decliningNodes.ran(node, lease.startNanos());
         }
+        if (reason != ReleaseReason.COMPLETED && backlog.shared()) {
+            directory
+                    .find(lease.upstream())
+                    .map(upstream -> itemTimes.tokensLeft(upstream.service(), lease.tokens(), ranFor(item, lease)))
+                    .ifPresent(notRun -> itemOrder.charge(lease.workspace(), -notRun));
+        }
         Optional<ItemProgress.PartialOutput> kept = keptEvents == 0
                 ? Optional.empty()
                 : Optional.of(new ItemProgress.PartialOutput(
@@ -642,10 +639,12 @@
     /** Records that an item has a result. */
     public void resultRecorded(ItemRef item) {
         progress.resultRecorded(item);
+        itemOrder.ended(item);
     }
 
     /** Preempts the running items of a cancelled job. */
     public void jobCancelled(String job) {
+        itemOrder.changed();
         leases.activeItemLeases().stream()
                 .filter(lease -> lease.item().orElseThrow().job().equals(job))
                 .forEach(this::preempt);
@@ -699,22 +698,14 @@
         if (waiting.isEmpty()) {
             return;
         }
-        long now = ticker.nanos();
-        List<WaitingRequest> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparing((WaitingRequest entry) -> entry.targetNanos() - now < 0)
-                .thenComparingLong(WaitingRequest::targetNanos));
-        for (WaitingRequest entry : order) {
-            SlotRequest request = resolveOrigin(entry.request());
-            if (request.origin().isPresent() && !mayContinue(request)) {
-                waiting.remove(entry);
-                rejectStartedStream(request);
-            } else if (entry.deadlineNanos() - now <= 0) {
-                waiting.remove(entry);
-                decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
-            } else if (tryPlace(request)) {
-                waiting.remove(entry);
-            }
-        }
+        waiting.removeExpired()
+                .forEach(request ->
+                        reject(request, waiting.retryDelay(request.service(), slotsPerSecond(request.service()))));
+        waiting.removeIf(request -> request.origin().isPresent() && !mayContinue(resolveOrigin(request)))
+                .forEach(request -> rejectStartedStream(resolveOrigin(request)));
+        waiting.place(
+                service -> directory.open(service).stream().anyMatch(this::hasRoom),
+                request -> tryPlace(resolveOrigin(request)));
     }
 
     /** Starts items by their rank; those of the first in order of due times, the urgent ones least urgent first. */
@@ -724,6 +715,13 @@
             return;
         }
         Map<String, Integer> capacities = new HashMap<>();
+        if (backlog.shared()) {
+            itemOrder.start(
+                    services -> services.stream()
+                            .anyMatch(service -> capacities.computeIfAbsent(service, this::itemCapacity) > 0),
+                    item -> startOnAvailableService(item, capacities));
+            return;
+        }
         Deque<BacklogItem> urgent = new ArrayDeque<>();
         List<BacklogItem> late = new ArrayList<>();
         backlog.visit(item -> {
@@ -751,14 +749,15 @@
         return !leases.hasLease(item.item()) && !movedSlots.holds(item.item()) && progress.startable(item.item());
     }
 
-    private void startOnAvailableService(BacklogItem item, Map<String, Integer> capacities) {
+    private boolean startOnAvailableService(BacklogItem item, Map<String, Integer> capacities) {
         for (String service : item.services().keySet()) {
             int left = capacities.computeIfAbsent(service, this::itemCapacity);
             if (left > 0 && tryStart(item, service)) {
                 capacities.put(service, left - 1);
-                return;
+                return true;
             }
         }
+        return false;
     }
 
     /** Returns the number of further items that a service can run. */
@@ -829,8 +828,16 @@
                 ticker.nanos(),
                 item.dueNanos(),
                 item.tokens(),
+                item.workspace(),
+                item.priority(),
                 resumed);
         leases.add(lease);
+        if (backlog.shared()) {
+            Duration ran = progress.partialOutput(item.item())
+                    .map(ItemProgress.PartialOutput::ranFor)
+                    .orElse(Duration.ZERO);
+            itemOrder.charge(item.workspace(), itemTimes.tokensLeft(service, item.tokens(), ran));
+        }
         rates.sent(best);
         decisions.run(node.name, lease.number(), best.id(), item.item());
         return true;
