--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -41,7 +41,7 @@
 
     final Vertx vertx = Vertx.vertx();
     final Context context = vertx.getOrCreateContext();
-    final FakeStore store = new FakeStore();
+    final FakeStore store;
     final List<ServingNode> nodes = new ArrayList<>();
 
     /** The nodes' ports for callers. */
@@ -127,6 +127,13 @@
     }
 
     NodeHarness() {
+        this(new FakeStore());
+    }
+
+    /** Uses the store of an earlier harness, which has been closed. */
+    NodeHarness(FakeStore store) {
+        this.store = store;
+        store.loseReaders();
         context.runOnContext(now -> store.endPolls(new VertxTimers(vertx)));
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -87,6 +87,11 @@
         pollTimers = Optional.of(timers);
     }
 
+    /** Drops the waiting polls without a response, as their readers are gone. */
+    public void loseReaders() {
+        waitingPolls.clear();
+    }
+
     /** Returns the number of polls that wait for a record. */
     public int waitingPolls() {
         return waitingPolls.size();
