Conclude the version of a stream only from an observed period

Callers saw: streams that began on one software version and, resumed after the loss of all nodes, ran to the end on another one.

Cause: if nobody had reported where a stream began, the only version in the list of upstreams was taken, also by a process that had just started and knew of no removed upstream, and by a node whose list was out of date.

Change: the only version counts if no other one is listed, was listed in the last 18 s or has a record in the store, and if these 18 s are covered: this node, or one that it heard from, has followed the list for so long, or the version's record is settled. Otherwise the request is refused as not run. A hello and the reply to it carry what a node has observed. The topic "versions" has a record of each version in service, written when the set changes and once when it becomes settled, deleted 18 s after the last upstream is gone. A process that has just started holds such requests for up to 4.5 s while a settled record may prove the version, as reads of the store lag by up to 3 s.

Three tests assumed the old conclusion. StreamVersionsTest now lets the store respond for the period and checks both sides of the limit; ServingNodeTest.resumedStreamOfUnknownVersionContinuesOnTheOnlyVersion still demands that the stream continues after a start, with a record that proves it.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -62,6 +62,13 @@
 
     private static final Duration PROMPTS_POLL_PAUSE = Duration.ofMillis(500);
 
+    private static final Duration VERSIONS_POLL_WAIT = Duration.ofSeconds(1);
+
+    /** Pause between polls of the software versions; short until they can prove what was in service before a start. */
+    private static final Duration VERSIONS_POLL_PAUSE = Duration.ofMillis(1500);
+
+    private static final Duration FIRST_VERSIONS_POLL_PAUSE = Duration.ofMillis(100);
+
     private static final Duration SCHEDULING_PERIOD = Duration.ofMillis(50);
     private static final Duration IDLE_SCHEDULING_PERIOD = Duration.ofMillis(250);
     private static final Duration HOUSEKEEPING_PERIOD = Duration.ofSeconds(1);
@@ -91,6 +98,8 @@
     private final PartitionFollower upstreamReader;
     private final PartitionFollower promptReader;
     private final PromptRejections promptRejections;
+    private final PartitionFollower versionReader;
+    private final VersionRecords versionRecords;
     private final JobStore jobs;
     private final ItemRunner runner;
     private final SlotService slots;
@@ -157,6 +166,16 @@
                 log,
                 PROMPTS_POLL_WAIT,
                 () -> PROMPTS_POLL_PAUSE);
+        this.versionRecords = new VersionRecords(directory.servedVersions(), store, ticker, log);
+        this.versionReader = new PartitionFollower(
+                store,
+                VersionRecords.PARTITION,
+                versionRecords,
+                ticker,
+                timers,
+                log,
+                VERSIONS_POLL_WAIT,
+                () -> directory.servedVersions().observed() ? VERSIONS_POLL_PAUSE : FIRST_VERSIONS_POLL_PAUSE);
         this.slots = new SlotService(
                 vertx,
                 settings.self(),
@@ -194,6 +213,11 @@
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, schedulerClient::replaceNodes);
         this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultRetention());
         this.status = new StatusServer(vertx, this::ready, metrics::text);
+        directory.onChange(() -> {
+            if (slots.scheduler().nodeCount() > 0) {
+                versionRecords.update();
+            }
+        });
         ledger.onResult(result -> slots.scheduler().resultRecorded(new ItemRef(result.getJob(), result.getItem())));
         ledger.onCancelled(job -> slots.scheduler().jobCancelled(job.id()));
     }
@@ -231,6 +255,7 @@
         configReader.start();
         upstreamReader.start();
         promptReader.start();
+        versionReader.start();
         jobs.start();
         schedulerClient.start(runner);
         schedule();
@@ -270,6 +295,7 @@
         if (slots.scheduler().nodeCount() > 0) {
             cleaner.run();
             promptRejections.deleteExpired();
+            versionRecords.update();
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -153,7 +153,12 @@
             if (local()) {
                 scheduler.joined(self.name(), self.failureDomain(), self.capacity(), List.copyOf(heldSlots.values()));
             } else {
-                socket.write(SlotFrames.hello(self, heldSlots.values(), streamVersions.groups(), directory.notices()));
+                socket.write(SlotFrames.hello(
+                        self,
+                        heldSlots.values(),
+                        streamVersions.groups(),
+                        directory.notices(),
+                        directory.servedVersions()));
                 prompts.recentCrashes()
                         .forEach(crash -> socket.write(SlotFrames.requestCrashed(
                                 new RequestTraits(crash.parts(), crash::request),
@@ -175,6 +180,7 @@
         void frame(SlotFrame frame) {
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
+                case HELLO -> VersionFrames.read(frame.getHello(), directory.servedVersions());
                 case PONG -> pong(Duration.ofMillis(frame.getPong().getStoreAgeMs()));
                 case GRANTED ->
                     granted(
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -19,6 +19,7 @@
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.proto.slots.StreamsBegan;
 import dev.lavenderline.proto.slots.Suspect;
+import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
@@ -45,8 +46,9 @@
             NodeEntry self,
             Collection<Holding> holdings,
             List<StreamVersions.Group> streams,
-            List<UpstreamNotice> notices) {
-        Hello.Builder hello = Hello.newBuilder()
+            List<UpstreamNotice> notices,
+            ServedVersions versions) {
+        Hello.Builder hello = VersionFrames.write(versions, Hello.newBuilder())
                 .addAllNotices(notices.stream().map(SlotFrames::encode).toList())
                 .addAllStreams(streams.stream().map(SlotFrames::encode).toList())
                 .setNode(self.name())
@@ -60,6 +62,12 @@
         return frame(SlotFrame.newBuilder().setHello(hello));
     }
 
+    /** The scheduler's reply to the hello of a node. */
+    static Buffer reply(String node, ServedVersions versions) {
+        return frame(SlotFrame.newBuilder()
+                .setHello(VersionFrames.write(versions, Hello.newBuilder()).setNode(node)));
+    }
+
     private static StreamsBegan encode(StreamVersions.Group streams) {
         return StreamsBegan.newBuilder()
                 .setVersion(streams.version())
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -159,6 +159,8 @@
         frame.getHello()
                 .getStreamsList()
                 .forEach(group -> scheduler.streamVersions().record(SlotFrames.streams(group)));
+        VersionFrames.read(frame.getHello(), directory.servedVersions());
+        peer.socket.write(SlotFrames.reply(selfName, directory.servedVersions()));
         List<Holding> holdings = SlotFrames.holdings(frame.getHello());
         scheduler.joined(peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
         log.event(ServingEvent.NODE_JOINED, "peer", peer.node, "holdings", holdings.size());
--- a/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
@@ -1,6 +1,9 @@
 package dev.lavenderline.serving.slots;
 
 import dev.lavenderline.core.Ticker;
+import dev.lavenderline.serving.upstreams.ServedVersions;
+import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
+import dev.lavenderline.serving.upstreams.ServedVersions.Conclusion;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -18,7 +21,7 @@
  */
 public final class StreamVersions {
     /** Time for which an entry is kept; a caller resumes a stream before the deadline of its first attempt. */
-    static final Duration RETENTION = Duration.ofSeconds(15);
+    static final Duration RETENTION = ServedVersions.MAX_STREAM_AGE;
 
     /** Largest number of entries, about 150 bytes each; twice the streams that one scheduler places in that time. */
     static final int MAX_ENTRIES = 15_000;
@@ -66,13 +69,24 @@
     }
 
     /**
-     * Returns the version on which a stream has to continue, empty if it is not known. If nobody has reported where the
-     * stream began, it is the only version of the service, if there was no other one in {@link #RETENTION}.
+     * Returns the version on which a stream has to continue. If nobody has reported where the stream began, it is the
+     * only version of the service, if that is known to have been the only one.
      */
-    public Optional<String> resolve(String service, StreamOrigin origin) {
+    Conclusion conclude(String service, StreamOrigin origin) {
         return origin.version()
                 .or(() -> origin.attempt().flatMap(this::find))
-                .or(() -> directory.onlyVersion(service, RETENTION));
+                .map(version -> new Conclusion(Optional.of(version), Cause.REPORTED))
+                .orElseGet(() -> directory.servedVersions().only(service));
+    }
+
+    /** Returns the version on which a stream has to continue, empty if it is not known. */
+    public Optional<String> resolve(String service, StreamOrigin origin) {
+        return conclude(service, origin).version();
+    }
+
+    /** Returns whether the version on which a stream of a service has to continue may become known soon. */
+    boolean mayBecomeKnown(String service) {
+        return directory.servedVersions().mayBeProven(service);
     }
 
     /** Returns all entries, grouped by version. */
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The upstreams listed in the metadata store.
@@ -54,7 +55,7 @@
         }
     };
 
-    private final Map<ServiceVersion, Long> removedVersions = new HashMap<>();
+    private final ServedVersions servedVersions;
     private final Set<String> unconfirmedRemovals = new HashSet<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private long lastResponseNanos;
@@ -62,13 +63,14 @@
     private boolean outageSeen;
     private boolean loaded;
 
-    private record ServiceVersion(String service, String version) {}
-
     /** A notice, and since when this node has known that the upstream has a limit if the notice names one. */
     private record Known(UpstreamNotice notice, long limitedSinceNanos) {}
 
     public UpstreamDirectory(Ticker ticker) {
         this.ticker = ticker;
+        this.servedVersions = new ServedVersions(
+                ticker,
+                () -> upstreams.values().stream().map(ServiceVersion::of).collect(Collectors.toUnmodifiableSet()));
         this.lastResponseNanos = ticker.nanos();
     }
 
@@ -86,6 +88,7 @@
         }
         loaded = true;
         lastResponseNanos = now;
+        servedVersions.listConfirmed();
     }
 
     /** Adds or replaces an upstream. */
@@ -200,7 +203,7 @@
 
     private void recordRemovedVersion(Upstream removed) {
         if (removed != null) {
-            removedVersions.put(new ServiceVersion(removed.service(), removed.version()), ticker.nanos());
+            servedVersions.unlisted(ServiceVersion.of(removed));
         }
     }
 
@@ -210,6 +213,7 @@
         current.forEach(upstream -> missing.remove(upstream.id()));
         missing.forEach(this::remove);
         current.forEach(this::put);
+        servedVersions.listLoaded();
     }
 
     private boolean inRenewalGrace() {
@@ -260,20 +264,9 @@
         return open;
     }
 
-    /**
-     * Returns the software version of all upstreams of a service, empty if they differ or there are none. Upstreams
-     * that were removed within the period count.
-     */
-    public Optional<String> onlyVersion(String service, Duration period) {
-        Set<String> versions = new HashSet<>();
-        upstreams.values().stream()
-                .filter(upstream -> upstream.service().equals(service))
-                .forEach(upstream -> versions.add(upstream.version()));
-        removedVersions.values().removeIf(removedNanos -> ticker.nanos() - removedNanos > period.toNanos());
-        removedVersions.keySet().stream()
-                .filter(removed -> removed.service().equals(service))
-                .forEach(removed -> versions.add(removed.version()));
-        return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
+    /** Returns which software versions are and were in service. */
+    public ServedVersions servedVersions() {
+        return servedVersions;
     }
 
     /** Returns the upstreams of the same service that are not draining; none if the id is unknown. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -4,6 +4,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.VertxTimers;
+import dev.lavenderline.proto.versions.VersionRecord;
 import dev.lavenderline.serving.TestWireFormat;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.node.ServingSettings.Address;
@@ -18,6 +19,7 @@
 import dev.lavenderline.serving.store.KeyedRecord;
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vavr.control.Either;
 import io.vertx.core.Context;
@@ -139,6 +141,10 @@
 
     /** Appends a record and waits until it is there; an empty value deletes the key. */
     void write(String topic, String key, String value) {
+        write(topic, key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void write(String topic, String key, byte[] value) {
         CompletableFuture<Void> written = new CompletableFuture<>();
         context.runOnContext(now -> {
             append(topic, key, value);
@@ -149,14 +155,23 @@
 
     /** Appends a record soon; may be called on any event loop. */
     void writeLater(String topic, String key, String value) {
-        context.runOnContext(now -> append(topic, key, value));
+        context.runOnContext(now -> append(topic, key, value.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void append(String topic, String key, byte[] value) {
+        store.append(new Partition(topic, 0), MetadataStore.ANY_END, List.of(new KeyedRecord(key, value)));
     }
 
-    private void append(String topic, String key, String value) {
-        store.append(
-                new Partition(topic, 0),
-                MetadataStore.ANY_END,
-                List.of(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8))));
+    /** Writes a record of a version of the engines, as the nodes do once they have followed the list for a while. */
+    void writeSettledVersion(String version) {
+        ServiceVersion served = new ServiceVersion("engines", version);
+        byte[] value = VersionRecord.newBuilder()
+                .setService(served.service())
+                .setVersion(served.version())
+                .setSettled(true)
+                .build()
+                .toByteArray();
+        write("versions", VersionRecords.key(served), value);
     }
 
     /** Starts a node and waits until it is ready. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/RestartedFleetTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/RestartedFleetTest.java
@@ -141,4 +141,31 @@
         startNodes();
         assertAllRefused();
     }
+
+    /** As above, but the store knew that there had been no other version. */
+    @Test
+    void streamIsNotContinuedOnVersionThatReplacedTheOnlyRecordedOne() throws IOException {
+        startNodes();
+        harness.writeSettledVersion("v1");
+        beginStreams();
+        loseNodes();
+        harness.write("upstreams", "e1", "");
+        harness.write("upstreams", "e2", "engines " + current.port + " v2");
+        startNodes();
+        assertAllRefused();
+    }
+
+    /** Guards against refusing all resumptions after the loss of all nodes although there was only one version. */
+    @Test
+    void streamIsContinuedOnTheOnlyVersionThatWasInService() throws IOException {
+        startNodes();
+        harness.writeSettledVersion("v1");
+        beginStreams();
+        loseNodes();
+        startNodes();
+        old.script = (request, body) -> ScriptedUpstream.stream(upstreams, request, 10, ScriptedUpstream.EVENT_COUNT);
+        List<Integer> statuses = resumeStreams();
+        assertEquals(NODES * NODES, count(statuses, 200), () -> "not continued: " + statuses);
+        assertEquals(NODES * NODES, old.resumedAfter.size());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -776,10 +776,11 @@
         assertEquals(List.of(), second.requests);
     }
 
-    /** Guards against rejecting resumed streams after a restart of all nodes while there is only one version. */
+    /** Guards against rejecting resumed streams after a restart of all nodes while there is and was only one version. */
     @Test
     void resumedStreamOfUnknownVersionContinuesOnTheOnlyVersion() throws IOException {
         write("upstreams", "e1", "engines " + first.port + " v1");
+        harness.writeSettledVersion("v1");
         startNode("n1");
         assertEquals(
                 events(3, ScriptedUpstream.EVENT_COUNT),
--- a/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import dev.lavenderline.serving.ManualTime;
+import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import java.time.Duration;
@@ -31,10 +32,24 @@
         assertEquals(Optional.of("v1"), streams.resolve("s", attempt("r")));
     }
 
+    /** Lets the store respond every second. */
+    private void follow(Duration period) {
+        for (long second = 0; second < period.toSeconds(); second++) {
+            directory.recordStoreResponse();
+            time.advance(Duration.ofSeconds(1));
+        }
+        directory.recordStoreResponse();
+    }
+
+    /** Guards against taking the only version listed for the only one in service while that has not been observed. */
     @Test
-    void unknownOriginIsTheOnlyVersion() {
+    void unknownOriginIsTheOnlyVersionOnceThatWasObserved() {
+        directory.replaceAll(List.of());
         upstream("e1", "v1");
         upstream("e2", "v1");
+        follow(ServedVersions.PERIOD.minusSeconds(1));
+        assertEquals(Optional.empty(), streams.resolve("s", attempt("r")));
+        follow(Duration.ofSeconds(1));
         assertEquals(Optional.of("v1"), streams.resolve("s", attempt("r")));
         upstream("e3", "v2");
         assertEquals(Optional.empty(), streams.resolve("s", attempt("r")));
@@ -43,13 +58,14 @@
     /** Guards against guessing the new version just after the last upstream of the old one is gone. */
     @Test
     void versionOfARemovedUpstreamCountsForTheRetention() {
-        directory.recordStoreResponse();
+        directory.replaceAll(List.of());
         upstream("e1", "v1");
         upstream("e2", "v2");
+        follow(ServedVersions.PERIOD);
         directory.remove("e1");
-        time.advance(StreamVersions.RETENTION.minusSeconds(1));
+        follow(ServedVersions.PERIOD);
         assertEquals(Optional.empty(), streams.resolve("s", attempt("r")));
-        time.advance(Duration.ofSeconds(2));
+        follow(Duration.ofSeconds(1));
         assertEquals(Optional.of("v2"), streams.resolve("s", attempt("r")));
     }
 
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
@@ -0,0 +1,197 @@
+package dev.lavenderline.serving.upstreams;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against concluding that a version was the only one in a period that nobody has observed. */
+class ServedVersionsTest {
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final ServiceVersion V1 = new ServiceVersion("s", "v1");
+    private static final ServiceVersion V2 = new ServiceVersion("s", "v2");
+
+    private final Clocks clocks = new Clocks();
+    private final UpstreamDirectory directory = new UpstreamDirectory(clocks);
+    private final ServedVersions versions = directory.servedVersions();
+
+    /** A monotonic clock and a wall clock that a test sets apart. */
+    private static final class Clocks implements Ticker {
+        private long nanos;
+        private Instant wall = Instant.parse("2026-12-04T00:00:00Z");
+
+        @Override
+        public Instant now() {
+            return wall;
+        }
+
+        @Override
+        public long nanos() {
+            return nanos;
+        }
+
+        void advance(Duration by) {
+            nanos += by.toNanos();
+            wall = wall.plus(by);
+        }
+
+        void suspend(Duration by) {
+            wall = wall.plus(by);
+        }
+    }
+
+    private static Upstream upstream(String id, String version) {
+        return new Upstream(id, "s", "10.0.0.1", 80, "a", 8, false, version);
+    }
+
+    @BeforeEach
+    void load() {
+        directory.recordStoreResponse();
+        directory.replaceAll(List.of(upstream("e1", "v1")));
+    }
+
+    /** Lets the store respond every second. */
+    private void follow(Duration period) {
+        for (Duration passed = Duration.ZERO; passed.compareTo(period) < 0; passed = passed.plus(SECOND)) {
+            clocks.advance(SECOND);
+            directory.recordStoreResponse();
+        }
+    }
+
+    private Cause cause() {
+        return versions.only("s").cause();
+    }
+
+    @Test
+    void versionIsTheOnlyOneOnceTheListWasFollowedForThePeriod() {
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        follow(ServedVersions.PERIOD.minus(SECOND));
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        follow(SECOND);
+        assertEquals(Cause.OBSERVED, cause());
+        assertEquals(Cause.NO_VERSION, versions.only("other").cause());
+    }
+
+    /** Guards against a conclusion from an old list by a node that is cut off, and right after it is back. */
+    @Test
+    void nodeThatWasCutOffDuringAReleaseDoesNotConclude() {
+        follow(ServedVersions.PERIOD);
+        clocks.advance(ServedVersions.MAX_LIST_AGE.plusMillis(1));
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        assertEquals(Duration.ZERO, versions.complete());
+        directory.put(upstream("e2", "v2"));
+        directory.remove("e1");
+        directory.recordStoreResponse();
+        assertEquals(Cause.SEVERAL_VERSIONS, cause());
+    }
+
+    /** Guards against a conclusion after a suspension, which the monotonic clock does not count. */
+    @Test
+    void hostThatWasSuspendedDoesNotConcludeBeforeItHasReadTheList() {
+        follow(ServedVersions.PERIOD);
+        clocks.suspend(Duration.ofSeconds(20));
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        directory.recordStoreResponse();
+        assertEquals(Cause.OBSERVED, cause());
+    }
+
+    /** Guards against missing what happened while history expired. */
+    @Test
+    void reloadOfTheListBeginsTheObservationAnew() {
+        follow(ServedVersions.PERIOD);
+        directory.replaceAll(List.of(upstream("e1", "v1")));
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        follow(ServedVersions.PERIOD);
+        assertEquals(Cause.OBSERVED, cause());
+    }
+
+    /** Guards against forgetting the version between a release and its rollback. */
+    @Test
+    void versionThatWasRolledBackCountsForThePeriod() {
+        follow(ServedVersions.PERIOD);
+        directory.put(upstream("e2", "v2"));
+        directory.remove("e1");
+        follow(SECOND);
+        directory.put(upstream("e1", "v1"));
+        directory.remove("e2");
+        follow(ServedVersions.PERIOD);
+        assertEquals(Cause.SEVERAL_VERSIONS, cause());
+        follow(SECOND);
+        assertEquals(Cause.OBSERVED, cause());
+        assertEquals("v1", versions.only("s").version().orElseThrow());
+    }
+
+    /** Guards against forgetting the version that an upstream had before it came back under its id. */
+    @Test
+    void upstreamThatChangesItsVersionLeavesTheOldOne() {
+        follow(ServedVersions.PERIOD);
+        directory.put(upstream("e1", "v2"));
+        assertEquals(Cause.SEVERAL_VERSIONS, cause());
+    }
+
+    /** Guards against refusing for the whole period after a restart of one node. */
+    @Test
+    void observationOfAnotherNodeCounts() {
+        versions.heard(Map.of(V1, Duration.ZERO), ServedVersions.PERIOD);
+        assertEquals(Cause.OBSERVED, cause());
+    }
+
+    @Test
+    void versionThatOnlyAnotherNodeSawRemovedCounts() {
+        versions.heard(Map.of(V1, Duration.ZERO, V2, Duration.ofSeconds(10)), ServedVersions.PERIOD);
+        assertEquals(Cause.SEVERAL_VERSIONS, cause());
+        follow(Duration.ofSeconds(9));
+        assertEquals(Cause.OBSERVED, cause());
+    }
+
+    /** Guards against completeness without an own list, since what changes until that is loaded is seen by nobody. */
+    @Test
+    void observationOfAnotherNodeDoesNotCountBeforeTheListIsLoaded() {
+        UpstreamDirectory starting = new UpstreamDirectory(clocks);
+        starting.servedVersions().heard(Map.of(V1, Duration.ZERO), ServedVersions.PERIOD);
+        starting.recordStoreResponse();
+        starting.replaceAll(List.of(upstream("e1", "v1")));
+        assertEquals(Cause.NOT_OBSERVED, starting.servedVersions().only("s").cause());
+    }
+
+    @Test
+    void settledRecordProvesTheOnlyVersionOnceTheLagHasPassed() {
+        versions.recordsLoaded();
+        versions.replaceRecorded(Map.of(V1, true));
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        assertTrue(versions.mayBeProven("s"));
+        follow(ServedVersions.LIST_LAG);
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        versions.recordsConfirmed();
+        assertEquals(Cause.RECORDED, cause());
+    }
+
+    @Test
+    void recordThatIsNotSettledProvesNothing() {
+        versions.recordsLoaded();
+        versions.replaceRecorded(Map.of(V1, false));
+        follow(ServedVersions.LIST_LAG);
+        versions.recordsConfirmed();
+        assertEquals(Cause.NOT_OBSERVED, cause());
+        assertFalse(versions.mayBeProven("s"));
+    }
+
+    /** Guards against a conclusion that ignores a version of which only the records tell. */
+    @Test
+    void recordedVersionThatIsNotListedCounts() {
+        versions.recordsLoaded();
+        versions.replaceRecorded(Map.of(V1, true, V2, true));
+        follow(ServedVersions.PERIOD);
+        assertEquals(Cause.SEVERAL_VERSIONS, cause());
+        versions.replaceRecorded(Map.of(V1, true));
+        assertEquals(Cause.OBSERVED, cause());
+    }
+}
