Show a stream sent to an upstream whose version is known to have changed

The scheduler's list has e1 at v1, the node's newer one has it at v2. A caller resumes a stream of v1 at the node. Measured: e1 is granted and used.

--- a/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
@@ -109,6 +109,11 @@
 
         /** Requests a slot for a stream of unknown origin; returns the upstream, or "rejected". */
         String resume() throws Exception {
+            return resume("unknown");
+        }
+
+        /** Requests a slot for a stream that its caller resumes; returns the upstream, or "rejected". */
+        String resume(String attempt) throws Exception {
             CompletableFuture<String> decision = new CompletableFuture<>();
             Consumer<String> complete = decision::complete;
             run(() -> slots.client()
@@ -122,7 +127,7 @@
                                     Set.of(),
                                     0,
                                     true,
-                                    Optional.of(new StreamOrigin(Optional.empty(), Optional.of("unknown")))),
+                                    Optional.of(new StreamOrigin(Optional.empty(), Optional.of(attempt)))),
                             new SlotClient.Listener() {
                                 @Override
                                 public void granted(String upstream) {
@@ -223,4 +228,22 @@
         assertEquals("rejected", other.resume());
         assertEquals("rejected", scheduler.resume());
     }
+
+    /**
+     * Guards against sending a stream to an upstream that has come back under its id with another version, while only
+     * the scheduler's list has the old entry.
+     */
+    @Test
+    void grantOfUpstreamThatHasAnotherVersionByNowIsNotUsed() throws Exception {
+        Node scheduler = node("n0", 2);
+        Node other = node("n1", 1);
+        scheduler.run(() -> scheduler.start(upstream("e1", "v1")));
+        other.run(() -> other.start(upstream("e1", "v2")));
+        join(scheduler);
+        scheduler.run(() -> scheduler.slots.client().streamBegan("began on v1", "v1"));
+        assertEquals("rejected", other.resume("began on v1"));
+        scheduler.run(() -> scheduler.directory.put(upstream("e2", "v1")));
+        other.run(() -> other.directory.put(upstream("e2", "v1")));
+        assertEquals("e2", other.resume("began on v1"));
+    }
 }
