Do not continue a stream on an upstream that has another version by now

Callers would see: a stream of one software version that goes on at an upstream that has come back under its id with another one.

Change: a grant names the version that the scheduler assumed. A node that knows another one gives the slot back and asks for another upstream. Grants of schedulers of an older build name none and are used as before.

That neither list has the new version yet can't be noticed; responses do not name a version.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -2,6 +2,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.proto.slots.Granted;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
@@ -182,11 +183,7 @@
             switch (frame.getBodyCase()) {
                 case HELLO -> VersionFrames.read(frame.getHello(), directory.servedVersions());
                 case PONG -> pong(Duration.ofMillis(frame.getPong().getStoreAgeMs()));
-                case GRANTED ->
-                    granted(
-                            self.name(),
-                            frame.getGranted().getLease(),
-                            frame.getGranted().getUpstream());
+                case GRANTED -> granted(frame.getGranted());
                 case REJECTED ->
                     rejected(
                             self.name(),
@@ -212,6 +209,26 @@
             }
         }
 
+        /**
+         * Handles a grant. One that continues a stream is not used if this node knows another version of the upstream
+         * than the scheduler, which has decided on the version; the scheduler is then asked for another upstream.
+         */
+        void granted(Granted grant) {
+            Pending entry = pending.get(grant.getLease());
+            boolean continues = entry != null && entry.request().origin().isPresent();
+            boolean otherVersion = directory
+                    .find(grant.getUpstream())
+                    .map(upstream ->
+                            !grant.getVersion().isEmpty() && !upstream.version().equals(grant.getVersion()))
+                    .orElse(false);
+            if (!continues || !otherVersion) {
+                SchedulerClient.this.granted(self.name(), grant.getLease(), grant.getUpstream());
+                return;
+            }
+            release(grant.getLease(), ReleaseReason.CANCELLED, 0);
+            acquire(entry.request().excluding(grant.getUpstream()), entry.listener());
+        }
+
         /** Handles a pong; the first one switches to this scheduler, unless its state is too old and one is in use. */
         void pong(Duration age) {
             if (active) {
@@ -453,7 +470,8 @@
 
     private void placeLocally(Pending entry) {
         SlotRequest request = entry.request();
-        Optional<String> version = request.origin().flatMap(origin -> versionOf(request.service(), origin));
+        Optional<String> version =
+                request.origin().flatMap(origin -> streamVersions.resolve(request.service(), origin));
         if (request.origin().isPresent() && version.isEmpty()) {
             // Stays pending until the next scheduler is found, which may know where the stream began.
             return;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -171,9 +171,12 @@
                         Math.min(Integer.MAX_VALUE, jobStateAge.toMillis()))));
     }
 
-    static Buffer granted(long lease, String upstream) {
+    static Buffer granted(long lease, String upstream, String version) {
         return frame(SlotFrame.newBuilder()
-                .setGranted(Granted.newBuilder().setLease(lease).setUpstream(upstream)));
+                .setGranted(Granted.newBuilder()
+                        .setLease(lease)
+                        .setUpstream(upstream)
+                        .setVersion(version)));
     }
 
     static Buffer rejected(long lease, Duration retryAfter) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.slots;
 
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -75,4 +76,23 @@
                 promptTokens,
                 maxOutputTokens);
     }
+
+    /** Returns this request, which an upstream must not get. */
+    SlotRequest excluding(String upstream) {
+        return new SlotRequest(
+                node,
+                lease,
+                service,
+                timeToTarget,
+                timeToDeadline,
+                Sets.union(excluded, Set.of(upstream)).immutableCopy(),
+                prefix,
+                retry,
+                origin,
+                workspace,
+                priority,
+                charged,
+                promptTokens,
+                maxOutputTokens);
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Future;
@@ -265,7 +266,8 @@
         if (node.equals(selfName)) {
             localListener.granted(node, lease, upstream);
         } else {
-            send(node, SlotFrames.granted(lease, upstream));
+            String version = directory.find(upstream).map(Upstream::version).orElse("");
+            send(node, SlotFrames.granted(lease, upstream, version));
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
@@ -134,7 +134,7 @@
                                 vertx.setTimer(
                                         pongDelay.toMillis(), later -> socket.write(SlotFrames.pong(1, Duration.ZERO)));
                             } else if (frame.hasHello()) {
-                                socket.write(SlotFrames.granted(lease, "e1"));
+                                socket.write(SlotFrames.granted(lease, "e1", ""));
                             }
                         },
                         problem -> {})))
