Count resumed streams that are continued and refused, with the cause

Counted are streams that their callers resume, at the scheduler and at nodes that place requests themselves; a resumption without the id of its attempt that waits for a slot is not counted.

LostNodesTest also loses all nodes that knew where a stream began, at once. It passes; it was not run on the code before the rule.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -292,6 +292,7 @@
 
     private void housekeeping() {
         connections.closeExpired();
+        slots.logResumptions();
         if (slots.scheduler().nodeCount() > 0) {
             cleaner.run();
             promptRejections.deleteExpired();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -483,6 +483,7 @@
             entry.listener().rejected(Duration.ofSeconds(1));
             return;
         }
+        scheduler.resumptions().continued(request);
         localPlacements.put(lease, upstream.get().id());
         heldSlots.put(lease, new Holding(lease, upstream.get().id(), Optional.empty()));
         entry.listener().granted(upstream.get().id());
@@ -556,6 +557,7 @@
 
     @Override
     public Optional<String> versionOf(String service, StreamOrigin origin) {
+        scheduler.resumptions().decided(service, origin);
         return streamVersions.resolve(service, origin);
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -108,6 +108,7 @@
     private final SlowUpstreamDetector slowUpstreams;
     private final RequestRates rates;
     private final StreamVersions streamVersions;
+    private final ResumptionCounts resumptions;
     private long lastSlowCheckNanos;
     private BooleanSupplier mayStartItems = () -> true;
     private BooleanSupplier mustStopItems = () -> false;
@@ -175,6 +176,7 @@
         this.slowUpstreams = new SlowUpstreamDetector(ticker);
         this.rates = new RequestRates(ticker, directory, () -> 1);
         this.streamVersions = new StreamVersions(ticker, directory);
+        this.resumptions = new ResumptionCounts(ticker, log, streamVersions);
         this.lastSlowCheckNanos = ticker.nanos();
         // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
         // scheduler.
@@ -206,6 +208,11 @@
         return streamVersions;
     }
 
+    /** Returns the counts of resumed streams, of this scheduler and of the requests that the node places itself. */
+    ResumptionCounts resumptions() {
+        return resumptions;
+    }
+
     /** Returns the time since the scheduler last went from no nodes to one. */
     Duration activeFor() {
         return Duration.ofNanos(ticker.nanos() - activeSinceNanos);
@@ -292,7 +299,9 @@
         SlotRequest request = resolveOrigin(received);
         if (!mayContinue(request)) {
             rejectStartedStream(request);
-        } else if (!tryPlace(request)) {
+        } else if (tryPlace(request)) {
+            resumptions.continued(received);
+        } else {
             enqueue(request);
         }
     }
@@ -326,7 +335,9 @@
                 "resumes",
                 origin.attempt().orElse(null),
                 "version",
-                origin.version().orElse(null));
+                origin.version().orElse(null),
+                "cause",
+                resumptions.refused(request.service(), origin));
         decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
     }
 
@@ -682,6 +693,7 @@
                 decisions.rejected(request.node(), request.lease(), options.minRetryAfter());
             } else if (tryPlace(request)) {
                 waiting.remove(entry);
+                resumptions.continued(entry.request());
             }
         }
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -96,6 +96,11 @@
         return server.listen(host, port);
     }
 
+    /** Logs how many resumed streams were continued and refused; call it about every second. */
+    public void logResumptions() {
+        scheduler.resumptions().logIfDue();
+    }
+
     public SlotScheduler scheduler() {
         return scheduler;
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -173,4 +174,18 @@
         lose(nodes.get(4));
         assertResumed(nodes.get(3));
     }
+
+    /** Guards against continuing a stream at random after the loss of its node, the scheduler and both copies. */
+    @Test
+    void streamIsRefusedAfterTheLossOfAllNodesThatKnewItsVersion() throws Exception {
+        beginStreams(nodes.get(4));
+        // At once, since the node of the streams tells each scheduler that it turns to.
+        List<CompletableFuture<Void>> lost = Stream.of(4, 0, 1, 2)
+                .map(number ->
+                        nodes.get(number).vertx.close().toCompletionStage().toCompletableFuture())
+                .toList();
+        lost.forEach(CompletableFuture::join);
+        assertEquals("rejected", nodes.get(3).resume("began on v1").get(10, TimeUnit.SECONDS));
+        assertEquals("rejected", nodes.get(3).resume("began on v2").get(10, TimeUnit.SECONDS));
+    }
 }
--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
@@ -0,0 +1,56 @@
+package dev.lavenderline.serving.slots;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.lavenderline.serving.ManualTime;
+import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
+import dev.lavenderline.serving.upstreams.Upstream;
+import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Guards against counts that omit a decision, count it twice, or fill the log. */
+class ResumptionCountsTest {
+    private final ManualTime time = new ManualTime();
+    private final List<String> lines = new ArrayList<>();
+    private final UpstreamDirectory directory = new UpstreamDirectory(time);
+    private final StreamVersions streams = new StreamVersions(time, directory);
+    private final ResumptionCounts counts =
+            new ResumptionCounts(time, (event, fields) -> lines.add(Arrays.toString(fields)), streams);
+
+    private static StreamOrigin attempt(String id) {
+        return new StreamOrigin(Optional.empty(), Optional.of(id));
+    }
+
+    private static SlotRequest request(StreamOrigin origin) {
+        return new SlotRequest("n", 1, "s", Duration.ZERO, Duration.ZERO, Set.of(), 0, true, Optional.of(origin));
+    }
+
+    @Test
+    void decisionsAreCountedByCauseAndLoggedAtIntervals() {
+        directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 8, false, "v1"));
+        streams.record("r", "v1");
+        counts.continued(request(attempt("r")));
+        counts.continued(request(new StreamOrigin(Optional.of("v1"), Optional.of("r"))));
+        counts.continued(request(StreamOrigin.ofVersion("v1")));
+        assertEquals(Cause.NOT_OBSERVED, counts.refused("s", attempt("unknown")));
+        assertEquals(Cause.NO_UPSTREAM, counts.refused("s", StreamOrigin.ofVersion("v1")));
+        counts.logIfDue();
+        assertEquals(
+                List.of("[reported, 2, observed, 0, recorded, 0, several_versions, 0, not_observed, 1, no_version, 0,"
+                        + " no_upstream, 0]"),
+                lines);
+        counts.decided("none", attempt("unknown"));
+        counts.logIfDue();
+        assertEquals(1, lines.size());
+        time.advance(ResumptionCounts.LOG_INTERVAL);
+        counts.logIfDue();
+        counts.logIfDue();
+        assertEquals(2, lines.size());
+    }
+}
