--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -22,6 +22,7 @@
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.proto.slots.StreamsBegan;
 import dev.lavenderline.proto.slots.Suspect;
+import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
@@ -50,8 +51,9 @@
             Collection<Holding> holdings,
             List<StreamVersions.Group> streams,
             List<UpstreamNotice> notices,
-            Map<String, List<Integer>> quotaUsage) {
-        Hello.Builder hello = Hello.newBuilder()
+            Map<String, List<Integer>> quotaUsage,
+            ServedVersions versions) {
+        Hello.Builder hello = VersionFrames.write(versions, Hello.newBuilder())
                 .addAllUsage(QuotaFrames.usage(quotaUsage))
                 .addAllNotices(notices.stream().map(SlotFrames::encode).toList())
                 .addAllStreams(streams.stream().map(SlotFrames::encode).toList())
@@ -66,6 +68,12 @@
         return frame(SlotFrame.newBuilder().setHello(hello));
     }
 
+    /** The scheduler's reply to the hello of a node. */
+    static Buffer reply(String node, ServedVersions versions) {
+        return frame(SlotFrame.newBuilder()
+                .setHello(VersionFrames.write(versions, Hello.newBuilder()).setNode(node)));
+    }
+
     private static StreamsBegan encode(StreamVersions.Group streams) {
         return StreamsBegan.newBuilder()
                 .setVersion(streams.version())
@@ -190,9 +198,12 @@
                 .setConfigRecord(ConfigRecord.newBuilder().setVersion(version).setValue(ByteString.copyFrom(value))));
     }
 
-    static Buffer granted(long lease, String upstream) {
+    static Buffer granted(long lease, String upstream, String version) {
         return frame(SlotFrame.newBuilder()
-                .setGranted(Granted.newBuilder().setLease(lease).setUpstream(upstream)));
+                .setGranted(Granted.newBuilder()
+                        .setLease(lease)
+                        .setUpstream(upstream)
+                        .setVersion(version)));
     }
 
     static Buffer rejected(long lease, Duration retryAfter) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -82,6 +82,7 @@
     private final RequestRates rates;
     private final DomainOverflow overflow;
     private final StreamVersions streamVersions;
+    private final ResumptionCounts resumptions;
     private long lastSlowCheckNanos;
     private BooleanSupplier mayStartItems = () -> true;
     private BooleanSupplier mustStopItems = () -> false;
@@ -152,6 +153,7 @@
         this.rates = new RequestRates(ticker, directory, () -> 1);
         this.overflow = new DomainOverflow(ticker);
         this.streamVersions = new StreamVersions(ticker, directory);
+        this.resumptions = new ResumptionCounts(ticker, log, streamVersions);
         this.lastSlowCheckNanos = ticker.nanos();
         // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
         // scheduler.
@@ -198,6 +200,11 @@
         return streamVersions;
     }
 
+    /** Returns the counts of resumed streams, of this scheduler and of the requests that the node places itself. */
+    ResumptionCounts resumptions() {
+        return resumptions;
+    }
+
     /** Returns the time since the scheduler last went from no nodes to one. */
     Duration activeFor() {
         return Duration.ofNanos(ticker.nanos() - activeSinceNanos);
@@ -291,7 +298,9 @@
         SlotRequest request = resolveOrigin(received);
         if (!mayContinue(request)) {
             rejectStartedStream(request);
-        } else if (!tryPlace(request)) {
+        } else if (tryPlace(request)) {
+            resumptions.continued(received);
+        } else {
             waiting.add(request);
         }
     }
@@ -309,7 +318,7 @@
     /** Returns whether an upstream that may continue the stream of a request is there, or may be found. */
     private boolean mayContinue(SlotRequest request) {
         if (request.originUnknown()) {
-            return mayLearnOrigins.getAsBoolean();
+            return mayLearnOrigins.getAsBoolean() || streamVersions.mayBecomeKnown(request.service());
         }
         return directory.open(request.service()).stream().anyMatch(upstream -> eligible(upstream, request));
     }
@@ -325,7 +334,9 @@
                 "resumes",
                 origin.attempt().orElse(null),
                 "version",
-                origin.version().orElse(null));
+                origin.version().orElse(null),
+                "cause",
+                resumptions.refused(request.service(), origin));
         reject(request, options.minRetryAfter());
     }
 
@@ -703,9 +714,17 @@
                         reject(request, waiting.retryDelay(request.service(), slotsPerSecond(request.service()))));
         waiting.removeIf(request -> request.origin().isPresent() && !mayContinue(resolveOrigin(request)))
                 .forEach(request -> rejectStartedStream(resolveOrigin(request)));
-        waiting.place(
-                service -> directory.open(service).stream().anyMatch(this::hasRoom),
-                request -> tryPlace(resolveOrigin(request)));
+        waiting.place(service -> directory.open(service).stream().anyMatch(this::hasRoom), this::placeWaiting);
+    }
+
+    private boolean placeWaiting(SlotRequest request) {
+        if (!tryPlace(resolveOrigin(request))) {
+            return false;
+        }
+        if (request.origin().isPresent()) {
+            resumptions.continued(request);
+        }
+        return true;
     }
 
     /** Starts items by their rank; those of the first in order of due times, the urgent ones least urgent first. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Future;
@@ -186,6 +187,8 @@
         frame.getHello()
                 .getStreamsList()
                 .forEach(group -> scheduler.streamVersions().record(SlotFrames.streams(group)));
+        VersionFrames.read(frame.getHello(), directory.servedVersions());
+        peer.socket.write(SlotFrames.reply(selfName, directory.servedVersions()));
         List<Holding> holdings = SlotFrames.holdings(frame.getHello());
         scheduler.joined(peer.node, frame.getHello().getZone(), frame.getHello().getCapacityMilli() / 1000.0, holdings);
         quotas.joined(peer.node, QuotaFrames.usage(frame.getHello()));
@@ -292,7 +295,8 @@
         if (node.equals(selfName)) {
             localListener.granted(node, lease, upstream);
         } else {
-            send(node, SlotFrames.granted(lease, upstream));
+            String version = directory.find(upstream).map(Upstream::version).orElse("");
+            send(node, SlotFrames.granted(lease, upstream, version));
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/QuotaFleet.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/QuotaFleet.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.workspaces.QuotaClient;
 import dev.lavenderline.serving.workspaces.QuotaLedger;
 import dev.lavenderline.serving.workspaces.Workspace;
@@ -165,7 +166,7 @@
         private final class Decisions implements SlotDecisionListener {
             @Override
             public void granted(String node, long lease, String upstream) {
-                answer(node, lease, SlotFrames.granted(lease, upstream));
+                answer(node, lease, SlotFrames.granted(lease, upstream, "v1"));
             }
 
             @Override
@@ -231,7 +232,12 @@
             }
             link = new Link(this, target);
             link.up(SlotFrames.hello(
-                    new NodeEntry(name, "", 0, "a", 0, 1), List.of(), List.of(), List.of(), quotas.usage()));
+                    new NodeEntry(name, "", 0, "a", 0, 1),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    quotas.usage(),
+                    new UpstreamDirectory(QuotaFleet.this).servedVersions()));
             quotas.connected(link::up);
             requested.values().forEach(request -> link.up(SlotFrames.acquire(request)));
         }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
@@ -136,7 +136,7 @@
                                         later -> socket.write(
                                                 SlotFrames.pong(1, Duration.ZERO, ConfigStatement.NONE, 0)));
                             } else if (frame.hasHello()) {
-                                socket.write(SlotFrames.granted(lease, "e1"));
+                                socket.write(SlotFrames.granted(lease, "e1", ""));
                             }
                         },
                         problem -> {})))
