Take a list of upstreams for complete only once its end is read

Callers would see: a stream continued on another version by a node that is back after an outage of the store, or while its list is loaded again.

Cause: the age of the list was taken from any response of the store, also from the first of several reads, and a reload ended the observation only after its changes had been applied and listeners had decided on them.

Change: a follower tells its listener when a response reaches the end of the partition; only then is the list, or the list of records, up to date. A reload begins the observation anew before its changes are applied. What is heard from other nodes before the list is loaded is overwritten by the load, without a check of its own.

Measured on a scratch copy with single mechanisms taken out: each response counts as the end: versionIsNotConcludedBeforeTheEndOfTheListIsRead fails; reload noted after the changes: versionIsNotConcludedWhileTheListIsReloaded fails; reload not noted: that and ServedVersionsTest fail.

--- a/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
@@ -39,6 +39,11 @@
         directory.recordStoreResponse();
     }
 
+    @Override
+    public void endReached() {
+        directory.servedVersions().listConfirmed();
+    }
+
     @Override
     public void reset(List<KeyedRecord> newest) {
         directory.recordStoreResponse();
--- a/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
@@ -74,7 +74,7 @@
     }
 
     @Override
-    public void caughtUp() {
+    public void endReached() {
         versions.recordsConfirmed();
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -234,6 +234,9 @@
         nextOffset = Math.max(nextOffset, slice.nextOffset());
         recordResponse();
         runListener(listener::caughtUp, null);
+        if (nextOffset >= slice.endOffset()) {
+            runListener(listener::endReached, null);
+        }
     }
 
     /** Calls the listener; an exception costs one record, not the records after it. */
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
@@ -98,8 +98,8 @@
         completeSinceNanos = ticker.nanos();
     }
 
-    /** Records that the list was up to date, and all changes since it was loaded have been seen. */
-    void listConfirmed() {
+    /** Records that the list is up to date, and that all changes since it was loaded have been seen. */
+    public void listConfirmed() {
         list = list.map(this::confirmed);
     }
 
@@ -113,7 +113,7 @@
         records = Optional.of(loaded());
     }
 
-    /** Records that the records were up to date. */
+    /** Records that the records are up to date. */
     public void recordsConfirmed() {
         records = records.map(this::confirmed);
     }
@@ -133,10 +133,8 @@
     public void heard(Map<ServiceVersion, Duration> ages, Duration complete) {
         long now = ticker.nanos();
         ages.forEach((version, age) -> lastListed.merge(version, now - age.toNanos(), Math::max));
-        if (list.isPresent()) {
-            long since = now - complete.toNanos();
-            completeSinceNanos = Math.min(completeSinceNanos, since);
-        }
+        // Loading the list sets this again: what is heard before that does not reach up to the own list.
+        completeSinceNanos = Math.min(completeSinceNanos, now - complete.toNanos());
     }
 
     /** Returns the versions that were listed in the last {@link #PERIOD}, with the time since then. */
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -88,7 +88,6 @@
         }
         loaded = true;
         lastResponseNanos = now;
-        servedVersions.listConfirmed();
     }
 
     /** Adds or replaces an upstream. */
@@ -209,11 +208,12 @@
 
     /** Replaces all entries with a complete list; a missing entry counts as removed. */
     public void replaceAll(Collection<Upstream> current) {
+        // Before the changes, because listeners conclude from them.
+        servedVersions.listLoaded();
         List<String> missing = new ArrayList<>(upstreams.keySet());
         current.forEach(upstream -> missing.remove(upstream.id()));
         missing.forEach(this::remove);
         current.forEach(this::put);
-        servedVersions.listLoaded();
     }
 
     private boolean inRenewalGrace() {
--- a/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
@@ -7,17 +7,23 @@
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.routes.FleetConfig;
+import dev.lavenderline.serving.store.FakeStore;
 import dev.lavenderline.serving.store.KeyedRecord;
+import dev.lavenderline.serving.store.Partition;
+import dev.lavenderline.serving.store.PartitionFollower;
+import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Guards against missed changes of an upstream, since entries that repeat the previous content are not decoded. */
 class UpstreamFollowerTest {
-    private final UpstreamDirectory directory = new UpstreamDirectory(new ManualTime());
+    private final ManualTime time = new ManualTime();
+    private final UpstreamDirectory directory = new UpstreamDirectory(time);
     private int decoded;
     private final UpstreamFollower follower = new UpstreamFollower(new StateRecordDecoder(), directory, EventLog.NONE);
 
@@ -44,10 +50,15 @@
             String state = new String(value, 0, value.length - 1, StandardCharsets.UTF_8);
             return state.equals("broken")
                     ? Either.left("broken")
-                    : Either.right(new Upstream(id, "s", "10.0.0.1", 80, "a", 2, state.equals("draining"), "v1"));
+                    : Either.right(
+                            new Upstream(id, "s", "10.0.0.1", 80, "a", 2, state.equals("draining"), version(state)));
         }
     }
 
+    private static String version(String state) {
+        return state.startsWith("v") ? state : "v1";
+    }
+
     private static KeyedRecord entry(String id, String text) {
         return new KeyedRecord(id, text.getBytes(StandardCharsets.UTF_8));
     }
@@ -90,4 +101,60 @@
         follower.record(entry("e", "ready3"));
         assertFalse(draining());
     }
+
+    private ServedVersions.Cause cause() {
+        return directory.servedVersions().only("s").cause();
+    }
+
+    /** Guards against a conclusion from a list that a node which was cut off has read only in part. */
+    @Test
+    void versionIsNotConcludedBeforeTheEndOfTheListIsRead() {
+        Partition partition = new Partition("upstreams", 0);
+        FakeStore store = new FakeStore();
+        store.endPolls(time);
+        store.log(partition).add(entry("e", "v11"));
+        new PartitionFollower(
+                        store,
+                        partition,
+                        follower,
+                        time,
+                        time,
+                        EventLog.NONE,
+                        Duration.ofSeconds(1),
+                        () -> Duration.ofMillis(400))
+                .start();
+        time.advance(ServedVersions.PERIOD.plusSeconds(1));
+        assertEquals(ServedVersions.Cause.OBSERVED, cause());
+        store.down(true);
+        time.advance(Duration.ofSeconds(10));
+        store.sliceSize(1);
+        store.log(partition).addAll(List.of(entry("e", "v12"), entry("e", "v13"), entry("f", "v21")));
+        store.down(false);
+        for (int i = 0; i < 50; i++) {
+            assertEquals(
+                    directory.find("f").isPresent()
+                            ? ServedVersions.Cause.SEVERAL_VERSIONS
+                            : ServedVersions.Cause.NOT_OBSERVED,
+                    cause());
+            time.advance(Duration.ofMillis(100));
+        }
+        assertTrue(directory.find("f").isPresent());
+    }
+
+    /** Guards against a conclusion by a listener of the list while a load after expired history is applied. */
+    @Test
+    void versionIsNotConcludedWhileTheListIsReloaded() {
+        follower.reset(List.of(entry("e", "v11"), entry("f", "v11")));
+        for (Duration passed = Duration.ZERO;
+                passed.compareTo(ServedVersions.PERIOD) < 0;
+                passed = passed.plusSeconds(1)) {
+            time.advance(Duration.ofSeconds(1));
+            follower.caughtUp();
+            follower.endReached();
+        }
+        assertEquals(ServedVersions.Cause.OBSERVED, cause());
+        directory.onChange(() -> assertEquals(ServedVersions.Cause.NOT_OBSERVED, cause()));
+        follower.reset(List.of(entry("e", "v11")));
+        assertEquals(ServedVersions.Cause.NOT_OBSERVED, cause());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
@@ -31,7 +31,7 @@
                 store, VersionRecords.PARTITION, records, time, time, EventLog.NONE, Duration.ofSeconds(1), () -> STEP);
 
         Process(Upstream... listed) {
-            directory.recordStoreResponse();
+            directory.servedVersions().listConfirmed();
             directory.replaceAll(List.of(listed));
             reader.start();
         }
@@ -54,11 +54,11 @@
     /** Runs the process, with a response of the store for its list and an update of its records every half second. */
     private void run(Duration period) {
         for (Duration passed = Duration.ZERO; passed.compareTo(period) < 0; passed = passed.plus(STEP)) {
-            process.directory.recordStoreResponse();
+            process.directory.servedVersions().listConfirmed();
             process.records.update();
             time.advance(STEP);
         }
-        process.directory.recordStoreResponse();
+        process.directory.servedVersions().listConfirmed();
     }
 
     /** Ends the process and starts another one, which follows the store for the lag. */
@@ -68,7 +68,7 @@
         Process starting = process;
         for (int i = 0; i < 9; i++) {
             time.advance(STEP);
-            starting.directory.recordStoreResponse();
+            starting.directory.servedVersions().listConfirmed();
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
@@ -66,7 +66,7 @@
 
         /** Starts to follow a list, which is confirmed all the time. */
         void start(Upstream... listed) {
-            directory.recordStoreResponse();
+            directory.servedVersions().listConfirmed();
             directory.replaceAll(List.of(listed));
             slots = new SlotService(
                     vertx,
@@ -84,7 +84,7 @@
             slots.client().start(null);
             slots.listen("127.0.0.1", entry.port());
             vertx.setPeriodic(20, timer -> {
-                directory.recordStoreResponse();
+                directory.servedVersions().listConfirmed();
                 slots.scheduler().schedule();
             });
         }
@@ -103,7 +103,7 @@
         void follow(Duration time) {
             run(() -> {
                 ticker.shift = ticker.shift.plus(time);
-                directory.recordStoreResponse();
+                directory.servedVersions().listConfirmed();
             });
         }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
@@ -35,10 +35,10 @@
     /** Lets the store respond every second. */
     private void follow(Duration period) {
         for (long second = 0; second < period.toSeconds(); second++) {
-            directory.recordStoreResponse();
+            directory.servedVersions().listConfirmed();
             time.advance(Duration.ofSeconds(1));
         }
-        directory.recordStoreResponse();
+        directory.servedVersions().listConfirmed();
     }
 
     /** Guards against taking the only version listed for the only one in service while that has not been observed. */
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
@@ -54,7 +54,7 @@
 
     @BeforeEach
     void load() {
-        directory.recordStoreResponse();
+        directory.servedVersions().listConfirmed();
         directory.replaceAll(List.of(upstream("e1", "v1")));
     }
 
@@ -62,7 +62,7 @@
     private void follow(Duration period) {
         for (Duration passed = Duration.ZERO; passed.compareTo(period) < 0; passed = passed.plus(SECOND)) {
             clocks.advance(SECOND);
-            directory.recordStoreResponse();
+            directory.servedVersions().listConfirmed();
         }
     }
 
@@ -89,7 +89,7 @@
         assertEquals(Duration.ZERO, versions.complete());
         directory.put(upstream("e2", "v2"));
         directory.remove("e1");
-        directory.recordStoreResponse();
+        directory.servedVersions().listConfirmed();
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
     }
 
@@ -99,7 +99,7 @@
         follow(ServedVersions.PERIOD);
         clocks.suspend(Duration.ofSeconds(20));
         assertEquals(Cause.NOT_OBSERVED, cause());
-        directory.recordStoreResponse();
+        directory.servedVersions().listConfirmed();
         assertEquals(Cause.OBSERVED, cause());
     }
 
@@ -157,7 +157,7 @@
     void observationOfAnotherNodeDoesNotCountBeforeTheListIsLoaded() {
         UpstreamDirectory starting = new UpstreamDirectory(clocks);
         starting.servedVersions().heard(Map.of(V1, Duration.ZERO), ServedVersions.PERIOD);
-        starting.recordStoreResponse();
+        starting.servedVersions().listConfirmed();
         starting.replaceAll(List.of(upstream("e1", "v1")));
         assertEquals(Cause.NOT_OBSERVED, starting.servedVersions().only("s").cause());
     }
