--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -267,6 +267,9 @@
         }
         recordResponse();
         runListener(listener::caughtUp, null);
+        if (nextOffset >= slice.endOffset()) {
+            runListener(listener::endReached, null);
+        }
     }
 
     /** Calls the listener; an exception costs one record, not the records after it. */
