Move the order of items without workspaces to ItemOrder

SlotScheduler had grown by the second order of items. Items with a result are remembered only while items are kept, so that the set stays bounded.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemOrder.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemOrder.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -45,6 +46,12 @@
     /** Growth of the unit in which tokens are stored, after which they are divided by it. */
     private static final double MAX_GROWTH = 1e9;
 
+    /** Number of late items, and of urgent ones, kept without workspaces; far more than slots are freed in a round. */
+    private static final int MAX_RANKED_ITEMS = 200;
+
+    /** Items with a result that are remembered while no round visits the backlog. */
+    private static final int MAX_ENDED_ITEMS = 1000;
+
     private final Ticker ticker;
     private final Backlog backlog;
     private final Function<BacklogItem, ItemRanking.Rank> ranking;
@@ -98,6 +105,12 @@
         }
     }
 
+    /** Starts an item on a service with capacity; returns whether there was one. */
+    @FunctionalInterface
+    interface Starter {
+        boolean start(BacklogItem item);
+    }
+
     ItemOrder(
             Ticker ticker,
             Backlog backlog,
@@ -112,7 +125,19 @@
 
     /** Records that an item must not start any more. */
     void ended(ItemRef item) {
+        if (groups.isEmpty()) {
+            return;
+        }
         done.add(item);
+        if (done.size() > MAX_ENDED_ITEMS) {
+            forgetKept();
+        }
+    }
+
+    private void forgetKept() {
+        groups.clear();
+        done.clear();
+        outdated = true;
     }
 
     /** Visits the backlog in the next round, because items in it have changed. */
@@ -124,18 +149,48 @@
      * Starts items in their order.
      *
      * @param hasCapacity returns whether one of the services can run an item
-     * @param start starts an item and returns whether it could
+     * @param full returns whether all services that items were offered to in this round are full
      */
-    void start(Predicate<Collection<String>> hasCapacity, Predicate<BacklogItem> start) {
+    void start(Predicate<Collection<String>> hasCapacity, BooleanSupplier full, Starter starter) {
+        if (!backlog.shared()) {
+            forgetKept();
+            startByDueTime(full, starter);
+            return;
+        }
         if (outdated || ticker.nanos() - visitedNanos >= MAX_AGE.toNanos()) {
             visit();
         }
-        while (startKept(hasCapacity, start) && outdated) {
+        while (startKept(hasCapacity, starter) && outdated) {
             visit();
         }
         outdated |= groups.isEmpty();
     }
 
+    /** Starts items in time in order of due times, then urgent ones, least urgent first, then late ones. */
+    private void startByDueTime(BooleanSupplier full, Starter starter) {
+        Deque<BacklogItem> urgent = new ArrayDeque<>();
+        List<BacklogItem> late = new ArrayList<>();
+        backlog.visit(item -> {
+            ItemRanking.Rank rank = ranking.apply(item);
+            if ((rank == ItemRanking.Rank.LATE && late.size() == MAX_RANKED_ITEMS) || !startable.test(item)) {
+                return true;
+            }
+            switch (rank) {
+                case LATE -> late.add(item);
+                case URGENT -> {
+                    urgent.addFirst(item);
+                    if (urgent.size() > MAX_RANKED_ITEMS) {
+                        urgent.removeLast();
+                    }
+                }
+                case IN_TIME -> starter.start(item);
+            }
+            return !full.getAsBoolean();
+        });
+        urgent.forEach(starter::start);
+        late.forEach(starter::start);
+    }
+
     private void visit() {
         outdated = false;
         visitedNanos = ticker.nanos();
@@ -160,7 +215,7 @@
     }
 
     /** Starts kept items; returns whether some started. Stops when those of a workspace with more items are used up. */
-    private boolean startKept(Predicate<Collection<String>> hasCapacity, Predicate<BacklogItem> start) {
+    private boolean startKept(Predicate<Collection<String>> hasCapacity, Starter starter) {
         boolean started = false;
         List<Group> blocked = new ArrayList<>();
         while (!outdated && !groups.isEmpty() && services.stream().anyMatch(hasCapacity::test)) {
@@ -177,7 +232,7 @@
             BacklogItem item = group.items.peek();
             boolean current =
                     !done.contains(item.item()) && startable.test(item) && ranking.apply(item) == group.key.rank();
-            if (current && !start.test(item)) {
+            if (current && !starter.start(item)) {
                 blocked.add(group);
                 continue;
             }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -11,10 +11,7 @@
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +27,7 @@
  * <p>Handles online load that varies between a third and twice its mean every few seconds, while batch items that run
  * for seconds use the remaining slots. An online request takes a free slot, else the slot of an item, which is
  * preempted and resumed later. When online requests alone fill the engines, a few queue at each engine and the rest
- * here, ordered by latency target; a request that cannot meet its target is rejected immediately. When items arrive
+ * here, in the order of {@link WaitingRequests}; a request that cannot meet its target is rejected immediately. When items arrive
  * faster than engines can run them, those that can still complete by their due time go before late ones.
  *
  * <p>Invariants: an item has at most one lease; an upstream never gets more online requests than its slots and
@@ -84,9 +81,6 @@
     /** Online requests for each slot that an upstream of a plain service may have beyond its slots. */
     private static final int PLAIN_SERVICE_QUEUE = 2;
 
-    /** Number of late items, and of urgent ones, kept for the slots left; far more than are freed in a round. */
-    private static final int MAX_KEPT_ITEMS = 200;
-
     private final Ticker ticker;
     private final UpstreamDirectory directory;
     private final UpstreamHealth health;
@@ -677,41 +671,17 @@
                 request -> tryPlace(resolveOrigin(request)));
     }
 
-    /** Starts items by their rank; those of the first in order of due times, the urgent ones least urgent first. */
     private void startItems() {
         movedSlots.expire();
         if (directory.all().stream().noneMatch(upstream -> itemCapacity(upstream) > 0)) {
             return;
         }
         Map<String, Integer> capacities = new HashMap<>();
-        if (backlog.shared()) {
-            itemOrder.start(
-                    services -> services.stream()
-                            .anyMatch(service -> capacities.computeIfAbsent(service, this::itemCapacity) > 0),
-                    item -> startOnAvailableService(item, capacities));
-            return;
-        }
-        Deque<BacklogItem> urgent = new ArrayDeque<>();
-        List<BacklogItem> late = new ArrayList<>();
-        backlog.visit(item -> {
-            ItemRanking.Rank rank = ranking.rank(item);
-            if ((rank == ItemRanking.Rank.LATE && late.size() == MAX_KEPT_ITEMS) || !startable(item)) {
-                return true;
-            }
-            switch (rank) {
-                case LATE -> late.add(item);
-                case URGENT -> {
-                    urgent.addFirst(item);
-                    if (urgent.size() > MAX_KEPT_ITEMS) {
-                        urgent.removeLast();
-                    }
-                }
-                case IN_TIME -> startOnAvailableService(item, capacities);
-            }
-            return capacities.isEmpty() || capacities.values().stream().anyMatch(left -> left > 0);
-        });
-        urgent.forEach(item -> startOnAvailableService(item, capacities));
-        late.forEach(item -> startOnAvailableService(item, capacities));
+        itemOrder.start(
+                services -> services.stream()
+                        .anyMatch(service -> capacities.computeIfAbsent(service, this::itemCapacity) > 0),
+                () -> !capacities.isEmpty() && capacities.values().stream().noneMatch(left -> left > 0),
+                item -> startOnAvailableService(item, capacities));
     }
 
     private boolean startable(BacklogItem item) {
