Serve fleets without workspaces in the order used before

Cause: the expected wait of a new request counted only those before it, and returning callers went first, also where no workspaces are configured.

Change: without a workspace, a request expects to wait for all others at the estimated rate of free slots, and returning callers have no precedence.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/WaitingRequests.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/WaitingRequests.java
@@ -23,7 +23,8 @@
  * return in bursts. The order of the requests for a service: resumed streams, whose callers have a part already; then by
  * priority; then returning callers, who would otherwise have lost both attempts; then start-time fair queueing over
  * workspaces, each request costing 1; then by latency target. Requests past their target come last within their
- * priority. Without workspaces all belong to a single one.
+ * priority. Without workspaces all belong to a single one, returning callers have no precedence, and a request expects
+ * to wait for all others, so that fleets without workspaces are served as before.
  *
  * <p>Invariants: of {@link #SLOTS_PER_LOWER_PRIORITY} successive slots that waiting requests of a service get while one
  * of a lower priority waits, at least one goes to the longest-waiting of those; a node waits at most once for a lease.
@@ -158,8 +159,9 @@
         if (slotsPerSecond == 0) {
             return Optional.of(retryDelay(request.service(), slotsPerSecond, Duration.ZERO));
         }
-        double rate = slotRate(request.service(), slotsPerSecond);
-        Duration wait = seconds((requestsBefore(request) + 1) / rate);
+        boolean shared = !request.workspace().isEmpty();
+        double rate = shared ? slotRate(request.service(), slotsPerSecond) : slotsPerSecond;
+        Duration wait = seconds(((shared ? requestsBefore(request) : waiting(request.service())) + 1) / rate);
         Duration maxWait = request.retry()
                 ? request.timeToDeadline()
                 : request.timeToTarget().minus(options.firstEventTime());
@@ -170,6 +172,11 @@
         return Optional.empty();
     }
 
+    private int waiting(String service) {
+        Queue queue = queues.get(service);
+        return queue == null ? 0 : queue.entries.size();
+    }
+
     /** Queues a request whatever its expected wait. */
     void add(SlotRequest request) {
         Entry entry = new Entry(request, ticker.nanos());
@@ -360,7 +367,7 @@
         return Comparator.comparing((Entry entry) -> entry.request.origin().isEmpty())
                 .thenComparingInt(Entry::priority)
                 .thenComparing(entry -> entry.late(now))
-                .thenComparing(entry -> !entry.request.retry());
+                .thenComparing(entry -> entry.request.workspace().isEmpty() || !entry.request.retry());
     }
 
     /** Returns the requests in their order; the k-th of a workspace in a level starts k after its next start tag. */
