--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -182,7 +182,10 @@
         return followers.get(partition(job)).refresh();
     }
 
-    /** Accepts a job within the route's limit of waiting tokens of its workspace; accepting it again has no further effect. */
+    /**
+     * Accepts a job within the route's limit of waiting tokens of its workspace; accepting it again has no further
+     * effect.
+     */
     public Future<Acceptance> accept(JobSubmission submission, Route route, String host, Duration timeout) {
         JobPart metadata = JobPart.newBuilder()
                 .setJob(submission.id())
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemOrder.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemOrder.java
@@ -27,8 +27,8 @@
  * kept for a short time; a round visits the backlog again once one of these is used up.
  *
  * <p>Invariants: a slot is left free while an item may use it for {@link #MAX_AGE} at most; an item is offered only if
- * it is startable at that time. Tokens decay, so that a workspace is not held to what it ran long ago. Not thread-safe; confined to the event
- * loop.
+ * it is startable at that time. Tokens decay, so that a workspace is not held to what it ran long ago. Not thread-safe;
+ * confined to the event loop.
  */
 final class ItemOrder {
     /** Items kept of a workspace, rank and set of services; a visit of the backlog pays for as many starts. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -28,12 +28,12 @@
  * <p>Handles online load that varies between a third and twice its mean every few seconds, while batch items that run
  * for seconds use the remaining slots. An online request takes a free slot, else the slot of an item, which is
  * preempted and resumed later. When online requests alone fill the engines, a few queue at each engine and the rest
- * here, in the order of {@link WaitingRequests}; a request that cannot meet its target is rejected immediately. When items arrive
- * faster than engines can run them, those that can still complete by their due time go before late ones.
+ * here, in the order of {@link WaitingRequests}; a request that cannot meet its target is rejected immediately. When
+ * items arrive faster than engines can run them, those that can still complete by their due time go before late ones.
  *
- * <p>Invariants: an item has at most one lease; an upstream never gets more online requests than its slots and
- * {@link Options#queuedPerUpstream}, or {@link #PLAIN_SERVICE_QUEUE} for each slot of a plain service; one with a limit
- * gets no more than {@link RequestRates} allows. Not thread-safe; confined to the event loop.
+ * <p>Invariants: an item has at most one lease; an upstream never gets more online requests than its slots and {@link
+ * Options#queuedPerUpstream}, or {@link #PLAIN_SERVICE_QUEUE} for each slot of a plain service; one with a limit gets
+ * no more than {@link RequestRates} allows. Not thread-safe; confined to the event loop.
  */
 public final class SlotScheduler {
     /** Initial estimate of the hold time of an online request. */
@@ -334,7 +334,9 @@
         reject(request, options.minRetryAfter());
     }
 
-    /** Returns the rate at which slots of a service become free for online requests, 0 if no upstream can be used now. */
+    /**
+     * Returns the rate at which slots of a service become free for online requests, 0 if no upstream can be used now.
+     */
     private double slotsPerSecond(String service) {
         return directory.open(service).stream()
                 .filter(upstream -> health.usable(upstream.id()))
--- a/serving/src/main/java/dev/lavenderline/serving/slots/WaitingRequests.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/WaitingRequests.java
@@ -20,8 +20,8 @@
  * The online requests that wait for a slot: their order, and which requests would wait too long to be queued.
  *
  * <p>Handles online load beyond the engines' slots, in which a workspace may send many times its usual rate and callers
- * return in bursts. The order of the requests for a service: resumed streams, whose callers have a part already; then by
- * priority; then returning callers, who would otherwise have lost both attempts; then start-time fair queueing over
+ * return in bursts. The order of the requests for a service: resumed streams, whose callers have a part already; then
+ * by priority; then returning callers, who would otherwise have lost both attempts; then start-time fair queueing over
  * workspaces, each request costing 1; then by latency target. Requests past their target come last within their
  * priority. Without workspaces all belong to a single one, returning callers have no precedence, and a request expects
  * to wait for all others, so that fleets without workspaces are served as before.
@@ -188,7 +188,10 @@
         queue.entries.add(entry);
     }
 
-    /** Returns the delay after which a caller that is rejected now may return; spread so that callers don't return at once. */
+    /**
+     * Returns the delay after which a caller that is rejected now may return; spread so that callers don't return at
+     * once.
+     */
     Duration retryDelay(String service, double slotsPerSecond) {
         double rate = slotRate(service, slotsPerSecond);
         return retryDelay(service, rate, rate == 0 ? Duration.ZERO : drainTime(service, rate));
--- a/serving/src/main/java/dev/lavenderline/serving/store/KeyedListener.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/KeyedListener.java
@@ -13,6 +13,8 @@
     /** Called after each response of the store, once all its records have been handled. */
     default void caughtUp() {}
 
-    /** Called after {@link #caughtUp} if the response reached the end of the partition, so that no record is missing. */
+    /**
+     * Called after {@link #caughtUp} if the response reached the end of the partition, so that no record is missing.
+     */
     default void endReached() {}
 }
--- a/serving/src/main/java/dev/lavenderline/serving/workspaces/AdmissionWindow.java
+++ b/serving/src/main/java/dev/lavenderline/serving/workspaces/AdmissionWindow.java
@@ -10,8 +10,8 @@
  * <p>Handles callers that send bursts after quiet times and admissions that become known late and out of order: unlike
  * the level of a token bucket, the counts can be added up from several nodes, corrected and rebuilt.
  *
- * <p>Invariant: whatever a token bucket of the same rate and burst admits is admitted. Beyond that, at most the requests
- * that accrue in one period and {@link #DELAY_TOLERANCE} are. Times must not decrease. Not thread-safe.
+ * <p>Invariant: whatever a token bucket of the same rate and burst admits is admitted. Beyond that, at most the
+ * requests that accrue in one period and {@link #DELAY_TOLERANCE} are. Times must not decrease. Not thread-safe.
  */
 public final class AdmissionWindow {
     /** Length of a period. */
--- a/serving/src/main/java/dev/lavenderline/serving/workspaces/Caller.java
+++ b/serving/src/main/java/dev/lavenderline/serving/workspaces/Caller.java
@@ -34,7 +34,8 @@
     /**
      * Returns the caller on whose behalf items of a job run.
      *
-     * @param workspace name of the workspace that submitted the job, which may have been removed, empty if there is none
+     * @param workspace name of the workspace that submitted the job, which may have been removed, empty if there is
+     *     none
      * @param enabled whether workspaces are configured
      */
     public static Caller ofJob(String workspace, boolean enabled) {
--- a/serving/src/main/java/dev/lavenderline/serving/workspaces/QuotaClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/workspaces/QuotaClient.java
@@ -111,7 +111,9 @@
         }
     }
 
-    /** Returns the requests that this node has admitted and the scheduler may not know; those long past don't matter. */
+    /**
+     * Returns the requests that this node has admitted and the scheduler may not know; those long past don't matter.
+     */
     private int unknown(String workspace) {
         int count = unreported.getOrDefault(workspace, 0) + unacknowledged.getOrDefault(workspace, 0);
         AdmissionWindow window = admitted.get(workspace);
--- a/serving/src/main/java/dev/lavenderline/serving/workspaces/QuotaLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/workspaces/QuotaLedger.java
@@ -36,8 +36,8 @@
     static final Duration JOIN_PERIOD = Duration.ofSeconds(1);
 
     /**
-     * Requests a second, and at once, that a majority grants in the {@link #JOIN_PERIOD} whatever the share. Within the 20
-     * requests that users allow beyond a quota; without them, small quotas would admit nothing.
+     * Requests a second, and at once, that a majority grants in the {@link #JOIN_PERIOD} whatever the share. Within the
+     * 20 requests that users allow beyond a quota; without them, small quotas would admit nothing.
      */
     private static final double MIN_WHILE_JOINING = 10;
 
@@ -254,7 +254,9 @@
         return quota.unreportedPerNode(registeredNodes.get().orElse(1)) > 0;
     }
 
-    /** Lists a workspace as limited if little of its quota is left, unless nodes ask for each of its requests anyway. */
+    /**
+     * Lists a workspace as limited if little of its quota is left, unless nodes ask for each of its requests anyway.
+     */
     private void limitIfLow(Account account, Quota share) {
         if (!account.limited
                 && account.ofAllNodes.requestsLeft(ticker.nanos(), share) < Quota.LIMITED_BELOW * share.burst()
--- a/serving/src/test/java/dev/lavenderline/serving/ManualTime.java
+++ b/serving/src/test/java/dev/lavenderline/serving/ManualTime.java
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Moves the wall clock alone: forward as when a host resumes, whose monotonic clock stood still, or back as when the
-     * clock is corrected.
+     * Moves the wall clock alone: forward as when a host resumes, whose monotonic clock stood still, or back as when
+     * the clock is corrected.
      */
     public void moveWall(Duration by) {
         wallOffset = wallOffset.plus(by);
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -24,9 +24,9 @@
 
 /**
  * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, parts
- * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, limit (requests a second), key,
- * tenant (name of the workspace), tokens (of prompt and output), retry (milliseconds). A job's body is a comma-separated list of item ids; those that begin with "crash" have the parts 1
- * and 666, the others 1. Stateless and thread-safe.
+ * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, limit (requests a second), key, tenant
+ * (name of the workspace), tokens (of prompt and output), retry (milliseconds). A job's body is a comma-separated list
+ * of item ids; those that begin with "crash" have the parts 1 and 666, the others 1. Stateless and thread-safe.
  */
 public final class TestWireFormat implements WireFormat {
     private static OptionalLong parseLong(String text) {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -455,7 +455,9 @@
         assertEquals(Acceptance.UNKNOWN, repeated.result());
     }
 
-    /** Guards against a 503 response to a resubmitted job that this node knows, while another append has no response. */
+    /**
+     * Guards against a 503 response to a resubmitted job that this node knows, while another append has no response.
+     */
     @Test
     void knownJobIsAcceptedAgainWhileAnotherAppendIsInProgress() {
         accept(jobs, "j", 2, 0);
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -59,8 +59,8 @@
 
     /**
      * Decodes text. A configuration is its version, followed by "workspaces" and an entry "name=key+key" for each if
-     * there are any, with a priority after a slash if it has one, or by keys, each of a workspace of its own, with its rate and burst after colons if it has a quota; an
-     * upstream its service, its port, and optionally its version,
+     * there are any, with a priority after a slash if it has one, or by keys, each of a workspace of its own, with its
+     * rate and burst after colons if it has a quota; an upstream its service, its port, and optionally its version,
      * "started" with a number, and "draining".
      */
     static final class TextRecordDecoder implements ControlRecordDecoder {
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -791,7 +791,9 @@
         assertEquals(List.of(), second.requests);
     }
 
-    /** Guards against rejecting resumed streams after a restart of all nodes while there is and was only one version. */
+    /**
+     * Guards against rejecting resumed streams after a restart of all nodes while there is and was only one version.
+     */
     @Test
     void resumedStreamOfUnknownVersionContinuesOnTheOnlyVersion() throws IOException {
         write("upstreams", "e1", "engines " + first.port + " v1");
--- a/serving/src/test/java/dev/lavenderline/serving/node/WorkspacesTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/WorkspacesTest.java
@@ -20,8 +20,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Runs nodes whose callers need keys. Guards against requests that run without a key or for another workspace, jobs that
- * others can see or end, and keys that reach an upstream, a response, the log or the metrics.
+ * Runs nodes whose callers need keys. Guards against requests that run without a key or for another workspace, jobs
+ * that others can see or end, and keys that reach an upstream, a response, the log or the metrics.
  */
 class WorkspacesTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
--- a/serving/src/test/java/dev/lavenderline/serving/workspaces/KeyFreshnessTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/workspaces/KeyFreshnessTest.java
@@ -12,7 +12,9 @@
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
-/** Guards against keys that are admitted longer than the bound after their removal, and against refusals without cause. */
+/**
+ * Guards against keys that are admitted longer than the bound after their removal, and against refusals without cause.
+ */
 class KeyFreshnessTest {
     private static final Duration BOUND = Duration.ofSeconds(5);
 
