Wait for one scheduler in LeavingResponseTest

Cause: the test began while its two nodes still had a scheduler each. A node that turned to the other's scheduler in the middle got 503 until that node had read the entry of the new upstream, up to 0.4 s later, as a list may lag.

Change: the test waits until both nodes use one scheduler, and until the second node has read the new upstream. All later requests have to be served, and none may reach the upstream that is leaving, as before.

--- a/serving/src/test/java/dev/lavenderline/serving/node/LeavingResponseTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/LeavingResponseTest.java
@@ -39,6 +39,8 @@
         }
         harness.startNode("n0");
         harness.startNode("n1");
+        // A node that turns to another scheduler may get 503 until that one has read the entry of a new upstream.
+        harness.awaitOneScheduler();
     }
 
     @AfterEach
@@ -86,6 +88,8 @@
     @Test
     void engineGetsNoFurtherStreams() {
         assertAllGoToTheOther(0, "stream");
+        // Each node reads the list of upstreams for itself.
+        await().atMost(TIMEOUT).until(() -> post(1, "resumable") == 200);
         assertAllGoToTheOther(1, "resumable");
     }
 
