--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -704,8 +704,14 @@
 
     /** Returns the body of a batch job. */
     static byte[] jobBody(String job, int items, int tokens, int bodyBytes) {
+        return jobBody(job, items, tokens, tokens, bodyBytes);
+    }
+
+    /** Returns the body of a batch job whose first item has other tokens than the rest. */
+    static byte[] jobBody(String job, int items, int firstTokens, int otherTokens, int bodyBytes) {
         StringBuilder json = new StringBuilder("{\"Items\":[");
         for (int i = 0; i < items; i++) {
+            int tokens = i == 0 ? firstTokens : otherTokens;
             json.append(i == 0 ? "" : ",")
                     .append("{\"Id\":\"")
                     .append(job)
