--- a/review/standins/FaultyEngine.java
+++ b/review/standins/FaultyEngine.java
@@ -106,6 +106,7 @@
                     // A request begins to run with its first token, with which the head of the answer is sent.
                     run.began = rig.now();
                     runs.add(run);
+                    rig.log("%s: runs %s", id, requestId);
                     write(out, "HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\n"
                             + "Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n");
                 }
@@ -116,6 +117,8 @@
         } catch (IOException e) {
             run.end = "cancelled";
             throw e;
+        } finally {
+            rig.log("%s: run of %s ended: %s", id, requestId, run.end);
         }
     }
 }
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -72,6 +72,11 @@
         System.out.println(line);
     }
 
+    /** Writes a line to record.txt only. */
+    synchronized void log(String format, Object... values) {
+        record.println(String.format(Locale.ROOT, "%8.3f  ", now()) + String.format(Locale.ROOT, format, values));
+    }
+
     static void sleep(double seconds) {
         try {
             Thread.sleep((long) (seconds * 1000));
@@ -421,6 +426,7 @@
                     now());
             exchange.getRequestHeaders().forEach((key, values) -> run.headers.put(key, String.join(",", values)));
             runs.add(run);
+            log("%s: runs %s, Last-Event-Id %s", id, requestId, last);
             try {
                 exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
                 exchange.sendResponseHeaders(200, 0);
@@ -442,6 +448,7 @@
                 exchange.close();
             } finally {
                 running.decrementAndGet();
+                log("%s: run of %s ended: %s", id, requestId, run.end);
             }
         }
     }
@@ -699,7 +706,17 @@
 
     Answer call(Node node, String method, String uri, Map<String, String> headers, byte[] body, int timeoutMillis)
             throws IOException {
-        return call(node.ip, node.front, method, uri, headers, body, timeoutMillis);
+        String request = method + " " + uri + (headers.containsKey("Request-Id") ? " id " + headers.get("Request-Id") : "");
+        log("%s: sent %s, %d bytes", node.name, request, body.length);
+        try {
+            Answer answer = call(node.ip, node.front, method, uri, headers, body, timeoutMillis);
+            log("%s: answered %d%s, %d bytes, to %s", node.name, answer.status, answer.complete ? "" : " (incomplete)",
+                    answer.body.length, request);
+            return answer;
+        } catch (IOException e) {
+            log("%s: no answer to %s: %s", node.name, request, e);
+            throw e;
+        }
     }
 
     /** Returns the body of a batch job. */
