--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -317,6 +317,10 @@
                             output.events.size(),
                             "continuedAfter",
                             resumedEvents,
+                            "connectionRequests",
+                            exchange == null ? null : exchange.connectionRequests(),
+                            "closeDelimited",
+                            exchange == null ? null : exchange.closeDelimited(),
                             "ms",
                             (context.ticker().nanos() - startNanos) / 1_000_000);
             context.slots().release(lease, reason, keptEvents);
--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -36,6 +36,8 @@
     DOMAIN_OVERFLOW("LL-1444", "failure domain begins or ends to use the upstreams of others"),
     REQUEST_ENDED("LL-1450", "request ended"),
     REQUEST_SENT_AGAIN("LL-1451", "request retried on another upstream"),
+    RESPONSE_REJECTED("LL-1452", "response is not that of the request in progress; connection closed"),
+    UNSOLICITED_BYTES("LL-1453", "idle connection closed because bytes arrived on it"),
     ITEM_STARTED("LL-1460", "batch item started"),
     ITEM_ENDED("LL-1461", "run of a batch item ended"),
     JOB_ACCEPTED("LL-1462", "batch job accepted"),
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -218,7 +218,7 @@
         slots.limit(() -> config.current().map(FleetConfig::workspaces).orElse(Workspaces.none()));
         this.schedulerClient = slots.client();
         schedulerClient.countQuotas(metrics::count);
-        this.connections = new UpstreamConnections(vertx, ticker);
+        this.connections = new UpstreamConnections(vertx, ticker, log);
         connections.onResponseInfo(this::responseReceived);
         KeyFreshness keys = new KeyFreshness(
                 settings.keyRevocation(),
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -110,6 +110,10 @@
 
     private Upstream upstream;
     private UpstreamExchange exchange;
+
+    /** The exchange in progress or, after its end, the last one. */
+    private UpstreamExchange lastExchange;
+
     private long sentNanos;
     private long firstByteNanos;
 
@@ -119,7 +123,6 @@
     private long lastReceivedNanos;
     private long lastSuspectNanos;
     private boolean paused;
-    private boolean closeDelimited;
     private boolean partialEvent;
     private Timers.Timer silenceTimer = () -> {};
     private String failures = "";
@@ -421,6 +424,7 @@
                 : new BufferedResponse();
         silenceTimer = context.timers().every(SILENCE_CHECK_PERIOD, () -> endOnException(this::checkSilence));
         exchange = context.connections().send(target, request, context.wire(), listener);
+        lastExchange = exchange;
     }
 
     private void checkSilence() {
@@ -686,8 +690,10 @@
                         (deadlineNanos - arrivalNanos) / 1_000_000,
                         "returning",
                         callerRetries(),
+                        "connectionRequests",
+                        lastExchange == null ? null : lastExchange.connectionRequests(),
                         "closeDelimited",
-                        closeDelimited,
+                        lastExchange == null ? null : lastExchange.closeDelimited(),
                         "partialEvent",
                         partialEvent,
                         "outcome",
@@ -743,11 +749,6 @@
         }
     }
 
-    private void recordBodyEnd(boolean withinEvent) {
-        closeDelimited = exchange.closeDelimited();
-        partialEvent = withinEvent;
-    }
-
     /**
      * Ends the attempt if the stream that has just ended is truncated. The response may have been delimited correctly:
      * an upstream may break off a stream and still end its connection, or its last chunk, in order.
@@ -813,7 +814,6 @@
 
         @Override
         public void end() {
-            recordBodyEnd(false);
             if (!streaming && isFailure(status) && route.repeatable() && attemptsLeft()) {
                 failedWithStatus(status);
                 return;
@@ -863,10 +863,10 @@
 
         @Override
         public void end() {
-            recordBodyEnd(boundaries.withinEvent());
+            partialEvent = boundaries.withinEvent();
             if (status == 200
                     && isEventStream(responseHeaders)
-                    && failIfTruncated(boundaries.truncation(closeDelimited))) {
+                    && failIfTruncated(boundaries.truncation(exchange.closeDelimited()))) {
                 return;
             }
             startResponse();
@@ -944,8 +944,8 @@
 
         @Override
         public void end() {
-            recordBodyEnd(parser.hasPartialEvent());
-            if (status == 200 && failIfTruncated(parser.truncation(closeDelimited))) {
+            partialEvent = parser.hasPartialEvent();
+            if (status == 200 && failIfTruncated(parser.truncation(exchange.closeDelimited()))) {
                 return;
             }
             if (isFailure(status) && attemptsLeft()) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -1,13 +1,14 @@
 package dev.lavenderline.serving.online;
 
 import dev.lavenderline.core.Ticker;
+import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
-import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnectOptions;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -41,10 +42,11 @@
     private final Vertx vertx;
     private final Ticker ticker;
     private final HttpClientAgent agent;
+    private final UnexpectedResponseLog unexpected;
     private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
 
     /** Connections on which the rest of a rejection is read, with the time at which they are closed. */
-    private final Map<HttpClientConnection, Long> discarding = new HashMap<>();
+    private final Map<UpstreamConnection, Long> discarding = new HashMap<>();
 
     /** What to do if upstreams have crashed that are being checked, by id. */
     private final Map<String, List<Runnable>> crashChecks = new HashMap<>();
@@ -52,11 +54,12 @@
     private ResponseInfoListener responseInfoListener = (upstream, info, sentNanos) -> {};
     private long opened;
 
-    private record IdleConnection(HttpClientConnection connection, long expiryNanos) {}
+    private record IdleConnection(UpstreamConnection connection, long expiryNanos) {}
 
-    public UpstreamConnections(Vertx vertx, Ticker ticker) {
+    public UpstreamConnections(Vertx vertx, Ticker ticker, EventLog log) {
         this.vertx = vertx;
         this.ticker = ticker;
+        this.unexpected = new UnexpectedResponseLog(ticker, log);
         this.agent = vertx.createHttpClient(new HttpClientOptions()
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                 .setKeepAlive(true)
@@ -86,6 +89,11 @@
         responseInfoListener.received(upstream, info, sentNanos);
     }
 
+    /** Records a response that is not taken for that of the request in progress. */
+    void rejected(Upstream upstream, UpstreamRequest request, int status, ResponseInfo info, int requests) {
+        unexpected.rejected(upstream, request.requestId(), status, info, requests);
+    }
+
     long nanos() {
         return ticker.nanos();
     }
@@ -99,7 +107,7 @@
     }
 
     /** Returns an idle connection or a new one. */
-    Future<HttpClientConnection> acquire(Upstream upstream) {
+    Future<UpstreamConnection> acquire(Upstream upstream) {
         Deque<IdleConnection> pool = idle.get(upstream.id());
         while (pool != null && !pool.isEmpty()) {
             IdleConnection candidate = pool.pollLast();
@@ -111,9 +119,10 @@
         return connect(upstream);
     }
 
-    private Future<HttpClientConnection> connect(Upstream upstream) {
+    private Future<UpstreamConnection> connect(Upstream upstream) {
         opened++;
-        return agent.connect(new HttpConnectOptions().setHost(upstream.host()).setPort(upstream.port()));
+        return agent.connect(new HttpConnectOptions().setHost(upstream.host()).setPort(upstream.port()))
+                .map(UpstreamConnection::new);
     }
 
     /**
@@ -148,7 +157,7 @@
     }
 
     /** Returns a connection to the pool, or closes it if the upstream may close it soon. */
-    void release(Upstream upstream, HttpClientConnection connection, Duration keepAlive) {
+    void release(Upstream upstream, UpstreamConnection connection, Duration keepAlive) {
         discarding.remove(connection);
         Duration maxIdle = keepAlive.compareTo(MAX_IDLE) < 0 ? keepAlive : MAX_IDLE;
         Duration usable = maxIdle.minus(REUSE_MARGIN);
@@ -156,9 +165,17 @@
             connection.close();
             return;
         }
-        IdleConnection entry = new IdleConnection(connection, ticker.nanos() + usable.toNanos());
+        long since = ticker.nanos();
+        IdleConnection entry = new IdleConnection(connection, since + usable.toNanos());
         idle.computeIfAbsent(upstream.id(), id -> new ArrayDeque<>()).addLast(entry);
-        connection.closeHandler(closed -> remove(upstream.id(), entry));
+        connection.http().closeHandler(closed -> remove(upstream.id(), entry));
+        connection.http().exceptionHandler(failure -> {
+            if (!(failure instanceof IOException)) {
+                Duration idleTime = Duration.ofNanos(ticker.nanos() - since);
+                unexpected.unsolicited(upstream, connection.requests(), idleTime, failure.getMessage());
+            }
+            connection.close();
+        });
     }
 
     /**
@@ -173,12 +190,12 @@
     }
 
     /** Closes a connection in {@link #closeExpired} unless it is released or closed before {@link #DISCARD_TIMEOUT}. */
-    void closeUnlessReleased(HttpClientConnection connection) {
+    void closeUnlessReleased(UpstreamConnection connection) {
         discarding.put(connection, ticker.nanos() + DISCARD_TIMEOUT.toNanos());
     }
 
     /** Forgets a connection that was closed while the rest of a rejection was read. */
-    void closed(HttpClientConnection connection) {
+    void closed(UpstreamConnection connection) {
         discarding.remove(connection);
     }
 
@@ -200,7 +217,7 @@
             }
         }
         idle.values().removeIf(Deque::isEmpty);
-        for (Map.Entry<HttpClientConnection, Long> entry : List.copyOf(discarding.entrySet())) {
+        for (Map.Entry<UpstreamConnection, Long> entry : List.copyOf(discarding.entrySet())) {
             if (entry.getValue() - now <= 0) {
                 discarding.remove(entry.getKey());
                 entry.getKey().close();
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -2,7 +2,6 @@
 
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
-import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
@@ -25,9 +24,10 @@
     private final WireFormat wire;
     private final ResponseListener listener;
 
-    private HttpClientConnection connection;
+    private UpstreamConnection connection;
     private HttpClientResponse response;
     private Duration keepAlive = Duration.ZERO;
+    private int connectionRequests;
     private int discardedBytes;
     private boolean sent;
     private long sentNanos;
@@ -58,15 +58,18 @@
                 .onFailure(failure -> fail(SendFailure.NOT_CONNECTED, failure.getMessage()));
     }
 
-    private void connected(HttpClientConnection open) {
+    private void connected(UpstreamConnection open) {
         if (done) {
             connections.release(upstream, open, Duration.ofSeconds(2));
             return;
         }
         connection = open;
-        connection.exceptionHandler(failure -> connectionReset = true);
-        connection.closeHandler(closed -> connectionClosed());
+        connection.carries();
+        connectionRequests = connection.requests();
+        connection.http().exceptionHandler(failure -> connectionReset = true);
+        connection.http().closeHandler(closed -> connectionClosed());
         connection
+                .http()
                 .request(new RequestOptions().setMethod(request.method()).setURI(request.uri()))
                 .onSuccess(this::write)
                 .onFailure(failure -> fail(SendFailure.NOT_CONNECTED, failure.getMessage()));
@@ -111,6 +114,7 @@
         keepAlive = info.keepAlive();
         boolean sameId = info.requestId().orElse("").equals(request.requestId());
         if (!sameId && (info.requestId().isPresent() || !info.notExecuted())) {
+            connections.rejected(upstream, request, response.statusCode(), info, connectionRequests);
             fail(
                     SendFailure.LOST,
                     info.requestId().map(id -> "response to request " + id).orElse("response without request id"));
@@ -145,7 +149,7 @@
      * the connection if the body is long or does not end.
      */
     private void discardResponse(SendFailure failure, String message) {
-        HttpClientConnection open = connection;
+        UpstreamConnection open = connection;
         Duration idle = keepAlive;
         connections.closeUnlessReleased(open);
         response.exceptionHandler(broken -> open.close());
@@ -157,7 +161,7 @@
         });
         response.endHandler(end -> connections.release(upstream, open, idle));
         connection = null;
-        open.closeHandler(closed -> connections.closed(open));
+        open.http().closeHandler(closed -> connections.closed(open));
         fail(failure, message);
     }
 
@@ -170,9 +174,9 @@
             return;
         }
         done = true;
-        HttpClientConnection open = connection;
-        open.closeHandler(closed -> {});
-        open.exceptionHandler(failure -> open.close());
+        UpstreamConnection open = connection;
+        open.http().closeHandler(closed -> {});
+        open.http().exceptionHandler(failure -> open.close());
         if (closeDelimited || connectionClosed) {
             open.close();
         } else {
@@ -208,7 +212,7 @@
 
     private void close() {
         if (connection != null) {
-            connection.closeHandler(closed -> {});
+            connection.http().closeHandler(closed -> {});
             connection.close();
             connection = null;
         }
@@ -224,6 +228,11 @@
         return closeDelimited;
     }
 
+    /** Returns how many requests the connection has carried, this one included; 0 if it was never opened. */
+    public int connectionRequests() {
+        return connectionRequests;
+    }
+
     /** Stops reading the response until {@link #resume}. */
     public void pause() {
         if (response != null && !done) {
--- a/serving/src/test/java/dev/lavenderline/serving/online/HostileExchange.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/HostileExchange.java
@@ -6,6 +6,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.serving.TestWireFormat;
+import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.online.HostileUpstream.Fault;
 import dev.lavenderline.serving.online.HostileUpstream.Framing;
 import dev.lavenderline.serving.online.HostileUpstream.Plan;
@@ -35,7 +36,7 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final Context context = vertx.getOrCreateContext();
-    private final UpstreamConnections connections = new UpstreamConnections(vertx, Ticker.system());
+    private final UpstreamConnections connections = new UpstreamConnections(vertx, Ticker.system(), EventLog.NONE);
     private final HostileUpstream upstream = new HostileUpstream(vertx);
     private final Upstream entry = new Upstream("i", "s", "127.0.0.1", upstream.port, "a", 8, false, "v1");
     private final AtomicLong nextId = new AtomicLong();
--- a/serving/src/test/java/dev/lavenderline/serving/online/SilentConnectionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/SilentConnectionsTest.java
@@ -5,6 +5,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.serving.TestWireFormat;
+import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
@@ -26,7 +27,7 @@
 class SilentConnectionsTest {
     private final Vertx vertx = Vertx.vertx();
     private final Context context = vertx.getOrCreateContext();
-    private final UpstreamConnections connections = new UpstreamConnections(vertx, Ticker.system());
+    private final UpstreamConnections connections = new UpstreamConnections(vertx, Ticker.system(), EventLog.NONE);
     private final Set<HttpConnection> known = ConcurrentHashMap.newKeySet();
     private final Set<HttpConnection> silent = ConcurrentHashMap.newKeySet();
     private final List<String> ends = new CopyOnWriteArrayList<>();
--- a/serving/src/test/java/dev/lavenderline/serving/online/SlotRequestsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/SlotRequestsTest.java
@@ -71,7 +71,7 @@
         UpstreamDirectory directory = new UpstreamDirectory(ticker);
         // Nothing listens on port 1.
         directory.put(new Upstream("refusing", "engines", "127.0.0.1", 1, "a", 2, false, "v1"));
-        UpstreamConnections connections = new UpstreamConnections(vertx, ticker);
+        UpstreamConnections connections = new UpstreamConnections(vertx, ticker, EventLog.NONE);
         VertxTimers timers = new VertxTimers(vertx);
         WireFormat wire = new TestWireFormat();
         KeyFreshness keys = new KeyFreshness(Optional.empty(), new ConfigAge(ticker), Workspaces::none);
--- a/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
@@ -6,6 +6,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.serving.TestWireFormat;
+import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
@@ -47,7 +48,7 @@
 
     @BeforeEach
     void start() {
-        connections = new UpstreamConnections(vertx, Ticker.system());
+        connections = new UpstreamConnections(vertx, Ticker.system(), EventLog.NONE);
         NetServer server = vertx.createNetServer().connectHandler(socket -> {
             acceptedConnections.incrementAndGet();
             socket.handler(bytes -> upstreamHandler.accept(socket, bytes.toString()));
