Show what second answers of upstreams do

StutteringUpstreamTest plays copies within streams and outputs to a whole node, and late copies of failures of items.

--- /dev/null
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -0,0 +1,235 @@
+package dev.lavenderline.serving.node;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Runs a node with upstreams that answer twice, the second time at once or late. */
+class StutteringUpstreamTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final int EVENTS = 3;
+
+    private final NodeHarness harness = new NodeHarness();
+    private final Vertx vertx = harness.vertx;
+    private final HttpClient client = HttpClient.newHttpClient();
+
+    @BeforeEach
+    void configure() {
+        harness.write("config", "config", "1");
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder text = new StringBuilder();
+        for (int i = from; i <= to; i++) {
+            text.append("id: ").append(i).append("\ndata: text").append(i).append("\n\n");
+        }
+        return text.toString();
+    }
+
+    private static String response(String start, String id, String body) {
+        return "HTTP/1.1 " + start + "\r\nid: " + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body;
+    }
+
+    private HttpResponse<String> post(String path, String id, String body) {
+        return client.sendAsync(
+                        request(path)
+                                .header("id", id)
+                                .POST(HttpRequest.BodyPublishers.ofString(body))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .join();
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + harness.ports.get(0) + path))
+                .timeout(TIMEOUT)
+                .header("left", "4000");
+    }
+
+    private String jobResults() throws Exception {
+        return client.send(request("/jobs/job").GET().build(), HttpResponse.BodyHandlers.ofString())
+                .body();
+    }
+
+    /** Returns all that a caller receives until the connection is closed. */
+    private String receiveAll(String path, String id) throws IOException {
+        try (Socket caller = new Socket("127.0.0.1", harness.ports.get(0))) {
+            String sent = "POST " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nid: " + id
+                    + "\r\nleft: 4000\r\nConnection: close\r\nContent-Length: 1\r\n\r\np";
+            caller.getOutputStream().write(sent.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static boolean complete(String received) {
+        return received.endsWith("0\r\n\r\n");
+    }
+
+    private void startNode(RawUpstream upstream) throws IOException {
+        harness.write("upstreams", "e1", "engines " + upstream.port);
+        harness.write("upstreams", "p1", "plain " + upstream.port);
+        harness.startNode("n1");
+    }
+
+    /** The response to a stream of the caller in which the events, or the whole response, come again. */
+    private static String repeated(String how, String id) {
+        String events = events(1, EVENTS);
+        String closeDelimited = RawUpstream.closeDelimitedHead(id) + events;
+        return switch (how) {
+            case "close-delimited copy behind" -> closeDelimited + closeDelimited;
+            case "close-delimited copy between head and body" ->
+                RawUpstream.closeDelimitedHead(id) + closeDelimited + events;
+            case "close-delimited copy between events" ->
+                RawUpstream.closeDelimitedHead(id) + events(1, 2) + closeDelimited + events(3, EVENTS);
+            case "close-delimited copy within an event" ->
+                RawUpstream.closeDelimitedHead(id) + events(1, 1) + "id: 2\ndata: te" + closeDelimited + "xt2\n\n";
+            case "events again in a chunk" ->
+                RawUpstream.chunkedHead(id) + RawUpstream.chunk(events) + RawUpstream.chunk(events) + "0\r\n\r\n";
+            case "one event again" ->
+                RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(1, 2)) + RawUpstream.chunk(events(2, EVENTS))
+                        + "0\r\n\r\n";
+            case "event missing" ->
+                RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(1, 1)) + RawUpstream.chunk(events(3, EVENTS))
+                        + "0\r\n\r\n";
+            default -> throw new IllegalArgumentException(how);
+        };
+    }
+
+    /** Guards against forwarding events twice, or bytes that are none, and ending the stream as complete. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "close-delimited copy behind",
+                "close-delimited copy between head and body",
+                "close-delimited copy between events",
+                "close-delimited copy within an event",
+                "events again in a chunk",
+                "one event again",
+                "event missing"
+            })
+    void secondCopyWithinAStreamIsNotForwarded(String how) throws IOException {
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String bytes = repeated(how, id);
+            socket.write(bytes);
+            if (how.startsWith("close")) {
+                socket.close();
+            }
+        });
+        startNode(upstream);
+        String received = receiveAll("/stream/x", "r1");
+        assertFalse(complete(received), received);
+        for (int i = 1; i <= EVENTS; i++) {
+            assertTrue(received.split("data: text" + i, -1).length <= 2, "event " + i + " twice: " + received);
+        }
+        assertEquals(received.lastIndexOf("HTTP/1."), 0, received);
+    }
+
+    /** Guards against recording the second copy of an output as a part of it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "close-delimited copy behind",
+                "close-delimited copy between head and body",
+                "close-delimited copy between events",
+                "close-delimited copy within an event",
+                "events again in a chunk",
+                "one event again"
+            })
+    void secondCopyWithinAnOutputIsNotRecorded(String how) throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            if (runs.incrementAndGet() == 1) {
+                socket.write(repeated(how, id));
+            } else {
+                socket.write(RawUpstream.closeDelimitedHead(id) + events(1, EVENTS));
+            }
+            socket.close();
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty() || runs.get() > 6);
+        assertFalse(jobResults().contains("HTTP"), jobResults());
+        assertTrue(jobResults().isEmpty() || jobResults().equals("a=text1|text2|text3\n"), jobResults());
+    }
+
+    /** Guards against failing an item for an upstream's late copy of its earlier failure. */
+    @Test
+    void lateCopyOfAFailureIsNotCountedAsAnotherOne() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        String failure = response("500 Internal Server Error", "a", "broken");
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            if (runs.incrementAndGet() == 1) {
+                socket.write(failure);
+                socket.handler(next -> {
+                    runs.incrementAndGet();
+                    socket.write(failure + response("200 OK", id, events(1, EVENTS)));
+                });
+            } else {
+                socket.write(response("200 OK", id, events(1, EVENTS)));
+            }
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
+    /** Guards against running a request at a second upstream for a rejection that belongs to no request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "id: earlier\r\n"})
+    void rejectionOfAnotherRequestDoesNotSendARunningRequestAgain(String idLine) throws IOException {
+        AtomicInteger runs = new AtomicInteger();
+        AtomicInteger sent = new AtomicInteger();
+        String rejection = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + idLine + "Content-Length: 0\r\n\r\n";
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            runs.incrementAndGet();
+            socket.write((sent.incrementAndGet() == 2 ? rejection : "") + response("200 OK", id, "done"));
+        });
+        startNode(upstream);
+        harness.write("upstreams", "p2", "plain " + upstream.port);
+        assertEquals(200, post("/unsafe/x", "r1", "p").statusCode());
+        HttpResponse<String> answered = post("/unsafe/x", "r2", "p");
+        for (int i = 3; answered.statusCode() == 200 && sent.get() < 2 && i < 10; i++) {
+            answered = post("/unsafe/x", "r" + i, "p");
+        }
+        assertEquals(2, runs.get(), "the request ran again");
+        assertEquals(502, answered.statusCode());
+    }
+
+    /** Guards against telling a caller that its request has not run if only the upstream's status says so. */
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void statusWithoutPromiseIsNotForwardedAsOne(int status) throws IOException {
+        RawUpstream upstream = new RawUpstream(
+                vertx, (socket, id) -> socket.write(response(status + " Busy\r\nstamp: e1", id, "busy")));
+        startNode(upstream);
+        for (String path : new String[] {"/unsafe/x", "/stream/x"}) {
+            HttpResponse<String> answered = post(path, "r", "p");
+            assertEquals(502, answered.statusCode(), path);
+            assertTrue(answered.headers().firstValue("stamp").isEmpty(), path);
+        }
+    }
+}
