Take a response for that of a request only if it has its id

A faulty upstream that writes an earlier rejection once more on a kept connection does just that, and the request was sent to another upstream while the first ran it.

Responses echo the id of their request. The only one without an id that the protocol names answers a request that has none. Now a response with another id than the request's, or without one, proves nothing: the request may have run, and the connection is closed.

UpstreamExchangeTest.rejectedRequestHasNotRun demanded the fault; its rejection now has the id of its request, and requestMayHaveRunAfterRejectionWithoutId takes its place.

--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -11,8 +11,9 @@
 /**
  * One request and its response on one connection to an upstream.
  *
- * <p>Invariants: a response with the id of another request is never passed on; the connection is reused only after a
- * complete response to this request. Not thread-safe; confined to the event loop.
+ * <p>Invariants: a response belongs to the request only if it has the request's id, whatever else it says; a response
+ * that does not proves nothing, so the request may have run. The connection is reused only after a complete response to
+ * this request. Not thread-safe; confined to the event loop.
  */
 public final class UpstreamExchange {
     /** Size of the body of a rejection, in bytes, above which reusing its connection is not worth reading it. */
@@ -112,8 +113,7 @@
         response.exceptionHandler(failure -> fail(currentFailure(), failure.getMessage()));
         ResponseInfo info = wire.parseResponse(response.statusCode(), response.headers());
         keepAlive = info.keepAlive();
-        boolean sameId = info.requestId().orElse("").equals(request.requestId());
-        if (!sameId && (info.requestId().isPresent() || !info.notExecuted())) {
+        if (!info.requestId().orElse("").equals(request.requestId())) {
             connections.rejected(upstream, request, response.statusCode(), info, connectionRequests);
             fail(
                     SendFailure.LOST,
--- a/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstream.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstream.java
@@ -128,7 +128,9 @@
                             "HTTP/1.1 200 OK\r\nid: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
                             Buffer.buffer(("x: " + "y".repeat(100) + "\r\n").repeat(100)));
                 case ENDLESS_REJECTION ->
-                    endless("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOf(FILLER));
+                    endless(
+                            "HTTP/1.1 503 Full\r\nid: " + id + "\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                            chunkOf(FILLER));
                 default ->
                     send(
                             whole,
--- a/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
@@ -197,11 +197,20 @@
     @Test
     void rejectedRequestHasNotRun() {
         upstreamHandler = (socket, request) ->
-                socket.write("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                socket.write("HTTP/1.1 503 Service Unavailable\r\nid: r\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
         send("r");
         assertEquals(List.of("NOT_EXECUTED"), outcomes);
     }
 
+    /** Guards against sending a running request again for a rejection that need not be its own. */
+    @Test
+    void requestMayHaveRunAfterRejectionWithoutId() {
+        upstreamHandler = (socket, request) ->
+                socket.write("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        send("r");
+        assertEquals(List.of("LOST"), outcomes);
+    }
+
     @Test
     void requestMayHaveRunAfterCloseWithoutResponse() {
         upstreamHandler = (socket, request) -> socket.close();
