Send each request id at most once on a connection

A response names its request, but items are sent again under their id after a rejection, a failure or a cut. On a kept connection the late copy of the earlier response was taken for that of the new sending: an item that had failed once was listed as dead_lettered, and a running request counted as not run.

A connection now records which ids it has carried, and a request is sent only on one that has not carried its id; so an equal id proves the sending. A request without id gets a connection of its own, as nothing else proves that a response without id is for it.

--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -106,15 +107,25 @@
         return exchange;
     }
 
-    /** Returns an idle connection or a new one. */
-    Future<UpstreamConnection> acquire(Upstream upstream) {
+    /**
+     * Returns an idle connection or a new one, on which a request may be sent: it has not carried that request, and
+     * nothing at all if the request has no id.
+     */
+    Future<UpstreamConnection> acquire(Upstream upstream, String requestId) {
         Deque<IdleConnection> pool = idle.get(upstream.id());
-        while (pool != null && !pool.isEmpty()) {
-            IdleConnection candidate = pool.pollLast();
-            if (candidate.expiryNanos() - ticker.nanos() > 0) {
+        if (pool == null || requestId.isEmpty()) {
+            return connect(upstream);
+        }
+        Iterator<IdleConnection> newestFirst = pool.descendingIterator();
+        while (newestFirst.hasNext()) {
+            IdleConnection candidate = newestFirst.next();
+            if (candidate.expiryNanos() - ticker.nanos() <= 0) {
+                newestFirst.remove();
+                candidate.connection().close();
+            } else if (!candidate.connection().carried(requestId)) {
+                newestFirst.remove();
                 return Future.succeededFuture(candidate.connection());
             }
-            candidate.connection().close();
         }
         return connect(upstream);
     }
@@ -156,12 +167,12 @@
         crashChecks.remove(upstream.id()).forEach(Runnable::run);
     }
 
-    /** Returns a connection to the pool, or closes it if the upstream may close it soon. */
+    /** Returns a connection to the pool, or closes it if the upstream may close it soon or it is not reusable. */
     void release(Upstream upstream, UpstreamConnection connection, Duration keepAlive) {
         discarding.remove(connection);
         Duration maxIdle = keepAlive.compareTo(MAX_IDLE) < 0 ? keepAlive : MAX_IDLE;
         Duration usable = maxIdle.minus(REUSE_MARGIN);
-        if (usable.isNegative() || usable.isZero()) {
+        if (usable.isNegative() || usable.isZero() || !connection.reusable()) {
             connection.close();
             return;
         }
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -54,7 +54,7 @@
 
     void start() {
         connections
-                .acquire(upstream)
+                .acquire(upstream, request.requestId())
                 .onSuccess(this::connected)
                 .onFailure(failure -> fail(SendFailure.NOT_CONNECTED, failure.getMessage()));
     }
@@ -65,7 +65,7 @@
             return;
         }
         connection = open;
-        connection.carries();
+        connection.carries(request.requestId());
         connectionRequests = connection.requests();
         connection.http().exceptionHandler(failure -> connectionReset = true);
         connection.http().closeHandler(closed -> connectionClosed());
--- a/serving/src/test/java/dev/lavenderline/serving/online/RepeatedResponseTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/RepeatedResponseTest.java
@@ -260,4 +260,15 @@
         assertEquals("200 own 4", send(upstream, "r2"));
         assertEquals(3, accepted.get());
     }
+
+    /** Guards against connections that keep the ids of requests without bound. */
+    @Test
+    void connectionIsReplacedAfterItsLastRequest() throws Exception {
+        Upstream upstream = listen();
+        script = (socket, request, id) -> socket.write(response("200 OK", idLine(id), "own"));
+        for (int i = 0; i <= UpstreamConnection.MAX_REQUESTS; i++) {
+            assertEquals("200 own", send(upstream, "r" + i));
+        }
+        assertEquals(2, accepted.get());
+    }
 }
