Remove a connection from the pool when bytes arrive on it

A request that arrived right after the second copy of another response was sent on the connection that was being closed for that copy, and failed as LOST: the pool removes a connection in its close handler, which runs later than the close. Callers of requests that may run once got 502 for a request that never left the node.

Now the connection is removed when the bytes arrive.

Failed before: immediateCopyCostsTheNextRequestNothing (3 of 4, LOST).

--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnections.java
@@ -185,6 +185,8 @@
                 Duration idleTime = Duration.ofNanos(ticker.nanos() - since);
                 unexpected.unsolicited(upstream, connection.requests(), idleTime, failure.getMessage());
             }
+            // The close handler runs later; a request sent before that would be lost.
+            remove(upstream.id(), entry);
             connection.close();
         });
     }
--- a/serving/src/test/java/dev/lavenderline/serving/online/RepeatedResponseTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/RepeatedResponseTest.java
@@ -170,6 +170,18 @@
         assertEquals("200 second", send(upstream, "r"));
     }
 
+    /** Guards against losing a request on a connection that is being closed for the copy of the response before. */
+    @ParameterizedTest
+    @EnumSource
+    void immediateCopyCostsTheNextRequestNothing(Earlier earlier) throws Exception {
+        Upstream upstream = listen();
+        String bytes = earlier.bytes(idLine("r1"));
+        script = (socket, request, id) ->
+                socket.write(request == 1 ? bytes + bytes : response("200 OK", idLine(id), "second"));
+        assertEquals(earlier.outcome, send(upstream, "r1"));
+        assertEquals("200 second", send(upstream, "r2"));
+    }
+
     /** Guards against taking a response without id, or with another one, for proof of what became of a request. */
     @ParameterizedTest
     @CsvSource({
