Forward and record only consecutive events of a stream

Callers of streams that may not be resumed got events twice, missing events or a copied HTTP head, in a response that ended as complete (MIXED, ORDER): such a stream was forwarded chunk by chunk without a look at its event ids. A second copy of a response without length, or repeated events in chunks, are bytes of the body by HTTP; only the ids of the events tell them apart.

EventSequence is the one rule for streams that may be resumed, streams that may not, and items: ids are consecutive, and once an event had an id each further one has the next; comments are allowed. A stream that breaks it ends as cut. EventStreamFilter applies it to plain streams, event by event; streams without ids, and an event above 256 KB with what follows it, are forwarded as before.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.proto.jobs.JobItem;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.online.CallContext;
+import dev.lavenderline.serving.online.EventSequence;
 import dev.lavenderline.serving.online.EventStreamParser;
 import dev.lavenderline.serving.online.ResponseListener;
 import dev.lavenderline.serving.online.SendFailure;
@@ -189,13 +190,13 @@
         final PartialOutput output;
         final EventStreamParser parser = new EventStreamParser(this::addEvent);
         final long startNanos = context.ticker().nanos();
+        final EventSequence sequence;
         final int resumedEvents;
         long lastReceivedNanos = startNanos;
         long lastProgressNanos = startNanos;
         RequestTraits traits = RequestTraits.ofParts(List.of());
         int errorBytes;
         int status;
-        boolean outOfOrder;
         UpstreamExchange exchange;
         Timers.Timer idleTimer = () -> {};
 
@@ -210,6 +211,7 @@
                     (key, kept) -> kept != null && kept.version.equals(upstream.version())
                             ? kept
                             : new PartialOutput(upstream.version()));
+            this.sequence = new EventSequence(output.lastEventId);
             this.resumedEvents = output.events.size();
         }
 
@@ -327,20 +329,13 @@
         }
 
         private void addEvent(StreamEvent event) {
-            if (outOfOrder) {
-                return;
-            }
-            boolean consecutive = output.lastEventId.isEmpty()
-                    || event.id().isEmpty()
-                    || event.id().getAsLong() == output.lastEventId.getAsLong() + 1;
-            if (!consecutive) {
-                outOfOrder = true;
+            if (!sequence.accepts(event)) {
                 return;
             }
             lastProgressNanos = context.ticker().nanos();
             output.events.add(event.data());
             output.bytes += event.data().length() + EVENT_OVERHEAD_BYTES;
-            output.lastEventId = event.id().isPresent() ? event.id() : output.lastEventId;
+            output.lastEventId = sequence.lastId();
         }
 
         @Override
@@ -361,7 +356,7 @@
                 return;
             }
             boolean withinLimit = parser.feed(chunk);
-            if (outOfOrder) {
+            if (sequence.broken()) {
                 breakOff("events out of order");
             } else if (!withinLimit) {
                 breakOff("event is too long");
--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -0,0 +1,58 @@
+package dev.lavenderline.serving.online;
+
+import java.util.OptionalLong;
+
+/**
+ * Decides which events belong to a stream. The ids of a stream are consecutive, and so are those of its continuation on
+ * another upstream; anything else is a second copy, a gap or bytes of another response.
+ *
+ * <p>Invariants: the first id of a stream that begins anew may be any; once an event had an id, each further one has the
+ * next; once an event does not belong to the stream, none does. Not thread-safe.
+ */
+public final class EventSequence {
+    private OptionalLong firstId = OptionalLong.empty();
+    private OptionalLong lastId;
+    private boolean broken;
+
+    /**
+     * Creates a sequence.
+     *
+     * @param lastId id of the event after which the stream continues, empty if it begins anew
+     */
+    public EventSequence(OptionalLong lastId) {
+        this.lastId = lastId;
+    }
+
+    /** Returns whether the next event belongs to the stream, and records its id if it does. */
+    public boolean accepts(StreamEvent event) {
+        if (broken) {
+            return false;
+        }
+        if (event.id().isEmpty()) {
+            broken = lastId.isPresent() && !event.commentOnly();
+            return !broken;
+        }
+        broken = lastId.isPresent() && event.id().getAsLong() != lastId.getAsLong() + 1;
+        if (!broken) {
+            lastId = event.id();
+            firstId = firstId.isPresent() ? firstId : lastId;
+        }
+        return !broken;
+    }
+
+    /** Returns whether an event has arrived that does not belong to the stream. */
+    public boolean broken() {
+        return broken;
+    }
+
+    /** Returns the id of the last event that belongs to the stream, empty if none had an id. */
+    public OptionalLong lastId() {
+        return lastId;
+    }
+
+    /** Returns the ids of the first and the last event that were accepted, empty if none had an id. */
+    @Override
+    public String toString() {
+        return firstId.isEmpty() ? "" : firstId.getAsLong() + "-" + lastId.getAsLong();
+    }
+}
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -10,7 +10,8 @@
  * Splits a stream into complete server-sent events (HTML standard, section 9.2). A partial event is buffered until the
  * rest arrives, so that it is never forwarded.
  *
- * <p>Invariant: at most {@link #MAX_EVENT_BYTES} and the last chunk are buffered. Not thread-safe.
+ * <p>Invariant: at most {@link #MAX_EVENT_BYTES} and the last chunk are buffered, unless further bytes are fed after an
+ * event was too long. Not thread-safe.
  */
 public final class EventStreamParser {
     /** Size of an event, in bytes, above which a stream is broken; engines send a few tokens in an event. */
@@ -37,31 +38,41 @@
 
     /**
      * Parses further bytes and passes each completed event to the consumer. Returns false once an event is larger than
-     * {@link #MAX_EVENT_BYTES}; that event and all further bytes are dropped.
+     * {@link #MAX_EVENT_BYTES}; that event and all further bytes are only kept for {@link #takeRemainder}.
      */
     public boolean feed(Buffer chunk) {
         int start = 0;
-        for (int i = 0; i < chunk.length() && !oversized; i++) {
-            if (!boundaries.scan(chunk.getByte(i))) {
-                oversized = pending.length() + i + 1 - start > MAX_EVENT_BYTES;
+        for (int i = 0; i < chunk.length(); i++) {
+            if (!boundaries.scan(chunk.getByte(i)) || oversized) {
+                oversized |= pending.length() + i + 1 - start > MAX_EVENT_BYTES;
                 continue;
             }
             consumer.accept(parse(pending.appendBuffer(chunk, start, i + 1 - start)));
             pending = Buffer.buffer();
             start = i + 1;
         }
-        if (oversized) {
-            pending = Buffer.buffer();
-            return false;
-        }
         pending.appendBuffer(chunk, start, chunk.length() - start);
-        return true;
+        return !oversized;
+    }
+
+    /** Returns the first {@link #MAX_EVENT_BYTES} of what has arrived of an event that is not complete. */
+    StreamEvent partialEvent() {
+        return parse(pending.slice(0, Math.min(pending.length(), MAX_EVENT_BYTES)));
+    }
+
+    /** Removes and returns the bytes that belong to no complete event. */
+    Buffer takeRemainder() {
+        Buffer remainder = pending;
+        pending = Buffer.buffer();
+        return remainder;
     }
 
     private static StreamEvent parse(Buffer raw) {
         OptionalLong id = OptionalLong.empty();
         StringBuilder data = null;
+        boolean commentOnly = true;
         for (String line : raw.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
+            commentOnly &= line.isEmpty() || line.startsWith(":");
             if (line.startsWith("id:")) {
                 id = parseId(fieldValue(line, 3));
             } else if (line.startsWith("data:")) {
@@ -69,7 +80,7 @@
                 data.append(fieldValue(line, 5));
             }
         }
-        return new StreamEvent(id, data == null ? "" : data.toString(), raw);
+        return new StreamEvent(id, data == null ? "" : data.toString(), commentOnly, raw);
     }
 
     private static String fieldValue(String line, int from) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -88,7 +88,9 @@
     private String service;
     private int sends;
     private int possibleRuns;
-    private OptionalLong lastEventId;
+
+    /** The events that the caller has received, as far as the next send continues them. */
+    private EventSequence events;
 
     /** Where the stream began that the next send continues; empty if the caller has not received an event. */
     private Optional<StreamOrigin> origin;
@@ -151,7 +153,7 @@
         this.onDone = onDone;
         this.traits = new RequestTraits(info.sharedParts(), this::hash);
         this.keyCheck = new KeyCheck(context.keys(), route, info);
-        this.lastEventId = info.lastEventId();
+        this.events = new EventSequence(resumedByCaller() ? info.lastEventId() : OptionalLong.empty());
         this.origin = resumedByCaller()
                 ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
                 : Optional.empty();
@@ -416,8 +418,9 @@
         lastReceivedNanos = sentNanos;
         lastSuspectNanos = sentNanos;
         paused = false;
+        events = new EventSequence(events.lastId());
         MultiMap upstreamHeaders =
-                context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), lastEventId, caller);
+                context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), sendAfter(), caller);
         UpstreamRequest request = new UpstreamRequest(info.id(), method, uri, upstreamHeaders, body);
         ResponseListener listener = route.kind() == RouteKind.STREAMING
                 ? (route.resumable() ? new ResumableStream() : new PlainStream())
@@ -427,6 +430,11 @@
         lastExchange = exchange;
     }
 
+    /** Returns the event after which the next send continues the stream. */
+    private OptionalLong sendAfter() {
+        return events.lastId().isPresent() ? events.lastId() : info.lastEventId();
+    }
+
     private void checkSilence() {
         long now = context.ticker().nanos();
         if (done || exchange == null || paused || now - lastReceivedNanos < SILENCE_TIMEOUT.toNanos()) {
@@ -576,7 +584,7 @@
                         "message",
                         message,
                         "after",
-                        lastEventId.isPresent() ? lastEventId.getAsLong() : null);
+                        sendAfter().isPresent() ? sendAfter().getAsLong() : null);
     }
 
     /** Ends a request for which no upstream is available. */
@@ -696,6 +704,8 @@
                         lastExchange == null ? null : lastExchange.closeDelimited(),
                         "partialEvent",
                         partialEvent,
+                        "eventIds",
+                        events,
                         "outcome",
                         outcome,
                         "failures",
@@ -832,11 +842,15 @@
         }
     }
 
-    /** Forwards a stream that can't be resumed, chunk by chunk. */
-    private final class PlainStream implements ResponseListener {
-        private final EventBoundaryScanner boundaries = new EventBoundaryScanner();
-        private int status;
-        private MultiMap responseHeaders;
+    private void breakOff(String cause) {
+        exchange.cancel();
+        attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
+    }
+
+    /** What the two ways to forward a stream have in common. */
+    private abstract class StreamedResponse implements ResponseListener {
+        int status;
+        MultiMap responseHeaders;
 
         @Override
         public void headers(int upstreamStatus, MultiMap upstreamHeaders) {
@@ -845,31 +859,18 @@
             responseHeaders = upstreamHeaders;
         }
 
-        private void startResponse() {
+        void forward(Buffer bytes) {
             if (!response.started()) {
                 response.startStream(status, responseHeaders);
             }
-        }
-
-        @Override
-        public void chunk(Buffer chunk) {
-            markReceived();
-            markFirstByte();
-            boundaries.scan(chunk);
-            startResponse();
-            response.write(chunk);
+            response.write(bytes);
             applyBackpressure(exchange);
         }
 
-        @Override
-        public void end() {
-            partialEvent = boundaries.withinEvent();
-            if (status == 200
-                    && isEventStream(responseHeaders)
-                    && failIfTruncated(boundaries.truncation(exchange.closeDelimited()))) {
-                return;
+        void endStream() {
+            if (!response.started()) {
+                response.startStream(status, responseHeaders);
             }
-            startResponse();
             response.end();
             complete(status);
         }
@@ -880,31 +881,50 @@
         }
     }
 
-    /** Forwards only complete events, so that another upstream can continue the stream after the last one. */
-    private final class ResumableStream implements ResponseListener {
-        private final EventStreamParser parser = new EventStreamParser(this::event);
-        private final Buffer errorBody = Buffer.buffer();
-        private int status;
-        private MultiMap responseHeaders;
-        private boolean outOfOrder;
+    /** Forwards a stream that can't be resumed; a response that consists of no events as it arrives. */
+    private final class PlainStream extends StreamedResponse {
+        private final EventStreamFilter filter = new EventStreamFilter(events);
+
+        private boolean hasEvents() {
+            return status == HTTP_OK && isEventStream(responseHeaders);
+        }
 
         @Override
-        public void headers(int upstreamStatus, MultiMap upstreamHeaders) {
+        public void chunk(Buffer chunk) {
             markReceived();
-            status = upstreamStatus;
-            responseHeaders = upstreamHeaders;
+            markFirstByte();
+            Buffer passed = hasEvents() ? filter.feed(chunk) : chunk;
+            if (passed.length() > 0) {
+                forward(passed);
+            }
+            if (filter.broken()) {
+                breakOff("events out of order");
+            }
         }
 
-        private void startResponse() {
-            if (!response.started()) {
-                response.startStream(status, responseHeaders);
+        @Override
+        public void end() {
+            partialEvent = filter.withinEvent();
+            if (hasEvents() && failIfTruncated(filter.truncation(exchange.closeDelimited()))) {
+                return;
             }
+            Buffer lineEnds = filter.remainder();
+            if (lineEnds.length() > 0) {
+                forward(lineEnds);
+            }
+            endStream();
         }
+    }
+
+    /** Forwards only complete events, so that another upstream can continue the stream after the last one. */
+    private final class ResumableStream extends StreamedResponse {
+        private final EventStreamParser parser = new EventStreamParser(this::event);
+        private final Buffer errorBody = Buffer.buffer();
 
         @Override
         public void chunk(Buffer chunk) {
             markReceived();
-            if (status != 200) {
+            if (status != HTTP_OK) {
                 errorBody.appendBuffer(chunk);
                 if (errorBody.length() > MAX_BUFFERED_BYTES) {
                     breakOff("error response is too long");
@@ -912,66 +932,45 @@
                 return;
             }
             boolean withinLimit = parser.feed(chunk);
-            if (outOfOrder && !done) {
+            if (events.broken() && !done) {
                 breakOff("events out of order");
             } else if (!withinLimit && !done) {
                 breakOff("event is too long");
             }
         }
 
-        private void breakOff(String cause) {
-            exchange.cancel();
-            attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
-        }
-
         private void event(StreamEvent event) {
-            if (outOfOrder) {
-                return;
-            }
-            if (lastEventId.isPresent()
-                    && event.id().isPresent()
-                    && event.id().getAsLong() != lastEventId.getAsLong() + 1) {
-                outOfOrder = true;
+            if (!events.accepts(event)) {
                 return;
             }
             markFirstByte();
             recordOrigin();
-            startResponse();
-            response.write(event.raw());
-            lastEventId = event.id().isPresent() ? event.id() : lastEventId;
-            applyBackpressure(exchange);
+            forward(event.raw());
         }
 
         @Override
         public void end() {
             partialEvent = parser.hasPartialEvent();
-            if (status == 200 && failIfTruncated(parser.truncation(exchange.closeDelimited()))) {
+            if (status == HTTP_OK && failIfTruncated(parser.truncation(exchange.closeDelimited()))) {
                 return;
             }
             if (isFailure(status) && attemptsLeft()) {
                 failedWithStatus(status);
                 return;
             }
-            if (status != 200 && response.started()) {
+            if (status != HTTP_OK && response.started()) {
                 response.abort();
                 finish(
                         "upstream answered " + status + " to the continuation of a stream",
                         ReleaseReason.UPSTREAM_FAILED);
                 return;
             }
-            if (status != 200) {
+            if (status != HTTP_OK) {
                 response.send(status, responseHeaders, errorBody);
                 complete(status);
                 return;
             }
-            startResponse();
-            response.end();
-            complete(status);
-        }
-
-        @Override
-        public void failed(SendFailure failure, String message) {
-            attemptFailed(failure, failure.releaseReason(), message);
+            endStream();
         }
     }
 
