End a response where the head of another one begins

An upstream that writes a second answer before the end of the first had it forwarded as a part of the body, and the response ended as complete (MIXED): in a body that ends with its connection, within a chunk, or within a length. For bodies that are no event streams nothing else tells them apart; in a stream, a copied head was forwarded as an event.

EmbeddedResponseDetector looks for a status line and header fields, each with CRLF, up to the empty line. A head that has the id of a request that the connection has carried, or a rejection without id, ends the response as cut; the bytes before it have been passed on as they came. Bytes are held back only while they may be the start of such a head. A body that quotes another response has none of these ids and is passed on unchanged. A copy whose head is cut by the end of the body is not found.

--- /dev/null
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EmbeddedResponseDetector.java
@@ -0,0 +1,96 @@
+package dev.lavenderline.serving.online;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Finds the head of a second response within the body of a response. By HTTP it is a part of the body if the upstream
+ * writes it before the body's end.
+ *
+ * <p>Invariants: bytes are passed on in order and unchanged, all but a head that belongs to a second response and what
+ * follows it; at most {@link #MAX_HEAD_BYTES} and the last chunk are held back, only while they may be such a head. Not
+ * thread-safe.
+ */
+final class EmbeddedResponseDetector {
+    /** Size of a head, in bytes, above which it is not recognized; those of upstreams have a few hundred. */
+    static final int MAX_HEAD_BYTES = 4096;
+
+    private static final String START = "HTTP/1.";
+
+    /** Status line, header fields and empty line (RFC 9112, sections 4 and 5), at most 64 fields. */
+    private static final Pattern HEAD = Pattern.compile(
+            "HTTP/1\\.[01] (\\d{3})(?: [^\\r\\n]*+)?\\r\\n((?:[\\w!#$%&'*+.^`|~-]++:[^\\r\\n]*+\\r\\n){0,64})\\r\\n");
+
+    private final SecondResponse secondResponse;
+    private Buffer held = Buffer.buffer();
+    private boolean found;
+
+    /** Decides whether a head belongs to a second response, rather than to the content of the body. */
+    @FunctionalInterface
+    interface SecondResponse {
+        boolean matches(int status, MultiMap headers);
+    }
+
+    EmbeddedResponseDetector(SecondResponse secondResponse) {
+        this.secondResponse = secondResponse;
+    }
+
+    /** Takes further bytes of the body and returns those that may be passed on. */
+    Buffer feed(Buffer chunk) {
+        if (found) {
+            return Buffer.buffer();
+        }
+        Buffer bytes = held.length() == 0 ? chunk : held.appendBuffer(chunk);
+        held = Buffer.buffer();
+        for (int at = 0; at < bytes.length(); at++) {
+            if (!mayStartHead(bytes, at)) {
+                continue;
+            }
+            String text = bytes.getString(
+                    at, Math.min(bytes.length(), at + MAX_HEAD_BYTES), StandardCharsets.ISO_8859_1.name());
+            Matcher head = HEAD.matcher(text);
+            if (head.lookingAt()) {
+                found = secondResponse.matches(Integer.parseInt(head.group(1)), fields(head.group(2)));
+                if (found) {
+                    return bytes.getBuffer(0, at);
+                }
+            } else if (head.hitEnd() && text.length() < MAX_HEAD_BYTES) {
+                held = bytes.getBuffer(at, bytes.length());
+                return bytes.getBuffer(0, at);
+            }
+        }
+        return bytes;
+    }
+
+    private static boolean mayStartHead(Buffer bytes, int at) {
+        int length = Math.min(START.length(), bytes.length() - at);
+        for (int i = 0; i < length; i++) {
+            if (bytes.getByte(at + i) != START.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static MultiMap fields(String lines) {
+        MultiMap fields = MultiMap.caseInsensitiveMultiMap();
+        lines.lines().forEach(line -> {
+            int colon = line.indexOf(':');
+            fields.add(line.substring(0, colon), line.substring(colon + 1).trim());
+        });
+        return fields;
+    }
+
+    /** Returns whether a second response has been found. */
+    boolean found() {
+        return found;
+    }
+
+    /** Returns the bytes held back, which belong to the body if it ends here. */
+    Buffer remainder() {
+        return held;
+    }
+}
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -2,6 +2,7 @@
 
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
@@ -12,7 +13,7 @@
  * One request and its response on one connection to an upstream.
  *
  * <p>Invariants: a response belongs to the request only if it has the request's id, whatever else it says; a response
- * that does not proves nothing, so the request may have run. The connection is reused only after a complete response to
+ * that does not proves nothing, so the request may have run. A response ends where another one begins. The connection is reused only after a complete response to
  * this request. Not thread-safe; confined to the event loop.
  */
 public final class UpstreamExchange {
@@ -25,6 +26,8 @@
     private final WireFormat wire;
     private final ResponseListener listener;
 
+    private final EmbeddedResponseDetector detector = new EmbeddedResponseDetector(this::isSecondResponse);
+
     private UpstreamConnection connection;
     private HttpClientResponse response;
     private Duration keepAlive = Duration.ZERO;
@@ -136,14 +139,36 @@
         if (done) {
             return;
         }
-        response.handler(chunk -> {
-            if (!done) {
-                listener.chunk(chunk);
-            }
-        });
+        response.handler(this::receiveBody);
         response.endHandler(end -> complete());
     }
 
+    private void receiveBody(Buffer chunk) {
+        if (done) {
+            return;
+        }
+        Buffer body = detector.feed(chunk);
+        if (body.length() > 0) {
+            listener.chunk(body);
+        }
+        if (detector.found()) {
+            fail(SendFailure.CUT, "second response within the body");
+        }
+    }
+
+    /**
+     * Returns whether a head within the body of a response is that of another one: it has the id of a request that the
+     * connection has carried, or rejects a request that it does not name.
+     */
+    private boolean isSecondResponse(int status, MultiMap headers) {
+        ResponseInfo info = wire.parseResponse(status, headers);
+        boolean second = info.requestId().map(connection::carried).orElse(info.notExecuted());
+        if (second) {
+            connections.rejected(upstream, request, status, info, connectionRequests);
+        }
+        return second;
+    }
+
     /**
      * Reads and drops the body of a response that reports that the request did not run, to reuse the connection. Closes
      * the connection if the body is long or does not end.
@@ -173,6 +198,12 @@
             fail(SendFailure.CUT, "connection reset during a response without length");
             return;
         }
+        if (detector.remainder().length() > 0) {
+            listener.chunk(detector.remainder());
+        }
+        if (done) {
+            return;
+        }
         done = true;
         UpstreamConnection open = connection;
         open.http().closeHandler(closed -> {});
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -175,6 +175,30 @@
         assertTrue(jobResults().isEmpty() || jobResults().equals("a=text1|text2|text3\n"), jobResults());
     }
 
+    /** Guards against a second response that reaches the caller within the body of the first, which is no stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close-delimited", "chunked", "length"})
+    void secondResponseWithinABodyIsNotForwarded(String framing) throws IOException {
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String copy = response("200 OK", id, "whole");
+            switch (framing) {
+                case "close-delimited" -> {
+                    socket.write(RawUpstream.closeDelimitedHead(id) + "whole" + copy);
+                    socket.close();
+                }
+                case "chunked" ->
+                    socket.write(RawUpstream.chunkedHead(id) + RawUpstream.chunk("wh") + RawUpstream.chunk(copy + "ole")
+                            + "0\r\n\r\n");
+                default -> {
+                    String body = "w".repeat(100) + copy;
+                    socket.write(response("200 OK", id, body + "w".repeat(200 - body.length())));
+                }
+            }
+        });
+        startNode(upstream);
+        assertEquals(502, post("/unsafe/x", "r1", "p").statusCode());
+    }
+
     /** Guards against failing an item for an upstream's late copy of its earlier failure. */
     @Test
     void lateCopyOfAFailureIsNotCountedAsAnotherOne() throws Exception {
