Don't forward an unproven rejection of a request that runs once

An upstream's 408, 429 or 503 without the mark that the request has not run was forwarded to the caller as it came, also for requests that may run once at most. To the caller these statuses promise that the request has not run and never will (REFUSED), and no other response than one with the mark states that. The caller now gets 502 without the upstream's stamp. Requests that may be repeated are forwarded as before.

--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
@@ -1,6 +1,9 @@
 package dev.lavenderline.serving.online;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -20,6 +23,12 @@
         this.sequence = sequence;
     }
 
+    /** Returns whether a response consists of events; one without a content type is taken to. */
+    static boolean isEventStream(MultiMap headers) {
+        String type = headers.get(HttpHeaders.CONTENT_TYPE);
+        return type == null || type.toLowerCase(Locale.ROOT).startsWith("text/event-stream");
+    }
+
     private void add(StreamEvent event) {
         if (sequence.accepts(event)) {
             accepted.appendBuffer(event.raw());
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -17,7 +17,6 @@
 import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -55,8 +54,6 @@
     /** Time after the first event in which a crash of the upstream may be due to the request. */
     private static final Duration CRASH_PERIOD = Duration.ofMillis(100);
 
-    private static final String EVENT_STREAM = "text/event-stream";
-
     /** Lowest response status that counts as a failure of the upstream. */
     private static final int MIN_FAILURE_STATUS = 500;
 
@@ -768,12 +765,6 @@
         return truncation.isPresent();
     }
 
-    /** Returns whether a response consists of events; one without a content type is taken to. */
-    private static boolean isEventStream(MultiMap headers) {
-        String type = headers.get(HttpHeaders.CONTENT_TYPE);
-        return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
-    }
-
     private void applyBackpressure(UpstreamExchange source) {
         if (response.writeQueueFull()) {
             source.pause();
@@ -802,6 +793,7 @@
             markReceived();
             status = upstreamStatus;
             responseHeaders = upstreamHeaders;
+            failIfUnprovenRejection(status);
         }
 
         @Override
@@ -842,6 +834,14 @@
         }
     }
 
+    /** Ends the attempt if forwarding its status would promise that a request has not run which may have. */
+    private void failIfUnprovenRejection(int status) {
+        if (!route.repeatable() && RejectionStatus.promisesNotRun(status)) {
+            exchange.cancel();
+            failedWithStatus(status);
+        }
+    }
+
     private void breakOff(String cause) {
         exchange.cancel();
         attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
@@ -857,6 +857,7 @@
             markReceived();
             status = upstreamStatus;
             responseHeaders = upstreamHeaders;
+            failIfUnprovenRejection(status);
         }
 
         void forward(Buffer bytes) {
@@ -886,7 +887,7 @@
         private final EventStreamFilter filter = new EventStreamFilter(events);
 
         private boolean hasEvents() {
-            return status == HTTP_OK && isEventStream(responseHeaders);
+            return status == HTTP_OK && EventStreamFilter.isEventStream(responseHeaders);
         }
 
         @Override
