Play second answers in the drawn plans of a hostile upstream

HostileUpstream sends another response before the head, behind an interim response, before and within the body, behind the response, late on a connection that may be idle, and behind a rejection; it is a rejection, 421, 500 or 200, with an id of the connection, another one or none, and the request may be sent again under its id. The judge now also fails if a request counts as not run without a rejection of its own, if a status of another response is taken, and if a copy in a body without length passes as complete, which it allowed before.

--- a/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstreamPropertyTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstreamPropertyTest.java
@@ -1,7 +1,10 @@
 package dev.lavenderline.serving.online;
 
+import dev.lavenderline.serving.online.HostileUpstream.Extra;
 import dev.lavenderline.serving.online.HostileUpstream.Fault;
 import dev.lavenderline.serving.online.HostileUpstream.Framing;
+import dev.lavenderline.serving.online.HostileUpstream.Kind;
+import dev.lavenderline.serving.online.HostileUpstream.Owner;
 import dev.lavenderline.serving.online.HostileUpstream.Plan;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -20,6 +23,12 @@
         EXCHANGE.close();
     }
 
+    private static Arbitrary<Extra> extras() {
+        return Combinators.combine(
+                        Arbitraries.of(Kind.values()), Arbitraries.of(Owner.values()), Arbitraries.of(true, false))
+                .as(Extra::new);
+    }
+
     @Provide
     static Arbitrary<Plan> plans() {
         Arbitrary<Fault> faults =
@@ -29,7 +38,8 @@
                         faults,
                         Arbitraries.integers().between(0, 3000),
                         Arbitraries.integers().between(0, 99),
-                        Arbitraries.integers().between(1, 40))
+                        Arbitraries.integers().between(1, 40),
+                        extras())
                 .as(Plan::new);
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/HostileUpstreamTest.java
@@ -43,16 +43,28 @@
         assertJudged(sound, HostileUpstream.body("r", 19));
         assertJudged(cut, HostileUpstream.body("r", 20));
         assertJudged(new Plan(Framing.CLOSE, Fault.CUT, 20, 50, 1), HostileUpstream.body("other", 10));
+        assertJudged(
+                new Plan(Framing.CLOSE, Fault.COPY, 20, 0, 1),
+                HostileUpstream.body("r", 20).repeat(2));
+        assertJudged(new Plan(Framing.CHUNKS, Fault.EXTRA_IN_BODY, 20, 50, 1), HostileUpstream.body("r", 20) + "HTTP");
+        assertJudged(new Plan(Framing.LENGTH, Fault.EXTRA_BEFORE_HEAD, 20, 0, 1), "status 500");
+        assertJudged(
+                new Plan(Framing.LENGTH, Fault.EXTRA_BEFORE_HEAD, 20, 0, 1),
+                new HostileExchange.Received(Optional.empty(), "NOT_EXECUTED"));
         assertJudged(new Plan(Framing.CHUNKS, Fault.WRONG_ID, 20, 0, 1), HostileUpstream.body("r", 20));
     }
 
     private static void assertJudged(Plan plan, String body) {
+        assertJudged(plan, new HostileExchange.Received(Optional.of(body), ""));
+    }
+
+    private static void assertJudged(Plan plan, HostileExchange.Received received) {
         boolean found = false;
         try {
-            HostileExchange.judge(plan, "r", new HostileExchange.Received(Optional.of(body), ""));
+            HostileExchange.judge(plan, "r", received);
         } catch (AssertionError expected) {
             found = true;
         }
-        assertTrue(found, plan + " with " + body);
+        assertTrue(found, plan + " with " + received);
     }
 }
