Don't begin a stream anew behind events without ids

Only an id says where another run has to go on.

A stream is now continued, or begun anew, only if the caller has events with ids or none but comments; the output of an item without ids is dropped and its next run begins anew. The three ways to forward a response share their base class, so that OnlineCall doesn't grow.

Failed before: streamWithoutIdsIsNotBegunAgain (event twice) and outputWithoutIdsIsNotContinued (a|a|b for a|b).

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -297,8 +297,8 @@
                 return;
             }
             idleTimer.cancel();
-            int keptEvents = keepOutput ? output.events.size() : 0;
-            if (!keepOutput || keptEvents == 0) {
+            int keptEvents = keepOutput && sequence.continuable() ? output.events.size() : 0;
+            if (keptEvents == 0) {
                 partialOutputs.remove(ref, output);
             }
             context.metrics().count("lavenderline_item_runs");
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -13,6 +13,7 @@
     private OptionalLong firstId = OptionalLong.empty();
     private OptionalLong lastId;
     private boolean broken;
+    private boolean withoutId;
 
     /**
      * Creates a sequence.
@@ -30,6 +31,7 @@
         }
         if (event.id().isEmpty()) {
             broken = lastId.isPresent() && !event.commentOnly();
+            withoutId |= !event.commentOnly();
             return !broken;
         }
         broken = lastId.isPresent() && event.id().getAsLong() != lastId.getAsLong() + 1;
@@ -45,6 +47,11 @@
         return broken;
     }
 
+    /** Returns whether another run can go on behind the accepted events, or begin anew if there is none but comments. */
+    public boolean continuable() {
+        return lastId.isPresent() || !withoutId;
+    }
+
     /** Returns the id of the last event that belongs to the stream, empty if none had an id. */
     public OptionalLong lastId() {
         return lastId;
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -512,7 +512,9 @@
 
     /** Returns whether a request that may have run can be sent to another upstream. */
     private boolean mayRunAgain() {
-        return route.repeatable() && attemptsLeft() && (!response.started() || route.resumable());
+        return route.repeatable()
+                && attemptsLeft()
+                && (!response.started() || (route.resumable() && events.continuable()));
     }
 
     private void failedWithStatus(int status) {
@@ -782,20 +784,10 @@
     }
 
     /** Buffers the response until it is complete, so that a truncated response can be requested again. */
-    private final class BufferedResponse implements ResponseListener {
-        private int status;
-        private MultiMap responseHeaders;
+    private final class BufferedResponse extends ForwardedResponse {
         private Buffer received = Buffer.buffer();
         private boolean streaming;
 
-        @Override
-        public void headers(int upstreamStatus, MultiMap upstreamHeaders) {
-            markReceived();
-            status = upstreamStatus;
-            responseHeaders = upstreamHeaders;
-            failIfUnprovenRejection(status);
-        }
-
         @Override
         public void chunk(Buffer chunk) {
             markReceived();
@@ -827,11 +819,6 @@
             }
             complete(status);
         }
-
-        @Override
-        public void failed(SendFailure failure, String message) {
-            attemptFailed(failure, failure.releaseReason(), message);
-        }
     }
 
     /** Ends the attempt if forwarding its status would promise that a request has not run which may have. */
@@ -847,8 +834,8 @@
         attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
     }
 
-    /** What the two ways to forward a stream have in common. */
-    private abstract class StreamedResponse implements ResponseListener {
+    /** What the ways to forward a response have in common. */
+    private abstract class ForwardedResponse implements ResponseListener {
         int status;
         MultiMap responseHeaders;
 
@@ -883,7 +870,7 @@
     }
 
     /** Forwards a stream that can't be resumed; a response that consists of no events as it arrives. */
-    private final class PlainStream extends StreamedResponse {
+    private final class PlainStream extends ForwardedResponse {
         private final EventStreamFilter filter = new EventStreamFilter(events);
 
         private boolean hasEvents() {
@@ -918,7 +905,7 @@
     }
 
     /** Forwards only complete events, so that another upstream can continue the stream after the last one. */
-    private final class ResumableStream extends StreamedResponse {
+    private final class ResumableStream extends ForwardedResponse {
         private final EventStreamParser parser = new EventStreamParser(this::event);
         private final Buffer errorBody = Buffer.buffer();
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -221,6 +221,45 @@
         assertEquals("a=text1|text2|text3\n", jobResults());
     }
 
+    /** Guards against a stream that begins anew behind the events that the caller has, as they name no id to continue. */
+    @Test
+    void streamWithoutIdsIsNotBegunAgain() throws IOException {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String chunk = RawUpstream.chunk("data: a\n\n");
+            if (runs.incrementAndGet() == 1) {
+                socket.write(RawUpstream.chunkedHead(id) + chunk);
+                vertx.setTimer(50, later -> socket.close());
+            } else {
+                socket.write(RawUpstream.chunkedHead(id) + chunk + "0\r\n\r\n");
+            }
+        });
+        harness.write("upstreams", "e2", "engines " + upstream.port);
+        startNode(upstream);
+        String received = receiveAll("/resumable/x", "r1");
+        assertEquals(2, received.split("data: a", -1).length, received);
+        assertFalse(complete(received), received);
+    }
+
+    /** Guards against the same in the output of an item. */
+    @Test
+    void outputWithoutIdsIsNotContinued() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String start = RawUpstream.chunkedHead(id) + RawUpstream.chunk("data: a\n\n");
+            if (runs.incrementAndGet() == 1) {
+                socket.write(start);
+                vertx.setTimer(50, later -> socket.close());
+            } else {
+                socket.write(start + RawUpstream.chunk("data: b\n\n") + "0\r\n\r\n");
+            }
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=a|b\n", jobResults());
+    }
+
     /** Guards against running a request at a second upstream for a rejection that belongs to no request. */
     @ParameterizedTest
     @ValueSource(strings = {"", "id: earlier\r\n"})
--- a/serving/src/test/java/dev/lavenderline/serving/online/EventSequenceTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/EventSequenceTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
@@ -67,6 +68,19 @@
         assertEquals("1 2", accepted(event("1") + "weight-versions: 3\nid: 2\ndata: several tokens\n\n"));
     }
 
+    /** Guards against a stream that begins anew behind events that name no id, and one that comments keep from it. */
+    @Test
+    void onlyIdsMakeAStreamContinuable() {
+        EventSequence sequence = new EventSequence(OptionalLong.empty());
+        EventStreamParser parser = new EventStreamParser(event -> assertTrue(sequence.accepts(event)));
+        parser.feed(Buffer.buffer(": comment\n\n"));
+        assertTrue(sequence.continuable());
+        parser.feed(Buffer.buffer("data: text\n\n"));
+        assertFalse(sequence.continuable());
+        parser.feed(Buffer.buffer(event("1")));
+        assertTrue(sequence.continuable());
+    }
+
     private static String filtered(String... chunks) {
         EventStreamFilter filter = new EventStreamFilter(new EventSequence(OptionalLong.empty()));
         Buffer passed = Buffer.buffer();
