Keep comments out of the outputs of items

Comments still count as progress and toward the size of an output.

Failed before: commentsAreNoPartOfAnOutput.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -333,8 +333,11 @@
                 return;
             }
             lastProgressNanos = context.ticker().nanos();
-            output.events.add(event.data());
             output.bytes += event.data().length() + EVENT_OVERHEAD_BYTES;
+            if (event.commentOnly()) {
+                return;
+            }
+            output.events.add(event.data());
             output.lastEventId = sequence.lastId();
         }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -260,6 +260,20 @@
         assertEquals("a=a|b\n", jobResults());
     }
 
+    /** Guards against comments of a stream that are recorded as empty events of an output. */
+    @Test
+    void commentsAreNoPartOfAnOutput() throws Exception {
+        RawUpstream upstream = new RawUpstream(
+                vertx,
+                (socket, id) -> socket.write(RawUpstream.chunkedHead(id)
+                        + RawUpstream.chunk(": comment\n\n" + events(1, 2) + ": comment\n\n" + events(3, EVENTS))
+                        + "0\r\n\r\n"));
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
     /** Guards against running a request at a second upstream for a rejection that belongs to no request. */
     @ParameterizedTest
     @ValueSource(strings = {"", "id: earlier\r\n"})
