Play copies within streams that may be resumed as well

secondCopyWithinAStreamIsNotForwarded sends each copy on both kinds of streams; by the ids of the events, those that may be resumed end as cut too if no other upstream is there.

--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -14,6 +14,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -139,12 +140,14 @@
             }
         });
         startNode(upstream);
-        String received = receiveAll("/stream/x", "r1");
-        assertFalse(complete(received), received);
-        for (int i = 1; i <= EVENTS; i++) {
-            assertTrue(received.split("data: text" + i, -1).length <= 2, "event " + i + " twice: " + received);
+        for (String path : List.of("/stream/x", "/resumable/x")) {
+            String received = receiveAll(path, "r" + path.length());
+            assertFalse(complete(received), received);
+            for (int i = 1; i <= EVENTS; i++) {
+                assertTrue(received.split("data: text" + i, -1).length <= 2, "event " + i + " twice: " + received);
+            }
+            assertEquals(received.lastIndexOf("HTTP/1."), 0, received);
         }
-        assertEquals(received.lastIndexOf("HTTP/1."), 0, received);
     }
 
     /** Guards against recording the second copy of an output as a part of it. */
