--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -17,7 +17,6 @@
 import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -55,8 +54,6 @@
     /** Time after the first event in which a crash of the upstream may be due to the request. */
     private static final Duration CRASH_PERIOD = Duration.ofMillis(100);
 
-    private static final String EVENT_STREAM = "text/event-stream";
-
     /** Lowest response status that counts as a failure of the upstream. */
     private static final int MIN_FAILURE_STATUS = 500;
 
@@ -88,7 +85,9 @@
     private String service;
     private int sends;
     private int possibleRuns;
-    private OptionalLong lastEventId;
+
+    /** The events that the caller has received, as far as the next send continues them. */
+    private EventSequence events;
 
     /** Where the stream began that the next send continues; empty if the caller has not received an event. */
     private Optional<StreamOrigin> origin;
@@ -110,6 +109,10 @@
 
     private Upstream upstream;
     private UpstreamExchange exchange;
+
+    /** The exchange in progress or, after its end, the last one. */
+    private UpstreamExchange lastExchange;
+
     private long sentNanos;
     private long firstByteNanos;
 
@@ -119,7 +122,6 @@
     private long lastReceivedNanos;
     private long lastSuspectNanos;
     private boolean paused;
-    private boolean closeDelimited;
     private boolean partialEvent;
     private Timers.Timer silenceTimer = () -> {};
     private String failures = "";
@@ -148,7 +150,7 @@
         this.onDone = onDone;
         this.traits = new RequestTraits(info.sharedParts(), this::hash);
         this.keyCheck = new KeyCheck(context.keys(), route, info);
-        this.lastEventId = info.lastEventId();
+        this.events = new EventSequence(resumedByCaller() ? info.lastEventId() : OptionalLong.empty());
         this.origin = resumedByCaller()
                 ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
                 : Optional.empty();
@@ -413,14 +415,21 @@
         lastReceivedNanos = sentNanos;
         lastSuspectNanos = sentNanos;
         paused = false;
+        events = new EventSequence(events.lastId());
         MultiMap upstreamHeaders =
-                context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), lastEventId, caller);
+                context.wire().upstreamHeaders(headers, target.id(), Optional.of(remaining()), sendAfter(), caller);
         UpstreamRequest request = new UpstreamRequest(info.id(), method, uri, upstreamHeaders, body);
         ResponseListener listener = route.kind() == RouteKind.STREAMING
                 ? (route.resumable() ? new ResumableStream() : new PlainStream())
                 : new BufferedResponse();
         silenceTimer = context.timers().every(SILENCE_CHECK_PERIOD, () -> endOnException(this::checkSilence));
         exchange = context.connections().send(target, request, context.wire(), listener);
+        lastExchange = exchange;
+    }
+
+    /** Returns the event after which the next send continues the stream. */
+    private OptionalLong sendAfter() {
+        return events.lastId().isPresent() ? events.lastId() : info.lastEventId();
     }
 
     private void checkSilence() {
@@ -572,7 +581,7 @@
                         "message",
                         message,
                         "after",
-                        lastEventId.isPresent() ? lastEventId.getAsLong() : null);
+                        sendAfter().isPresent() ? sendAfter().getAsLong() : null);
     }
 
     /** Ends a request for which no upstream is available. */
@@ -686,10 +695,14 @@
                         (deadlineNanos - arrivalNanos) / 1_000_000,
                         "returning",
                         callerRetries(),
+                        "connectionRequests",
+                        lastExchange == null ? null : lastExchange.connectionRequests(),
                         "closeDelimited",
-                        closeDelimited,
+                        lastExchange == null ? null : lastExchange.closeDelimited(),
                         "partialEvent",
                         partialEvent,
+                        "eventIds",
+                        events,
                         "outcome",
                         outcome,
                         "failures",
@@ -743,11 +756,6 @@
         }
     }
 
-    private void recordBodyEnd(boolean withinEvent) {
-        closeDelimited = exchange.closeDelimited();
-        partialEvent = withinEvent;
-    }
-
     /**
      * Ends the attempt if the stream that has just ended is truncated. The response may have been delimited correctly:
      * an upstream may break off a stream and still end its connection, or its last chunk, in order.
@@ -757,12 +765,6 @@
         return truncation.isPresent();
     }
 
-    /** Returns whether a response consists of events; one without a content type is taken to. */
-    private static boolean isEventStream(MultiMap headers) {
-        String type = headers.get(HttpHeaders.CONTENT_TYPE);
-        return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
-    }
-
     private void applyBackpressure(UpstreamExchange source) {
         if (response.writeQueueFull()) {
             source.pause();
@@ -791,6 +793,7 @@
             markReceived();
             status = upstreamStatus;
             responseHeaders = upstreamHeaders;
+            failIfUnprovenRejection(status);
         }
 
         @Override
@@ -813,7 +816,6 @@
 
         @Override
         public void end() {
-            recordBodyEnd(false);
             if (!streaming && isFailure(status) && route.repeatable() && attemptsLeft()) {
                 failedWithStatus(status);
                 return;
@@ -832,44 +834,44 @@
         }
     }
 
-    /** Forwards a stream that can't be resumed, chunk by chunk. */
-    private final class PlainStream implements ResponseListener {
-        private final EventBoundaryScanner boundaries = new EventBoundaryScanner();
-        private int status;
-        private MultiMap responseHeaders;
+    /** Ends the attempt if forwarding its status would promise that a request has not run which may have. */
+    private void failIfUnprovenRejection(int status) {
+        if (!route.repeatable() && RejectionStatus.promisesNotRun(status)) {
+            exchange.cancel();
+            failedWithStatus(status);
+        }
+    }
+
+    private void breakOff(String cause) {
+        exchange.cancel();
+        attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
+    }
+
+    /** What the two ways to forward a stream have in common. */
+    private abstract class StreamedResponse implements ResponseListener {
+        int status;
+        MultiMap responseHeaders;
 
         @Override
         public void headers(int upstreamStatus, MultiMap upstreamHeaders) {
             markReceived();
             status = upstreamStatus;
             responseHeaders = upstreamHeaders;
+            failIfUnprovenRejection(status);
         }
 
-        private void startResponse() {
+        void forward(Buffer bytes) {
             if (!response.started()) {
                 response.startStream(status, responseHeaders);
             }
-        }
-
-        @Override
-        public void chunk(Buffer chunk) {
-            markReceived();
-            markFirstByte();
-            boundaries.scan(chunk);
-            startResponse();
-            response.write(chunk);
+            response.write(bytes);
             applyBackpressure(exchange);
         }
 
-        @Override
-        public void end() {
-            recordBodyEnd(boundaries.withinEvent());
-            if (status == 200
-                    && isEventStream(responseHeaders)
-                    && failIfTruncated(boundaries.truncation(closeDelimited))) {
-                return;
+        void endStream() {
+            if (!response.started()) {
+                response.startStream(status, responseHeaders);
             }
-            startResponse();
             response.end();
             complete(status);
         }
@@ -880,31 +882,50 @@
         }
     }
 
-    /** Forwards only complete events, so that another upstream can continue the stream after the last one. */
-    private final class ResumableStream implements ResponseListener {
-        private final EventStreamParser parser = new EventStreamParser(this::event);
-        private final Buffer errorBody = Buffer.buffer();
-        private int status;
-        private MultiMap responseHeaders;
-        private boolean outOfOrder;
+    /** Forwards a stream that can't be resumed; a response that consists of no events as it arrives. */
+    private final class PlainStream extends StreamedResponse {
+        private final EventStreamFilter filter = new EventStreamFilter(events);
+
+        private boolean hasEvents() {
+            return status == HTTP_OK && EventStreamFilter.isEventStream(responseHeaders);
+        }
 
         @Override
-        public void headers(int upstreamStatus, MultiMap upstreamHeaders) {
+        public void chunk(Buffer chunk) {
             markReceived();
-            status = upstreamStatus;
-            responseHeaders = upstreamHeaders;
+            markFirstByte();
+            Buffer passed = hasEvents() ? filter.feed(chunk) : chunk;
+            if (passed.length() > 0) {
+                forward(passed);
+            }
+            if (filter.broken()) {
+                breakOff("events out of order");
+            }
         }
 
-        private void startResponse() {
-            if (!response.started()) {
-                response.startStream(status, responseHeaders);
+        @Override
+        public void end() {
+            partialEvent = filter.withinEvent();
+            if (hasEvents() && failIfTruncated(filter.truncation(exchange.closeDelimited()))) {
+                return;
             }
+            Buffer lineEnds = filter.remainder();
+            if (lineEnds.length() > 0) {
+                forward(lineEnds);
+            }
+            endStream();
         }
+    }
+
+    /** Forwards only complete events, so that another upstream can continue the stream after the last one. */
+    private final class ResumableStream extends StreamedResponse {
+        private final EventStreamParser parser = new EventStreamParser(this::event);
+        private final Buffer errorBody = Buffer.buffer();
 
         @Override
         public void chunk(Buffer chunk) {
             markReceived();
-            if (status != 200) {
+            if (status != HTTP_OK) {
                 errorBody.appendBuffer(chunk);
                 if (errorBody.length() > MAX_BUFFERED_BYTES) {
                     breakOff("error response is too long");
@@ -912,66 +933,45 @@
                 return;
             }
             boolean withinLimit = parser.feed(chunk);
-            if (outOfOrder && !done) {
+            if (events.broken() && !done) {
                 breakOff("events out of order");
             } else if (!withinLimit && !done) {
                 breakOff("event is too long");
             }
         }
 
-        private void breakOff(String cause) {
-            exchange.cancel();
-            attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
-        }
-
         private void event(StreamEvent event) {
-            if (outOfOrder) {
-                return;
-            }
-            if (lastEventId.isPresent()
-                    && event.id().isPresent()
-                    && event.id().getAsLong() != lastEventId.getAsLong() + 1) {
-                outOfOrder = true;
+            if (!events.accepts(event)) {
                 return;
             }
             markFirstByte();
             recordOrigin();
-            startResponse();
-            response.write(event.raw());
-            lastEventId = event.id().isPresent() ? event.id() : lastEventId;
-            applyBackpressure(exchange);
+            forward(event.raw());
         }
 
         @Override
         public void end() {
-            recordBodyEnd(parser.hasPartialEvent());
-            if (status == 200 && failIfTruncated(parser.truncation(closeDelimited))) {
+            partialEvent = parser.hasPartialEvent();
+            if (status == HTTP_OK && failIfTruncated(parser.truncation(exchange.closeDelimited()))) {
                 return;
             }
             if (isFailure(status) && attemptsLeft()) {
                 failedWithStatus(status);
                 return;
             }
-            if (status != 200 && response.started()) {
+            if (status != HTTP_OK && response.started()) {
                 response.abort();
                 finish(
                         "upstream answered " + status + " to the continuation of a stream",
                         ReleaseReason.UPSTREAM_FAILED);
                 return;
             }
-            if (status != 200) {
+            if (status != HTTP_OK) {
                 response.send(status, responseHeaders, errorBody);
                 complete(status);
                 return;
             }
-            startResponse();
-            response.end();
-            complete(status);
-        }
-
-        @Override
-        public void failed(SendFailure failure, String message) {
-            attemptFailed(failure, failure.releaseReason(), message);
+            endStream();
         }
     }
 
