Let the stand-ins write second copies of their responses

Upstreams may answer twice. Copies are the exact bytes sent, written below the HTTP codec.

The stand-ins repeat X-Request-Id in all responses, rejections included, as the engine protocol now says.

--- a/standins/src/main/java/dev/lavenderline/standins/engine/EngineOptions.java
+++ b/standins/src/main/java/dev/lavenderline/standins/engine/EngineOptions.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.standins.engine;
 
+import dev.lavenderline.standins.stutter.Stutter;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -30,6 +31,7 @@
  * @param cacheEventLoss fraction of the cache events that are never published, 0 to 1
  * @param historyLimit requests kept in the history; the oldest are dropped
  * @param preloaded models loaded at startup, each {@code MODEL:VERSION} or {@code MODEL:VERSION:ADAPTER}
+ * @param stutter second copies of responses
  * @param seed seed of the random number generator
  */
 public record EngineOptions(
@@ -49,6 +51,7 @@
         double cacheEventLoss,
         int historyLimit,
         List<String> preloaded,
+        Stutter stutter,
         long seed) {
     public EngineOptions {
         if (maxRunningSequences < 1) {
@@ -94,6 +97,9 @@
                 Double.parseDouble(commandLine.getOptionValue("cache-event-gap", "0.05")),
                 Integer.parseInt(commandLine.getOptionValue("history-limit", "200000")),
                 commandLine.hasOption("loaded") ? List.of(commandLine.getOptionValues("loaded")) : List.of(),
+                Stutter.parse(
+                        commandLine.getOptionValue(Stutter.OPTION, "none"),
+                        commandLine.hasOption(Stutter.WITHOUT_ID_OPTION)),
                 Long.parseLong(commandLine.getOptionValue("seed", "1")));
     }
 
@@ -114,11 +120,16 @@
         addOption(options, "cache-event-gap", "fraction of the cache events that are never published, 0 to 1");
         addOption(options, "history-limit", "requests kept in the history");
         addOption(options, "loaded", "model loaded at startup, MODEL:VERSION[:ADAPTER]; may be repeated");
+        addOption(options, Stutter.OPTION, Stutter.DESCRIPTION);
         addOption(options, "seed", "seed of the random number generator");
         options.addOption(Option.builder()
                 .longOpt("checks-fencing")
                 .desc("refuse orders with an outdated fencing number")
                 .get());
+        options.addOption(Option.builder()
+                .longOpt(Stutter.WITHOUT_ID_OPTION)
+                .desc(Stutter.WITHOUT_ID_DESCRIPTION)
+                .get());
         return options;
     }
 
--- a/standins/src/main/java/dev/lavenderline/standins/engine/EngineServer.java
+++ b/standins/src/main/java/dev/lavenderline/standins/engine/EngineServer.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.standins.engine;
 
+import dev.lavenderline.standins.stutter.StutteringConnection;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
@@ -108,6 +109,10 @@
         router.post("/faults").handler(bodies).handler(this::setFaults);
         router.get("/history").handler(ctx -> ctx.json(history.toJson()));
         router.route().handler(bodies).handler(ctx -> runAfterHang(ctx::next));
+        router.route("/v1/*").handler(ctx -> {
+            StutteringConnection.copyResponse(ctx.request());
+            ctx.next();
+        });
         router.post("/v1/chat/completions").handler(ctx -> complete(ctx, true));
         router.post("/v1/completions").handler(ctx -> complete(ctx, false));
         router.get("/v1/streams/:id").handler(this::resume);
@@ -123,7 +128,10 @@
                 .setPort(options.port())
                 .setHttp2ClearTextEnabled(false);
         server = vertx.createHttpServer(http)
-                .connectionHandler(connection -> connection.exceptionHandler(ignored -> {}))
+                .connectionHandler(connection -> {
+                    connection.exceptionHandler(ignored -> {});
+                    StutteringConnection.prepare(connection, options.stutter());
+                })
                 .requestHandler(router);
         sampleLoad();
         return server.listen();
@@ -410,6 +418,10 @@
             return;
         }
         JsonObject error = new JsonObject().put("code", code).put("message", message);
+        String id = ctx.request().getHeader("X-Request-Id");
+        if (id != null) {
+            ctx.response().putHeader("X-Request-Id", id);
+        }
         ctx.response()
                 .setStatusCode(status)
                 .putHeader("Content-Type", "application/json")
--- a/standins/src/main/java/dev/lavenderline/standins/service/ServiceOptions.java
+++ b/standins/src/main/java/dev/lavenderline/standins/service/ServiceOptions.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.standins.service;
 
+import dev.lavenderline.standins.stutter.Stutter;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -13,8 +14,9 @@
  * @param port port to listen on, 0 for an ephemeral port
  * @param delayMs time to process a call, in milliseconds
  * @param paddingBytes length of the field {@code padding} of each response
+ * @param stutter second copies of responses
  */
-public record ServiceOptions(String host, int port, long delayMs, int paddingBytes) {
+public record ServiceOptions(String host, int port, long delayMs, int paddingBytes, Stutter stutter) {
     /**
      * Parses command-line arguments.
      *
@@ -26,6 +28,11 @@
         addOption(options, "port", "port to listen on, 0 for an ephemeral port");
         addOption(options, "delay", "milliseconds to process a call");
         addOption(options, "padding", "bytes of padding in each response");
+        addOption(options, Stutter.OPTION, Stutter.DESCRIPTION);
+        options.addOption(Option.builder()
+                .longOpt(Stutter.WITHOUT_ID_OPTION)
+                .desc(Stutter.WITHOUT_ID_DESCRIPTION)
+                .get());
         CommandLine commandLine;
         try {
             commandLine = new DefaultParser().parse(options, args);
@@ -36,7 +43,10 @@
                 commandLine.getOptionValue("host", "127.0.0.1"),
                 Integer.parseInt(commandLine.getOptionValue("port", "0")),
                 Long.parseLong(commandLine.getOptionValue("delay", "0")),
-                Integer.parseInt(commandLine.getOptionValue("padding", "0")));
+                Integer.parseInt(commandLine.getOptionValue("padding", "0")),
+                Stutter.parse(
+                        commandLine.getOptionValue(Stutter.OPTION, "none"),
+                        commandLine.hasOption(Stutter.WITHOUT_ID_OPTION)));
     }
 
     private static void addOption(Options options, String name, String description) {
--- a/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
+++ b/standins/src/main/java/dev/lavenderline/standins/service/ServiceServer.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.standins.service;
 
+import dev.lavenderline.standins.stutter.StutteringConnection;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
@@ -62,7 +63,10 @@
                 .setPort(options.port())
                 .setHttp2ClearTextEnabled(false);
         server = vertx.createHttpServer(http)
-                .connectionHandler(connection -> connection.exceptionHandler(ignored -> {}))
+                .connectionHandler(connection -> {
+                    connection.exceptionHandler(ignored -> {});
+                    StutteringConnection.prepare(connection, options.stutter());
+                })
                 .requestHandler(router);
         return server.listen();
     }
@@ -78,6 +82,11 @@
     }
 
     private void handleCall(RoutingContext ctx, String body) {
+        StutteringConnection.copyResponse(ctx.request());
+        String id = header(ctx, "X-Request-Id");
+        if (!id.isEmpty()) {
+            ctx.response().putHeader("X-Request-Id", id);
+        }
         if (remainingRejects > 0) {
             remainingRejects--;
             JsonObject error = new JsonObject().put("code", "overloaded").put("message", "the call was not run");
