Accept a response on a reused connection only with the id of its request

Callers of a plain service could get the response to another caller's call: its responses were not compared with the request at all. A late copy of a rejection was taken for the rejection of the next request on the connection, with the id of the earlier request or without one: its caller got refused_by_engine, or the request was sent to a second engine while the first one ran it.

A response now counts only if it names the request, which is sent once on a connection, or if its connection has carried no other request. Else the connection is closed and the answer is fetched on a new one, as after a broken connection. A connection goes back to the pool only after responses with the ids of their requests, so one of a service that does not repeat ids is used once. It is also closed if the response came before the request was complete. A rejection with the id of another request is no rejection on a new connection either.

UpstreamClientTest.idleConnectionIsClosed needs a connection that is kept, so its engine now repeats the id; what it checks is unchanged.

--- a/http/src/main/java/dev/lavenderline/http/EngineExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/EngineExchange.java
@@ -31,6 +31,7 @@
     EngineExchange(
             Vertx vertx,
             HttpClientAgent client,
+            UsedConnections usedConnections,
             RequestOptions options,
             Buffer body,
             Duration firstTimeout,
@@ -40,7 +41,7 @@
             boolean resumed,
             Optional<BooleanSupplier> precondition,
             StreamListener listener) {
-        super(vertx, client, options, body, firstTimeout, stallTimeout, precondition);
+        super(vertx, client, usedConnections, requestId, options, body, firstTimeout, stallTimeout, precondition);
         this.requestId = requestId;
         this.nextIndex = firstIndex;
         this.resumed = resumed;
@@ -52,16 +53,16 @@
 
     @Override
     void onHead(HttpClientResponse head) {
+        String id = head.getHeader(REQUEST_ID_HEADER);
+        if (id != null && !id.equals(requestId)) {
+            fail(UpstreamFailure.Kind.CROSSED, "the answer has the id " + id + " instead of " + requestId);
+            return;
+        }
         int status = head.statusCode();
         if (status != 200) {
             failWithBody(failureKind(status), status);
             return;
         }
-        String id = head.getHeader("X-Request-Id");
-        if (id != null && !id.equals(requestId)) {
-            fail(UpstreamFailure.Kind.CROSSED, "the answer has the id " + id + " instead of " + requestId);
-            return;
-        }
         listener.head();
     }
 
--- a/http/src/main/java/dev/lavenderline/http/ServiceExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/ServiceExchange.java
@@ -15,12 +15,14 @@
     ServiceExchange(
             Vertx vertx,
             HttpClientAgent client,
+            UsedConnections usedConnections,
+            String requestId,
             RequestOptions options,
             Buffer body,
             Duration firstTimeout,
             Duration stallTimeout,
             CallListener listener) {
-        super(vertx, client, options, body, firstTimeout, stallTimeout, Optional.empty());
+        super(vertx, client, usedConnections, requestId, options, body, firstTimeout, stallTimeout, Optional.empty());
         this.listener = listener;
     }
 
--- a/http/src/main/java/dev/lavenderline/http/UpstreamClient.java
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamClient.java
@@ -33,6 +33,7 @@
 
     private final Vertx vertx;
     private final Options options;
+    private final UsedConnections usedConnections = new UsedConnections();
     private final Map<TrafficClass, HttpClientAgent> pooled = new EnumMap<>(TrafficClass.class);
     private final Map<TrafficClass, HttpClientAgent> unpooled = new EnumMap<>(TrafficClass.class);
 
@@ -100,7 +101,7 @@
         RequestOptions http = requestTo(upstream, HttpMethod.POST, request.path())
                 .putHeader("Content-Type", "application/json")
                 .putHeader("Accept", "text/event-stream")
-                .putHeader("X-Request-Id", request.requestId())
+                .putHeader(UpstreamExchange.REQUEST_ID_HEADER, request.requestId())
                 .putHeader("X-Request-Class", request.trafficClass().headerValue());
         return engineExchange(upstream, request, http, request.body(), 0, false, listener);
     }
@@ -138,6 +139,7 @@
         EngineExchange exchange = new EngineExchange(
                 vertx,
                 clientFor(request.trafficClass(), request.newConnection()),
+                usedConnections,
                 http,
                 body,
                 request.firstTokenTimeout(),
@@ -187,10 +189,12 @@
     private Exchange call(Upstream upstream, TrafficClass trafficClass, CallRequest request, CallListener listener) {
         RequestOptions http = requestTo(upstream, request.method(), request.uri());
         request.headers().forEach((name, value) -> http.addHeader(name, value));
-        http.putHeader("X-Request-Id", request.requestId());
+        http.putHeader(UpstreamExchange.REQUEST_ID_HEADER, request.requestId());
         ServiceExchange exchange = new ServiceExchange(
                 vertx,
                 clientFor(trafficClass, request.newConnection()),
+                usedConnections,
+                request.requestId(),
                 http,
                 request.body(),
                 request.headTimeout(),
--- a/http/src/main/java/dev/lavenderline/http/UpstreamExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamExchange.java
@@ -9,18 +9,30 @@
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
  * One HTTP exchange with an upstream: opens the connection, enforces the timeouts for a silent upstream, and reports
  * at most one outcome. Not thread-safe; confined to the event loop.
+ *
+ * <p>Invariants: a response is reported only if it carries the id of the request, which is sent once on a connection,
+ * or if no other request was sent on its connection; a connection is reused only after responses with the ids of their
+ * requests. Anything else may be a late copy of the response to an earlier request.
  */
 abstract class UpstreamExchange {
+    static final String REQUEST_ID_HEADER = "X-Request-Id";
+
     private static final int MAX_ERROR_BODY_BYTES = 64 * 1024;
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** Longest time for which a response may go on whose connection is not reused; above every deadline. */
+    private static final Duration MAX_RESPONSE_TIME = Duration.ofDays(2);
+
     private final Vertx vertx;
     private final HttpClientAgent client;
+    private final UsedConnections usedConnections;
+    private final String requestId;
     private final RequestOptions options;
     private final Buffer body;
     private final long firstTimeoutNanos;
@@ -28,6 +40,8 @@
     private final Optional<BooleanSupplier> precondition;
     private HttpClientRequest request;
     private HttpClientResponse response;
+    private boolean firstOnConnection;
+    private boolean bodyWritten;
     private long timer = -1;
     private long progressNanos;
     private boolean progressed;
@@ -38,6 +52,8 @@
     UpstreamExchange(
             Vertx vertx,
             HttpClientAgent client,
+            UsedConnections usedConnections,
+            String requestId,
             RequestOptions options,
             Buffer body,
             Duration firstTimeout,
@@ -45,6 +61,8 @@
             Optional<BooleanSupplier> precondition) {
         this.vertx = vertx;
         this.client = client;
+        this.usedConnections = usedConnections;
+        this.requestId = requestId;
         this.options = options;
         this.body = body;
         this.firstTimeoutNanos = firstTimeout.toNanos();
@@ -75,12 +93,13 @@
             return;
         }
         request = newRequest;
+        firstOnConnection = usedConnections.firstUse(request.connection());
         // A byte of the request may be written from here on.
         maybeSent = true;
         request.exceptionHandler(cause -> fail(UpstreamFailure.Kind.BROKEN, describe(cause)));
         request.response().onComplete(this::onResponse, cause -> fail(UpstreamFailure.Kind.BROKEN, describe(cause)));
         if (precondition.isEmpty()) {
-            request.end(body);
+            writeBody();
             return;
         }
         // An upstream runs nothing before the body, so the condition is checked as late as possible.
@@ -93,12 +112,17 @@
             return;
         }
         if (condition.getAsBoolean()) {
-            request.end(body);
+            writeBody();
         } else {
             fail(UpstreamFailure.Kind.NOT_WANTED, "the request is no longer wanted");
         }
     }
 
+    private void writeBody() {
+        bodyWritten = true;
+        request.end(body);
+    }
+
     private void onConnectFailed(Throwable cause) {
         fail(UpstreamFailure.Kind.CONNECT, describe(cause));
     }
@@ -107,6 +131,14 @@
         if (done) {
             return;
         }
+        boolean namesRequest = requestId.equals(newResponse.getHeader(REQUEST_ID_HEADER));
+        if (!namesRequest && !firstOnConnection) {
+            fail(UpstreamFailure.Kind.BROKEN, "a response on a reused connection does not name the request");
+            return;
+        }
+        if (!namesRequest) {
+            request.connection().shutdown(MAX_RESPONSE_TIME.toSeconds(), TimeUnit.SECONDS);
+        }
         response = newResponse;
         response.exceptionHandler(cause -> fail(UpstreamFailure.Kind.BROKEN, describe(cause)));
         response.handler(chunk -> {
@@ -178,14 +210,18 @@
             return;
         }
         close();
-        notifyFailed(new UpstreamFailure(
-                kind, maybeSent, response == null ? 0 : response.statusCode(), Buffer.buffer(), message));
+        boolean answered = response != null && kind != UpstreamFailure.Kind.CROSSED;
+        notifyFailed(
+                new UpstreamFailure(kind, maybeSent, answered ? response.statusCode() : 0, Buffer.buffer(), message));
     }
 
-    /** Ends the exchange; its connection may be reused. */
+    /** Ends the exchange; its connection may be reused unless the request is incomplete. */
     void finish() {
         done = true;
         vertx.cancelTimer(timer);
+        if (request != null && !bodyWritten) {
+            request.reset();
+        }
     }
 
     /** Ends the exchange without a further callback and closes its connection. Idempotent. */
@@ -194,7 +230,7 @@
             return;
         }
         finish();
-        if (request != null) {
+        if (request != null && bodyWritten) {
             request.reset();
         }
     }
--- a/http/src/main/java/dev/lavenderline/http/UpstreamFailure.java
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamFailure.java
@@ -8,7 +8,7 @@
  *
  * @param kind kind of the failure
  * @param maybeSent whether any byte of the request may have been written; if false, the upstream received nothing of it
- * @param status HTTP status of the upstream's response, 0 if there was none
+ * @param status HTTP status of the upstream's response, 0 if there was none, or none that answers the request
  * @param body body of the upstream's error response, empty if there was none
  * @param message explanation for logs and callers
  */
--- a/http/src/test/java/dev/lavenderline/http/UpstreamClientTest.java
+++ b/http/src/test/java/dev/lavenderline/http/UpstreamClientTest.java
@@ -169,7 +169,10 @@
     void idleConnectionIsClosed() {
         serve(
                 new UpstreamClient.Options(Duration.ofSeconds(1), Duration.ofSeconds(1), 8),
-                request -> request.response().setChunked(true).end(TOKEN_0 + FINISH + DONE));
+                request -> request.response()
+                        .setChunked(true)
+                        .putHeader("X-Request-Id", request.getHeader("X-Request-Id"))
+                        .end(TOKEN_0 + FINISH + DONE));
         send("r1", TrafficClass.ONLINE);
         Awaitility.await().until(() -> events.size() == 2);
         assertEquals(1, openConnections.get());
