Give no item the lease number of another scheduler's item

A scheduler numbers the leases of items from its monotonic clock, which starts at no common time on two hosts. If a new scheduler came to a number that a node still held from the former one, the new lease replaced the old one in the table: the first item counted as not running and was started a second time while it ran.

A number that the node of the new lease holds is now skipped; its hello lists all that it holds.

LeaseNumbersTest.heldItemIsNotStartedAgainUnderAnyClock failed before: the items started were 0, 1, 0 instead of 0, 1. The class also shows that numbers of an earlier process of a node need not differ, because its leases and requests end when the node joins again.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -86,7 +86,7 @@
     private PlacementCost placementCost = new PlacementCost(Topology.ofRegions(Map.of()));
     private RequestCharges charges = RequestCharges.NONE;
     private long activeSinceNanos;
-    private long nextItemLease;
+    private final ItemLeaseNumbers itemLeases;
 
     /**
      * Limits of the scheduler.
@@ -149,9 +149,7 @@
         this.streamVersions = new StreamVersions(ticker, directory);
         this.resumptions = new ResumptionCounts(ticker, log, streamVersions);
         this.lastSlowCheckNanos = ticker.nanos();
-        // Starts at the clock, so that the numbers do not collide with item leases that nodes still hold from another
-        // scheduler.
-        this.nextItemLease = (1L << 62) | (ticker.nanos() & 0x0fff_ffff_ffff_ffffL);
+        this.itemLeases = new ItemLeaseNumbers(ticker);
     }
 
     /** Sets the condition for starting items. */
@@ -813,7 +811,7 @@
         boolean resumed = resumable.isPresent();
         Lease lease = new Lease(
                 node,
-                nextItemLease++,
+                itemLeases.next(number -> leases.find(node.name, number).isPresent()),
                 best.id(),
                 Optional.of(item.item()),
                 ticker.nanos(),
