Carry out no decision of a scheduler that is no longer in use

A node carries out the decisions of its scheduler in a later task. If it turned to another scheduler in between, its hello did not mention the decision and the waiting request was sent to the new scheduler, but the decision of the former one was still carried out: a request was sent to an upstream where no slot was kept for it, or rejected although the new scheduler grants it, and an item ran here while the new scheduler could start it at another node.

Decisions now name the connection that they came on and are dropped unless it is in use when they are carried out; the former scheduler has ended all leases of the node by then. Frames behind the one that closed a connection are ignored.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -3,6 +3,8 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.slots.Granted;
+import dev.lavenderline.proto.slots.Rejected;
+import dev.lavenderline.proto.slots.RunItem;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
@@ -192,6 +194,9 @@
         }
 
         void frame(SlotFrame frame) {
+            if (closed) {
+                return;
+            }
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> VersionFrames.read(frame.getHello(), directory.servedVersions());
@@ -204,28 +209,14 @@
                 }
                 case CONFIG_REQUEST -> configLink.requested(frame.getConfigRequest());
                 case CONFIG_RECORD -> configLink.received(frame.getConfigRecord());
-                case GRANTED -> granted(frame.getGranted());
-                case REJECTED -> {
-                    long lease = frame.getRejected().getLease();
-                    Duration delay = Duration.ofMillis(frame.getRejected().getRetryAfterMs());
-                    if (frame.getRejected().getOverQuota()) {
-                        overQuota(self.name(), lease, delay);
-                    } else {
-                        rejected(self.name(), lease, delay);
-                    }
-                }
+                case GRANTED -> decided(this, () -> granted(frame.getGranted()));
+                case REJECTED -> decided(this, () -> rejected(frame.getRejected()));
                 case QUOTA_DECISION -> quotas.decided(frame.getQuotaDecision());
                 case LIMITED_WORKSPACES ->
                     quotas.limited(frame.getLimitedWorkspaces().getWorkspacesList());
-                case RUN_ITEM ->
-                    run(
-                            self.name(),
-                            frame.getRunItem().getLease(),
-                            frame.getRunItem().getUpstream(),
-                            new ItemRef(
-                                    frame.getRunItem().getJob(),
-                                    frame.getRunItem().getItem()));
-                case PREEMPT -> preempt(self.name(), frame.getPreempt().getLease());
+                case RUN_ITEM -> decided(this, () -> run(frame.getRunItem()));
+                case PREEMPT ->
+                    decided(this, () -> executor.preempt(frame.getPreempt().getLease()));
                 case REQUEST_SUSPECTED ->
                     prompts.suspect(frame.getRequestSuspected().getRequest());
                 case PROMPT_REJECTED ->
@@ -250,7 +241,7 @@
                             !grant.getVersion().isEmpty() && !upstream.version().equals(grant.getVersion()))
                     .orElse(false);
             if (!continues || !otherVersion) {
-                SchedulerClient.this.granted(self.name(), grant.getLease(), grant.getUpstream());
+                SchedulerClient.this.granted(grant.getLease(), grant.getUpstream());
                 return;
             }
             release(grant.getLease(), ReleaseReason.CANCELLED, 0);
@@ -635,59 +626,100 @@
         }
     }
 
-    @Override
-    public void granted(String node, long lease, String upstream) {
+    /**
+     * Carries out a decision of a scheduler after the current task, unless another scheduler is in use by then: that
+     * one has been told what the node holds without this decision, and decides anew.
+     */
+    private void decided(Connection connection, Runnable decision) {
         context.runOnContext(now -> {
-            Pending entry = pending.remove(lease);
-            if (entry == null) {
-                // The request was withdrawn, or granted by two schedulers when the scheduler changed.
-                if (!heldSlots.containsKey(lease)) {
-                    release(lease, ReleaseReason.CANCELLED, 0);
-                }
-                return;
+            if (connection == current) {
+                decision.run();
             }
-            heldSlots.put(lease, new Holding(lease, upstream, Optional.empty()));
-            quotas.granted(entry.request());
-            entry.listener().granted(upstream);
         });
     }
 
+    /** Carries out a decision of this node's scheduler. */
+    private void decidedLocally(Runnable decision) {
+        Connection connection = current;
+        if (connection != null && connection.local()) {
+            decided(connection, decision);
+        }
+    }
+
     @Override
-    public void rejected(String node, long lease, Duration retryAfter) {
-        context.runOnContext(now -> {
-            Pending entry = pending.remove(lease);
-            if (entry != null) {
-                entry.listener().rejected(retryAfter);
+    public void granted(String node, long lease, String upstream) {
+        decidedLocally(() -> granted(lease, upstream));
+    }
+
+    private void granted(long lease, String upstream) {
+        Pending entry = pending.remove(lease);
+        if (entry == null) {
+            // The request was withdrawn.
+            if (!heldSlots.containsKey(lease)) {
+                release(lease, ReleaseReason.CANCELLED, 0);
             }
-        });
+            return;
+        }
+        heldSlots.put(lease, new Holding(lease, upstream, Optional.empty()));
+        quotas.granted(entry.request());
+        entry.listener().granted(upstream);
+    }
+
+    @Override
+    public void rejected(String node, long lease, Duration retryAfter) {
+        decidedLocally(() -> rejected(lease, retryAfter));
+    }
+
+    private void rejected(Rejected rejection) {
+        Duration retryAfter = Duration.ofMillis(rejection.getRetryAfterMs());
+        if (rejection.getOverQuota()) {
+            overQuota(rejection.getLease(), retryAfter);
+        } else {
+            rejected(rejection.getLease(), retryAfter);
+        }
+    }
+
+    private void rejected(long lease, Duration retryAfter) {
+        Pending entry = pending.remove(lease);
+        if (entry != null) {
+            entry.listener().rejected(retryAfter);
+        }
     }
 
     @Override
     public void overQuota(String node, long lease, Duration retryAfter) {
-        context.runOnContext(now -> {
-            Pending entry = pending.remove(lease);
-            if (entry != null) {
-                quotas.rejected();
-                entry.listener().overQuota(retryAfter);
-            }
-        });
+        decidedLocally(() -> overQuota(lease, retryAfter));
+    }
+
+    private void overQuota(long lease, Duration retryAfter) {
+        Pending entry = pending.remove(lease);
+        if (entry != null) {
+            quotas.rejected();
+            entry.listener().overQuota(retryAfter);
+        }
     }
 
     @Override
     public void run(String node, long lease, String upstream, ItemRef item) {
-        context.runOnContext(now -> {
-            if (draining) {
-                release(lease, ReleaseReason.NODE_DECLINED, 0);
-                return;
-            }
-            heldSlots.put(lease, new Holding(lease, upstream, Optional.of(item)));
-            executor.run(lease, upstream, item);
-        });
+        decidedLocally(() -> run(lease, upstream, item));
+    }
+
+    private void run(RunItem order) {
+        run(order.getLease(), order.getUpstream(), new ItemRef(order.getJob(), order.getItem()));
+    }
+
+    private void run(long lease, String upstream, ItemRef item) {
+        if (draining) {
+            release(lease, ReleaseReason.NODE_DECLINED, 0);
+            return;
+        }
+        heldSlots.put(lease, new Holding(lease, upstream, Optional.of(item)));
+        executor.run(lease, upstream, item);
     }
 
     @Override
     public void preempt(String node, long lease) {
-        context.runOnContext(now -> executor.preempt(lease));
+        decidedLocally(() -> executor.preempt(lease));
     }
 
     /** Returns the slots that this node holds. */
