Ignore a hello that arrives behind a later one of its node

A node whose connection is cut gives it up and connects to the scheduler again. What it had written to the first connection is still delivered when the cut ends. If that included the hello, and the second connection's hello came first, the scheduler replaced what the node holds by the older list and closed the sound connection. Until the next hello, slots granted meanwhile counted as free, and items started meanwhile could be started again.

Nodes ping before their hello, so the times of the last pings order the connections of a node; a hello that was sent before that of the connection in use is ignored. Times of another clock, after the host restarted, are recognised by their distance. Frames of a connection that is no longer in use are ignored as well.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -155,6 +155,10 @@
             if (active || closed) {
                 return;
             }
+            if (!local()) {
+                // Orders this hello behind that of a connection to the same scheduler, see HelloOrder.
+                ping();
+            }
             active = true;
             Connection previous = current;
             current = this;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -61,6 +61,7 @@
         final NetSocket socket;
         String node = "";
         String failureDomain = "";
+        long lastPingNanos;
         final ConfigExchange.Link configLink;
         long lastFrameNanos = ticker.nanos();
 
@@ -75,7 +76,15 @@
             socket.exceptionHandler(failure -> leave(this, failure.getMessage()));
         }
 
+        /** Returns whether the node has left, or uses another connection. */
+        boolean replaced() {
+            return !node.isEmpty() && peers.get(node) != this;
+        }
+
         void frame(SlotFrame frame) {
+            if (replaced()) {
+                return;
+            }
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> join(this, frame);
@@ -85,6 +94,7 @@
                             frame.getQuotaRequest().getId(),
                             quotas.decide(node, frame.getQuotaRequest().getWorkspace())));
                 case PING -> {
+                    lastPingNanos = frame.getPing().getSequence();
                     quotas.pinged(node);
                     socket.write(configLink.pong(frame.getPing(), jobStateAge.get()));
                 }
@@ -179,7 +189,12 @@
 
     private void join(Peer peer, SlotFrame frame) {
         peer.node = frame.getHello().getNode();
-        Peer previous = peers.put(peer.node, peer);
+        Peer previous = peers.get(peer.node);
+        if (previous != null && HelloOrder.late(peer.lastPingNanos, previous.lastPingNanos)) {
+            peer.socket.close();
+            return;
+        }
+        peers.put(peer.node, peer);
         if (previous != null && previous != peer) {
             previous.socket.close();
         }
