Leave the connection alone when a complete response is aborted

The abort of a response closes the caller's connection. If the response was complete, that connection may already carry the next request, whose response would be cut. No code aborts a complete response today; the class now excludes it, as it does for each other call after the end.

--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerResponse.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerResponse.java
@@ -107,8 +107,14 @@
         }
     }
 
-    /** Closes the connection, so that the caller sees the response as incomplete. */
+    /**
+     * Closes the connection, so that the caller sees the response as incomplete. A complete response is left alone, as
+     * its connection may carry the next one.
+     */
     void abort() {
+        if (ended()) {
+            return;
+        }
         ended = true;
         request.connection().close();
     }
