Follow a partition whatever its listener throws

A node whose decoder ran out of stack at one record of another writer stopped reading the partition for good: it used engines that had left, and items of accepted batch jobs never ran.

Cause: only a RuntimeException of the listener cost one record. A StackOverflowError left the handling of the response, and the next poll is scheduled after that. In the list that a starting process reads, an exception cost all records.

Change: FailureGuard runs a task whose failure must not end the loop around it; it states the policy for errors of the virtual machine. Responses, listeners and the records of a list run under it.

Failed before: PartitionFollowerTest.followsOnAfterErrorOfListener and followsOnAfterErrorAtTheStart, UpstreamFollowerTest. otherEntriesOfTheListHoldAfterOneThatThrows, each with the StackOverflowError.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ConfigFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ConfigFollower.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.node;
 
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.slots.ConfigExchange;
@@ -48,7 +49,7 @@
 
     @Override
     public void reset(List<KeyedRecord> newest) {
-        newest.forEach(this::record);
+        newest.forEach(record -> FailureGuard.run(log, () -> record(record), "key", record.key()));
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/node/PromptRejections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/PromptRejections.java
@@ -2,6 +2,7 @@
 
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.slots.CrashingPrompts;
 import dev.lavenderline.serving.store.KeyedListener;
@@ -44,7 +45,7 @@
 
     @Override
     public void reset(List<KeyedRecord> current) {
-        current.forEach(this::record);
+        current.forEach(record -> FailureGuard.run(log, () -> record(record), "key", record.key()));
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.node;
 
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedListener;
 import dev.lavenderline.serving.store.KeyedRecord;
@@ -50,7 +51,11 @@
         Map<String, Upstream> current = new HashMap<>();
         for (KeyedRecord record : newest) {
             if (!record.deletion()) {
-                decode(record).ifPresent(upstream -> current.put(upstream.id(), upstream));
+                FailureGuard.run(
+                        log,
+                        () -> decode(record).ifPresent(upstream -> current.put(upstream.id(), upstream)),
+                        "upstream",
+                        record.key());
             }
         }
         directory.replaceAll(current.values());
--- a/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.proto.versions.VersionRecord;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedListener;
 import dev.lavenderline.serving.store.KeyedRecord;
@@ -61,7 +62,7 @@
         loaded = true;
         entries.clear();
         writing.clear();
-        current.forEach(this::apply);
+        current.forEach(record -> FailureGuard.run(log, () -> apply(record), "key", record.key()));
         publish();
         versions.recordsLoaded();
     }
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -3,6 +3,7 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vertx.core.AsyncResult;
@@ -19,8 +20,8 @@
  * a pause after each response. A poll without a response in time is repeated on a new connection.
  *
  * <p>Invariants: after the load, each record is delivered at most once and in offset order; the next offset never
- * decreases unless the partition's end does; an exception of the listener does not end the reading. Not thread-safe;
- * confined to the event loop.
+ * decreases unless the partition's end does; nothing that the listener throws ends the reading. Not thread-safe; confined
+ * to the event loop.
  */
 public final class PartitionFollower {
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
@@ -134,7 +135,11 @@
                 : pageRecords.get(pageRecords.size() - 1).key();
         ClockReading sent = ClockReading.now(ticker);
         store.newest(partition, after)
-                .onSuccess(page -> handlePage(page, sent))
+                .onSuccess(page -> {
+                    if (!FailureGuard.run(log, () -> handlePage(page, sent), "partition", partition)) {
+                        timers.after(MAX_RETRY_DELAY, nextOffset < 0 ? this::load : this::poll);
+                    }
+                })
                 .onFailure(failure -> retryLater(failure, this::load));
     }
 
@@ -180,7 +185,7 @@
                 return;
             }
             if (response.succeeded()) {
-                handleSlice(response.result(), Optional.of(sent));
+                FailureGuard.run(log, () -> handleSlice(response.result(), Optional.of(sent)), "partition", partition);
             }
             if (number == latestPoll) {
                 pollEnded(response);
@@ -272,13 +277,9 @@
         }
     }
 
-    /** Calls the listener; an exception costs one record, not the records after it. */
+    /** Calls the listener; a failure costs one record, not the records and polls after it. */
     private void runListener(Runnable call, String key) {
-        try {
-            call.run();
-        } catch (RuntimeException e) {
-            log.event(ServingEvent.UNEXPECTED, "partition", partition, "key", key, "message", e);
-        }
+        FailureGuard.run(log, call, "partition", partition, "key", key);
     }
 
     /** Handles records that this process has appended at the given offset, without reading them back. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
@@ -48,6 +48,9 @@
         public Either<String, Upstream> upstream(String id, byte[] value) {
             decoded++;
             String state = new String(value, 0, value.length - 1, StandardCharsets.UTF_8);
+            if (state.equals("throws")) {
+                throw new StackOverflowError();
+            }
             return state.equals("broken")
                     ? Either.left("broken")
                     : Either.right(
@@ -157,4 +160,14 @@
         follower.reset(List.of(entry("e", "v11")));
         assertEquals(ServedVersions.Cause.NOT_OBSERVED, cause());
     }
+
+    /** Guards against a process that starts while an odd entry is in the list and then knows no upstream at all. */
+    @Test
+    void otherEntriesOfTheListHoldAfterOneThatThrows() {
+        follower.reset(List.of(entry("a", "ready1"), entry("b", "throws1"), entry("c", "ready1")));
+        assertTrue(directory.loaded());
+        assertTrue(directory.find("a").isPresent());
+        assertTrue(directory.find("b").isEmpty());
+        assertTrue(directory.find("c").isPresent());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.lavenderline.serving.ManualTime;
-import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
 import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,6 +23,8 @@
     private final FakeStore store = new FakeStore();
     private final List<String> delivered = new ArrayList<>();
     private String listenerFailsOn = "";
+    private Error listenerError;
+    private int failures;
     private int resets;
     private int caughtUp;
     private final PartitionFollower follower = new PartitionFollower(
@@ -32,11 +34,13 @@
                 @Override
                 public void reset(List<KeyedRecord> current) {
                     resets++;
+                    failOnRequest();
                     current.forEach(record -> delivered.add(record.key()));
                 }
 
                 @Override
                 public void record(KeyedRecord newer) {
+                    failOnRequest();
                     if (newer.key().equals(listenerFailsOn)) {
                         throw new IllegalStateException("record " + newer.key());
                     }
@@ -50,10 +54,16 @@
             },
             time,
             time,
-            EventLog.NONE,
+            (event, fields) -> failures += event == ServingEvent.UNEXPECTED ? 1 : 0,
             Duration.ofSeconds(1),
             () -> Duration.ofMillis(10));
 
+    private void failOnRequest() {
+        if (listenerError != null) {
+            throw listenerError;
+        }
+    }
+
     private void append(String... keys) {
         for (String key : keys) {
             store.log(PARTITION).add(new KeyedRecord(key, new byte[] {1}));
@@ -213,4 +223,35 @@
         time.advance(Duration.ofMillis(10));
         assertEquals(1, store.waitingPolls(), "one poll follows the released ones");
     }
+
+    /** Guards against a partition that is not followed any more after an error that is no exception. */
+    @Test
+    void followsOnAfterErrorOfListener() {
+        List<Error> errors = List.of(new StackOverflowError(), new OutOfMemoryError(), new AssertionError());
+        follower.start();
+        for (Error error : errors) {
+            listenerError = error;
+            appendLive("bad");
+            listenerError = null;
+            appendLive("good");
+        }
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("good", "good", "good"), delivered);
+        assertEquals(6, follower.nextOffset());
+        assertEquals(3, failures);
+    }
+
+    /** Guards against a process that follows nothing since it started while an odd record was the newest of its key. */
+    @Test
+    void followsOnAfterErrorAtTheStart() {
+        append("bad");
+        listenerError = new StackOverflowError();
+        Future<Void> loaded = follower.start();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(loaded.isComplete());
+        listenerError = null;
+        appendLive("good");
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("good"), delivered);
+    }
 }
