Check the numbers in records of batch jobs

Cause: a job allocates arrays as long as its record says and fills its list of results up to the position that a record says. A record of another writer could demand more memory than the process has, or throw.

Failed before: JobLedgerTest ended the virtual machine of the tests with "Java heap space" (seen twice).

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.proto.jobs.JobPart;
 import dev.lavenderline.proto.jobs.JobRecord;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedRecord;
 import dev.lavenderline.serving.workspaces.Caller;
@@ -60,12 +61,21 @@
             return;
         }
         try {
-            apply(JobRecord.parseFrom(record.value()));
-        } catch (InvalidProtocolBufferException | IndexOutOfBoundsException e) {
-            log.event(ServingEvent.RECORD_MALFORMED, "key", record.key(), "message", e.getMessage());
+            JobRecord value = JobRecord.parseFrom(record.value());
+            if (JobRecords.valid(value)) {
+                apply(value);
+            } else {
+                logMalformed(record.key(), "a number is out of range");
+            }
+        } catch (InvalidProtocolBufferException e) {
+            logMalformed(record.key(), e.getMessage());
         }
     }
 
+    private void logMalformed(String key, String message) {
+        log.event(ServingEvent.RECORD_MALFORMED, "key", key, "message", message);
+    }
+
     /**
      * Applies the newest record of each key of a partition and forgets the jobs of that partition of which no part is
      * among them. Jobs that stay keep their state, so that listeners are only called for what is new.
@@ -85,7 +95,7 @@
         recordsBeforeJob.keySet().removeIf(inPartition);
         openJobsStale = true;
         missed.forEach(job -> cancelListeners.forEach(listener -> listener.accept(job)));
-        current.forEach(this::apply);
+        current.forEach(record -> FailureGuard.run(log, () -> apply(record), "key", record.key()));
     }
 
     private void delete(String key) {
@@ -132,6 +142,10 @@
     private void addPart(JobPart part) {
         Job job = jobs.computeIfAbsent(
                 part.getJob(), id -> new Job(part, ticker.nanos() - age(part).toNanos()));
+        if (job.itemCount() != part.getItemsTotal() || job.parts() != part.getParts()) {
+            logMalformed(JobRecords.key(part), "the job has other numbers of items or parts");
+            return;
+        }
         job.addPart(part);
         openJobsStale = true;
         List<JobRecord> records = recordsBeforeJob.remove(part.getJob());
@@ -141,6 +155,10 @@
     }
 
     private void apply(Job job, JobRecord record) {
+        if (!JobRecords.concerns(record, job)) {
+            logMalformed(job.id(), "the job has no such item");
+            return;
+        }
         switch (record.getBodyCase()) {
             case RESULT -> {
                 if (job.addResult(record.getResult())) {
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -16,8 +16,54 @@
 final class JobRecords {
     private static final String PART_PREFIX = "job/";
 
+    /**
+     * Largest number of items of a job in a record, far above that of a submission. Bounds the memory that a record of
+     * another writer can demand.
+     */
+    static final int MAX_ITEMS = 10_000;
+
     private JobRecords() {}
 
+    /** Returns whether the numbers of a record are possible. Unsigned numbers above 31 bits are negative here. */
+    static boolean valid(JobRecord record) {
+        return switch (record.getBodyCase()) {
+            case PART -> valid(record.getPart());
+            case RESULT ->
+                record.getResult().getItem() >= 0 && record.getResult().getPosition() >= 0;
+            case FAILURES ->
+                record.getFailures().getItem() >= 0 && record.getFailures().getFailures() >= 0;
+            default -> true;
+        };
+    }
+
+    private static boolean valid(JobPart part) {
+        int total = part.getItemsTotal();
+        return total > 0
+                && total <= MAX_ITEMS
+                && part.getParts() > 0
+                && part.getParts() <= total
+                && part.getPart() >= 0
+                && part.getPart() < part.getParts()
+                && part.getItemsCount() > 0
+                && part.getFirstItem() >= 0
+                && part.getFirstItem() <= total - part.getItemsCount()
+                && part.getDueInMs() >= 0
+                && part.getRetentionMs() >= 0
+                && part.getAttempts() >= 0
+                && part.getItemsList().stream().allMatch(item -> item.getTokens() >= 0);
+    }
+
+    /** Returns whether the item and position of a valid record are within a job. */
+    static boolean concerns(JobRecord record, Job job) {
+        return switch (record.getBodyCase()) {
+            case RESULT ->
+                record.getResult().getItem() < job.itemCount()
+                        && record.getResult().getPosition() < job.itemCount();
+            case FAILURES -> record.getFailures().getItem() < job.itemCount();
+            default -> true;
+        };
+    }
+
     /**
      * Returns the parts of a job with the content of their items, split so that each stays below a size limit.
      *
