Ignore nodes whose record names no usable address

Cause: opening a connection to a port out of range throws instead of failing. The exception left the choice of a scheduler after the candidate was set, so that no other scheduler was tried while the node was the preferred one.

Failed before: NodeRegistryTest, four of the five odd records named a node.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.slots.NodeRecord;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedListener;
 import dev.lavenderline.serving.store.KeyedRecord;
@@ -37,6 +38,8 @@
     private final EventLog log;
     private final Consumer<Collection<NodeEntry>> listener;
     private final PartitionFollower follower;
+    private static final int MAX_PORT = 65_535;
+
     private final Map<String, NodeEntry> nodes = new HashMap<>();
     private boolean stopped;
 
@@ -90,7 +93,7 @@
     public void reset(List<KeyedRecord> current) {
         nodes.clear();
         nodes.put(self.name(), self);
-        current.forEach(this::apply);
+        current.forEach(record -> FailureGuard.run(log, () -> apply(record), "key", record.key()));
         listener.accept(nodes.values());
     }
 
@@ -100,6 +103,14 @@
         listener.accept(nodes.values());
     }
 
+    /** Returns whether a connection to the address can be tried; an invalid port throws instead of failing. */
+    private static boolean usable(NodeRecord entry, String key) {
+        return entry.getName().equals(key)
+                && !entry.getHost().isEmpty()
+                && entry.getPort() > 0
+                && entry.getPort() <= MAX_PORT;
+    }
+
     private void apply(KeyedRecord record) {
         if (record.key().equals(self.name())) {
             // A delayed removal by an earlier process of this node must not remove the current registration.
@@ -114,6 +125,11 @@
         }
         try {
             NodeRecord entry = NodeRecord.parseFrom(record.value());
+            if (!usable(entry, record.key())) {
+                log.event(
+                        ServingEvent.RECORD_MALFORMED, "key", record.key(), "message", "names no address of this node");
+                return;
+            }
             nodes.put(
                     record.key(),
                     new NodeEntry(
