Keep requests and frames apart when one of them fails

Cause: a failure in the handling of a frame left the frame in the decoder's buffer, and the next bytes of the connection handled it again. A failed request in the start-up queue ended the checks for those behind it; a failed reader of results took the readers after it along. A StackOverflowError in a request left its caller without an answer.

Change: requests, frames and readers run under FailureGuard; the start-up queue schedules its next check before it handles requests.

Failed before: StartupQueueTest.failureOfOneRequestDoesNotEndTheChecks, nothing was answered. Frames and readers have no test of their own.

--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.serving.jobs.JobStore;
 import dev.lavenderline.serving.jobs.JobSubmission;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.workspaces.Caller;
@@ -59,7 +60,7 @@
     private void notifyWaiting(ItemResult result) {
         List<Runnable> waiting = waitingReaders.remove(result.getJob());
         if (waiting != null) {
-            waiting.forEach(Runnable::run);
+            waiting.forEach(reply -> FailureGuard.run(log, reply, "job", result.getJob()));
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -3,6 +3,7 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.serving.jobs.JobLedger;
 import dev.lavenderline.serving.jobs.JobStore;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.routes.Route;
@@ -199,10 +200,8 @@
     }
 
     private void dispatchSafely(HttpServerRequest request, Buffer body, CallerResponse response, long arrivalNanos) {
-        try {
-            dispatch(request, body, response, arrivalNanos);
-        } catch (RuntimeException e) {
-            context.log().event(ServingEvent.UNEXPECTED, "uri", request.uri(), "message", e);
+        Runnable task = () -> dispatch(request, body, response, arrivalNanos);
+        if (!FailureGuard.run(context.log(), task, "uri", request.uri())) {
             response.sendText(500, "internal error");
         }
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.online;
 
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
@@ -188,10 +189,7 @@
      * wait until the deadline.
      */
     private void endOnException(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            context.log().event(ServingEvent.UNEXPECTED, "request", info.id(), "uri", uri, "message", e);
+        if (!FailureGuard.run(context.log(), step, "request", info.id(), "uri", uri)) {
             endUnexpectedly();
         }
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/StartupQueue.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/StartupQueue.java
@@ -58,21 +58,16 @@
     }
 
     private void check() {
-        List<Held> checked = held;
-        held = new ArrayList<>();
         boolean served = ready.getAsBoolean();
         long now = ticker.nanos();
-        for (Held request : checked) {
-            if (served) {
-                request.serve().run();
-            } else if (now - request.untilNanos() >= 0) {
-                request.reject().run();
-            } else {
-                held.add(request);
-            }
-        }
+        List<Held> due = new ArrayList<>();
+        List<Held> remaining = new ArrayList<>();
+        held.forEach(request -> (served || now - request.untilNanos() >= 0 ? due : remaining).add(request));
+        held = remaining;
+        // Scheduled before the requests are handled, so that a failure of one does not end the checks.
         if (!held.isEmpty()) {
             timers.after(CHECK_PERIOD, this::check);
         }
+        due.forEach(request -> (served ? request.serve() : request.reject()).run());
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.proto.slots.Granted;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -132,7 +133,7 @@
             }
             socket = opened;
             configLink = config.connect(socket::write);
-            socket.handler(new SlotFrames.Decoder(this::frame, problem -> {
+            socket.handler(new SlotFrames.Decoder(this::handle, problem -> {
                 log.event(ServingEvent.FRAME_MALFORMED, "peer", target.name(), "message", problem);
                 connectionLost(this, problem);
             }));
@@ -191,6 +192,11 @@
             }
         }
 
+        /** Handles a frame; a failure costs that frame, not those after it. */
+        void handle(SlotFrame frame) {
+            FailureGuard.run(log, () -> frame(frame), "peer", target.name(), "frame", frame.getBodyCase());
+        }
+
         void frame(SlotFrame frame) {
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.proto.slots.PromptEnded;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -67,7 +68,7 @@
         Peer(NetSocket socket) {
             this.socket = socket;
             this.configLink = config.connect(socket::write);
-            socket.handler(new SlotFrames.Decoder(this::frame, problem -> {
+            socket.handler(new SlotFrames.Decoder(this::handle, problem -> {
                 log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", problem);
                 socket.close();
             }));
@@ -75,6 +76,11 @@
             socket.exceptionHandler(failure -> leave(this, failure.getMessage()));
         }
 
+        /** Handles a frame; a failure costs that frame, not those after it. */
+        void handle(SlotFrame frame) {
+            FailureGuard.run(log, () -> frame(frame), "peer", node, "frame", frame.getBodyCase());
+        }
+
         void frame(SlotFrame frame) {
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
--- a/serving/src/test/java/dev/lavenderline/serving/online/StartupQueueTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/StartupQueueTest.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.online;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.lavenderline.serving.ManualTime;
 import java.time.Duration;
@@ -42,4 +43,16 @@
         time.advance(Duration.ofSeconds(1));
         assertEquals(List.of("short rejected", "long rejected"), outcomes);
     }
+
+    /** Guards against callers without an answer since the handling of another one failed. */
+    @Test
+    void failureOfOneRequestDoesNotEndTheChecks() {
+        queue.submit(Duration.ofMillis(100), () -> {}, () -> {
+            throw new IllegalStateException("rejection failed");
+        });
+        submit("later", Duration.ofMillis(500));
+        assertThrows(IllegalStateException.class, () -> time.advance(Duration.ofMillis(200)));
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("later rejected"), outcomes);
+    }
 }
