Complete the reads that a page answers one after the other

Cause: each payload that is no longer in the history waited for a page read chained to the one before it. The first page answered them all, and the links completed one inside the other until the stack of 256 KB was used up; the futures behind that point never completed and stayed in the maps.

Change: reads that wait for a page of a partition are in a queue. A page completes all reads that it answers in a loop, then the next page is read.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
@@ -7,15 +7,18 @@
 import dev.lavenderline.proto.jobs.PayloadRef;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.store.KeyedPage;
 import dev.lavenderline.serving.store.KeyedRecord;
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.store.StoreException;
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -54,7 +57,10 @@
             .weigher((String key, byte[] content) -> content.length)
             .build();
     private final Map<String, Future<byte[]>> reads = new HashMap<>();
-    private final Map<Partition, Future<byte[]>> pageReads = new HashMap<>();
+
+    /** Reads that wait for a page, by their partition; the first one of each determines the page being read. */
+    private final Map<Partition, Deque<PageRead>> pageReads = new HashMap<>();
+
     private final Deque<Write> waitingWrites = new ArrayDeque<>();
     private int appending;
     private int pendingWrites;
@@ -216,28 +222,64 @@
                 .onComplete(done -> reads.remove(key, read));
     }
 
+    /** A read of a payload that waits for a page of its partition. */
+    private record PageRead(String key, Promise<byte[]> promise) {}
+
     /** Reads the page with a payload, one page of a partition at a time, as it may have the next payload as well. */
     private Future<byte[]> readNewest(Partition partition, String key) {
-        Future<byte[]> previous = pageReads.getOrDefault(partition, Future.succeededFuture());
-        Future<byte[]> read = previous.transform(done -> {
-            byte[] cached = cache.getIfPresent(key);
-            return cached == null ? readPage(partition, key) : Future.succeededFuture(cached);
-        });
-        pageReads.put(partition, read);
-        return read.onComplete(done -> pageReads.remove(partition, read));
+        PageRead read = new PageRead(key, Promise.promise());
+        Deque<PageRead> waiting = pageReads.get(partition);
+        if (waiting == null) {
+            waiting = new ArrayDeque<>();
+            pageReads.put(partition, waiting);
+            waiting.add(read);
+            readPage(partition, waiting);
+        } else {
+            waiting.add(read);
+        }
+        return read.promise.future();
     }
 
-    private Future<byte[]> readPage(Partition partition, String key) {
+    /** Reads the page with the payload of the first waiting read. */
+    private void readPage(Partition partition, Deque<PageRead> waiting) {
+        PageRead first = waiting.element();
         // A page starts after a given key: the one without the last character precedes the wanted key.
-        return store.newest(partition, key.substring(0, key.length() - 1)).compose(page -> {
-            page.records().forEach(record -> cache.put(record.key(), record.value()));
-            return find(page.records(), key)
-                    .map(Future::succeededFuture)
-                    .orElseGet(() -> Future.failedFuture(
-                            new StoreException(StoreException.Reason.MALFORMED, key + " is missing in " + partition)));
+        store.newest(partition, first.key.substring(0, first.key.length() - 1)).onComplete(response -> {
+            waiting.remove();
+            Map<String, byte[]> found = new HashMap<>();
+            if (response.succeeded()) {
+                for (KeyedRecord record : response.result().records()) {
+                    cache.put(record.key(), record.value());
+                    found.put(record.key(), record.value());
+                }
+            }
+            // All reads that the page answers complete here, one after the other: a chain of futures that complete
+            // one inside the other would need a stack as deep as the page has payloads.
+            List<PageRead> answered = new ArrayList<>();
+            waiting.removeIf(read -> found.containsKey(read.key) && answered.add(read));
+            if (waiting.isEmpty()) {
+                pageReads.remove(partition);
+            } else {
+                readPage(partition, waiting);
+            }
+            completeFirst(partition, first, response, found);
+            answered.forEach(read -> read.promise.complete(found.get(read.key)));
         });
     }
 
+    private static void completeFirst(
+            Partition partition, PageRead first, AsyncResult<KeyedPage> response, Map<String, byte[]> found) {
+        byte[] content = found.get(first.key);
+        if (response.failed()) {
+            first.promise.fail(response.cause());
+        } else if (content == null) {
+            first.promise.fail(
+                    new StoreException(StoreException.Reason.MALFORMED, first.key + " is missing in " + partition));
+        } else {
+            first.promise.complete(content);
+        }
+    }
+
     private static Optional<byte[]> find(List<KeyedRecord> records, String key) {
         return records.stream()
                 .filter(record -> record.key().equals(key) && !record.deletion())
