--- a/serving/src/main/java/dev/lavenderline/serving/slots/ResumptionCounts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ResumptionCounts.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
+import dev.lavenderline.serving.upstreams.ServedVersions.Conclusion;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -13,7 +14,8 @@
 import java.util.Optional;
 
 /**
- * Counts the decisions on streams that their callers resume, by cause, and logs the sums.
+ * Counts the decisions on streams that their callers resume, by cause, and logs the sums and each version that was
+ * concluded.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -38,10 +40,32 @@
     void continued(SlotRequest request) {
         request.origin().filter(origin -> !withinResponse(origin)).ifPresent(origin -> {
             StreamOrigin named = new StreamOrigin(Optional.empty(), origin.attempt());
-            count(versions.conclude(request.service(), named).cause());
+            Conclusion conclusion = versions.conclude(request.service(), named);
+            count(conclusion.cause());
+            logConcluded(request.node(), request.service(), origin, conclusion);
         });
     }
 
+    private void logConcluded(String peer, String service, StreamOrigin origin, Conclusion conclusion) {
+        if (conclusion.cause() != Cause.OBSERVED && conclusion.cause() != Cause.RECORDED) {
+            return;
+        }
+        log.event(
+                ServingEvent.VERSION_CONCLUDED,
+                "peer",
+                peer,
+                "service",
+                service,
+                "resumes",
+                origin.attempt().orElse(null),
+                "version",
+                conclusion.version().orElse(null),
+                "cause",
+                conclusion.cause(),
+                "listAgeMs",
+                versions.listAge().toMillis());
+    }
+
     /** Counts a stream that is refused, unless it is not resumed by its caller, and returns the cause. */
     Cause refused(String service, StreamOrigin origin) {
         Cause cause = origin.version().isPresent()
@@ -56,7 +80,9 @@
     /** Counts the decision on a stream that this node continues itself if it knows the version, and else refuses. */
     void decided(String service, StreamOrigin origin) {
         if (!origin.version().isPresent()) {
-            count(versions.conclude(service, origin).cause());
+            Conclusion conclusion = versions.conclude(service, origin);
+            count(conclusion.cause());
+            logConcluded(null, service, origin, conclusion);
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
@@ -89,6 +89,11 @@
         return directory.servedVersions().mayBeProven(service);
     }
 
+    /** Returns the time since the list of upstreams was last known to be complete, a day if it never was. */
+    Duration listAge() {
+        return directory.servedVersions().listAge();
+    }
+
     /** Returns all entries, grouped by version. */
     public List<Group> groups() {
         expire();
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
@@ -153,7 +153,12 @@
     }
 
     private boolean fresh() {
-        return list.map(followed -> age(followed).compareTo(MAX_LIST_AGE) <= 0).orElse(false);
+        return listAge().compareTo(MAX_LIST_AGE) <= 0;
+    }
+
+    /** Returns the time since the list was last known to be complete, a day if it never was. */
+    public Duration listAge() {
+        return list.map(this::age).orElse(Duration.ofDays(1));
     }
 
     private Duration age(Followed followed) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import dev.lavenderline.serving.ManualTime;
+import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -10,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -53,4 +55,21 @@
         counts.logIfDue();
         assertEquals(2, lines.size());
     }
+
+    /** Guards against streams continued by a conclusion of which the log does not tell who drew it from what. */
+    @Test
+    void conclusionsAreLoggedWithTheAgeOfTheList() {
+        directory.replaceAll(List.of(new Upstream("e1", "s", "10.0.0.1", 80, "a", 8, false, "v1")));
+        directory.servedVersions().heard(Map.of(), ServedVersions.PERIOD);
+        time.advance(Duration.ofMillis(700));
+        counts.continued(request(attempt("r")));
+        counts.decided("s", attempt("r2"));
+        streams.record("known", "v1");
+        counts.continued(request(attempt("known")));
+        assertEquals(
+                List.of(
+                        "[peer, n, service, s, resumes, r, version, v1, cause, OBSERVED, listAgeMs, 700]",
+                        "[peer, null, service, s, resumes, r2, version, v1, cause, OBSERVED, listAgeMs, 700]"),
+                lines);
+    }
 }
