--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -25,6 +25,7 @@
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.store.PartitionFollower;
+import dev.lavenderline.serving.upstreams.ListReads;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -205,6 +206,8 @@
                 () -> jobs.age(),
                 prompts,
                 SlotScheduler.Options.defaults());
+        ListReads listReads = new ListReads(this::readList, slots::listRead, ticker, timers);
+        directory.servedVersions().requestReadsWith(listReads::request);
         slots.exchangeConfig(new ConfigExchange(configAge, config, ticker));
         slots.scheduler()
                 .plainServices(service -> !config.current()
@@ -258,6 +261,13 @@
         ledger.onCancelled(job -> slots.scheduler().jobCancelled(job.id()));
     }
 
+    /** Reads the list of upstreams, and the records of versions while these have to prove what was in service. */
+    private Future<?> readList() {
+        return directory.servedVersions().observed()
+                ? upstreamReader.refresh()
+                : Future.join(upstreamReader.refresh(), versionReader.refresh());
+    }
+
     private void responseReceived(Upstream upstream, ResponseInfo info, long sentNanos) {
         directory
                 .noteResponse(upstream, info.leaving(), info.limit(), sentNanos)
--- a/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.serving.store.KeyedRecord;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vavr.control.Either;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -40,8 +41,8 @@
     }
 
     @Override
-    public void endReached() {
-        directory.servedVersions().listConfirmed();
+    public void endReached(ClockReading asked) {
+        directory.servedVersions().listConfirmed(asked);
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
@@ -11,6 +11,7 @@
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.ServiceVersion;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -74,8 +75,8 @@
     }
 
     @Override
-    public void endReached() {
-        versions.recordsConfirmed();
+    public void endReached(ClockReading asked) {
+        versions.recordsConfirmed(asked);
     }
 
     private void apply(KeyedRecord record) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
@@ -1,6 +1,9 @@
 package dev.lavenderline.serving.online;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -9,10 +12,18 @@
  * <p>Not thread-safe.
  */
 final class EventBoundaryScanner {
+    private static final String EVENT_STREAM = "text/event-stream";
+
     private boolean lineEmpty;
     private boolean withinEvent;
     private boolean anyEvent;
 
+    /** Returns whether a response consists of events; one without a content type is taken to. */
+    static boolean isEventStream(MultiMap headers) {
+        String type = headers.get(HttpHeaders.CONTENT_TYPE);
+        return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+    }
+
     /** Scans the next byte and returns whether it ends an event. */
     boolean scan(byte next) {
         if (next == '\r') {
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -17,7 +17,6 @@
 import dev.lavenderline.serving.workspaces.WorkspaceMetrics;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -55,8 +54,6 @@
     /** Time after the first event in which a crash of the upstream may be due to the request. */
     private static final Duration CRASH_PERIOD = Duration.ofMillis(100);
 
-    private static final String EVENT_STREAM = "text/event-stream";
-
     /** Lowest response status that counts as a failure of the upstream. */
     private static final int MIN_FAILURE_STATUS = 500;
 
@@ -150,7 +147,7 @@
         this.keyCheck = new KeyCheck(context.keys(), route, info);
         this.lastEventId = info.lastEventId();
         this.origin = resumedByCaller()
-                ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
+                ? Optional.of(StreamOrigin.ofAttempt(info.resumedAttempt(), arrivalNanos))
                 : Optional.empty();
         this.arrivalNanos = arrivalNanos;
         Duration timeout = info.timeout()
@@ -228,9 +225,8 @@
                 context.slots().admit(caller.workspace(), new QuotaAnswer());
                 return;
             }
-            origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
             if (origin.isPresent() && requiredVersion().isEmpty()) {
-                rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+                context.slots().findVersion(service, origin.get(), this::originFound);
                 return;
             }
             Optional<Upstream> picked = context.placement().pick(service, excluded, requiredVersion());
@@ -264,6 +260,15 @@
         });
     }
 
+    private void originFound(Optional<String> version) {
+        origin = origin.map(began -> began.withVersion(version));
+        if (version.isEmpty()) {
+            rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+        } else if (!done) {
+            endOnException(this::tryUpstream);
+        }
+    }
+
     /** Returns whether the next send counts toward the quota: the first one of a request that begins no stream anew. */
     private boolean toBeCharged() {
         return caller.hasWorkspace() && !charged && origin.isEmpty();
@@ -757,12 +762,6 @@
         return truncation.isPresent();
     }
 
-    /** Returns whether a response consists of events; one without a content type is taken to. */
-    private static boolean isEventStream(MultiMap headers) {
-        String type = headers.get(HttpHeaders.CONTENT_TYPE);
-        return type == null || type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
-    }
-
     private void applyBackpressure(UpstreamExchange source) {
         if (response.writeQueueFull()) {
             source.pause();
@@ -865,7 +864,7 @@
         public void end() {
             recordBodyEnd(boundaries.withinEvent());
             if (status == 200
-                    && isEventStream(responseHeaders)
+                    && EventBoundaryScanner.isEventStream(responseHeaders)
                     && failIfTruncated(boundaries.truncation(closeDelimited))) {
                 return;
             }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ResumptionCounts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ResumptionCounts.java
@@ -39,8 +39,7 @@
     /** Counts a stream that goes on; one that is not resumed by its caller is not counted. */
     void continued(SlotRequest request) {
         request.origin().filter(origin -> !withinResponse(origin)).ifPresent(origin -> {
-            StreamOrigin named = new StreamOrigin(Optional.empty(), origin.attempt());
-            Conclusion conclusion = versions.conclude(request.service(), named);
+            Conclusion conclusion = versions.conclude(request.service(), origin.withVersion(Optional.empty()));
             count(conclusion.cause());
             logConcluded(request.node(), request.service(), origin, conclusion);
         });
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -67,6 +67,7 @@
     private final SchedulerSelector selector;
     private final SlotScheduler scheduler;
     private final StreamVersions streamVersions;
+    private final OriginLookup origins;
     private final CrashingPrompts prompts;
     private final UpstreamDirectory directory;
     private final QuotaConnection quotas;
@@ -329,6 +330,7 @@
         this.selector = new SchedulerSelector(ticker);
         this.scheduler = scheduler;
         this.streamVersions = scheduler.streamVersions();
+        this.origins = new OriginLookup(streamVersions, scheduler.resumptions());
         this.server = server;
         this.placement = placement;
         placement.shareLimits(this::nodeCount);
@@ -358,6 +360,7 @@
     private void checkPeriodically() {
         timers.after(CHECK_INTERVAL.plusMillis(INTERVAL_MILLIS_PER_NODE * nodeCount), this::checkPeriodically);
         check();
+        resolveOrigins();
     }
 
     private Duration pingInterval() {
@@ -513,6 +516,7 @@
                 request.origin().flatMap(origin -> streamVersions.resolve(request.service(), origin));
         if (request.origin().isPresent() && version.isEmpty()) {
             // Stays pending until the next scheduler is found, which may know where the stream began.
+            streamVersions.seek(request.service(), request.origin().get());
             return;
         }
         long lease = request.lease();
@@ -608,9 +612,16 @@
     }
 
     @Override
-    public Optional<String> versionOf(String service, StreamOrigin origin) {
-        scheduler.resumptions().decided(service, origin);
-        return streamVersions.resolve(service, origin);
+    public void findVersion(String service, StreamOrigin origin, Consumer<Optional<String>> listener) {
+        origins.find(service, origin, listener);
+    }
+
+    /** Resolves origins again that need to be known as of now; call it after each read of the list of upstreams. */
+    void resolveOrigins() {
+        origins.retry();
+        if (current == null && (candidate == null || searchWaitOver)) {
+            placePendingLocally();
+        }
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.serving.workspaces.QuotaClient;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Client of the scheduler for a node's requests and items. Called on the event loop. */
 public interface SlotClient {
@@ -52,8 +53,11 @@
     /** Returns the time for which a request is rejected because upstreams crash under it, empty if it is served. */
     Optional<Duration> rejectedFor(RequestTraits traits);
 
-    /** Returns the software version on which a stream has to continue, empty if this node does not know it. */
-    Optional<String> versionOf(String service, StreamOrigin origin);
+    /**
+     * Finds the software version on which a stream has to continue, which may take a read of the list of upstreams. The
+     * listener receives nothing if this node does not know the version; it may be called before the method returns.
+     */
+    void findVersion(String service, StreamOrigin origin, Consumer<Optional<String>> listener);
 
     /** Reports what an upstream has said of itself in a response. */
     void upstreamNotice(UpstreamNotice notice);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -122,19 +122,21 @@
         return frame(SlotFrame.newBuilder().setAcquire(acquire));
     }
 
-    private static Optional<StreamOrigin> origin(Acquire acquire) {
+    private static Optional<StreamOrigin> origin(Acquire acquire, long receivedNanos) {
         if (!acquire.hasOrigin()) {
             return Optional.empty();
         }
         Origin origin = acquire.getOrigin();
-        return Optional.of(new StreamOrigin(nonEmpty(origin.getVersion()), nonEmpty(origin.getAttempt())));
+        return Optional.of(
+                new StreamOrigin(nonEmpty(origin.getVersion()), nonEmpty(origin.getAttempt()), receivedNanos));
     }
 
     private static Optional<String> nonEmpty(String text) {
         return text.isEmpty() ? Optional.empty() : Optional.of(text);
     }
 
-    static SlotRequest request(String node, Acquire acquire) {
+    /** Returns the request of a node that this process received at a monotonic time. */
+    static SlotRequest request(String node, Acquire acquire, long receivedNanos) {
         return new SlotRequest(
                 node,
                 acquire.getLease(),
@@ -144,7 +146,7 @@
                 Set.copyOf(acquire.getExcludedList()),
                 acquire.getPrefix(),
                 acquire.getReturning(),
-                origin(acquire),
+                origin(acquire, receivedNanos),
                 acquire.getWorkspace(),
                 acquire.getPriority(),
                 acquire.getCharged(),
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -95,7 +95,7 @@
                 excluded,
                 prefix,
                 retry,
-                origin.map(known -> new StreamOrigin(Optional.of(version), known.attempt())),
+                origin.map(known -> known.withVersion(Optional.of(version))),
                 workspace,
                 priority,
                 charged,
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -312,7 +312,7 @@
     /** Returns whether an upstream that may continue the stream of a request is there, or may be found. */
     private boolean mayContinue(SlotRequest request) {
         if (request.originUnknown()) {
-            return mayLearnOrigins.getAsBoolean() || streamVersions.mayBecomeKnown(request.service());
+            return streamVersions.seek(request.service(), request.origin().get()) || mayLearnOrigins.getAsBoolean();
         }
         return directory.open(request.service()).stream().anyMatch(upstream -> eligible(upstream, request));
     }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -90,7 +90,7 @@
                 }
                 case CONFIG_REQUEST -> configLink.requested(frame.getConfigRequest());
                 case CONFIG_RECORD -> configLink.received(frame.getConfigRecord());
-                case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire()));
+                case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire(), lastFrameNanos));
                 case RELEASE ->
                     scheduler.released(
                             node,
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -143,6 +143,12 @@
         return server.listen(host, port);
     }
 
+    /** Resolves the origins of streams that wait for a read of the list of upstreams; call it after each such read. */
+    public void listRead() {
+        scheduler.schedule();
+        client.resolveOrigins();
+    }
+
     /** Logs how many resumed streams were continued and refused; call it about every second. */
     public void logResumptions() {
         scheduler.resumptions().logIfDue();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
@@ -76,7 +76,7 @@
         return origin.version()
                 .or(() -> origin.attempt().flatMap(this::find))
                 .map(version -> new Conclusion(Optional.of(version), Cause.REPORTED))
-                .orElseGet(() -> directory.servedVersions().only(service));
+                .orElseGet(() -> directory.servedVersions().only(service, origin.beganBeforeNanos()));
     }
 
     /** Returns the version on which a stream has to continue, empty if it is not known. */
@@ -84,9 +84,12 @@
         return conclude(service, origin).version();
     }
 
-    /** Returns whether the version on which a stream of a service has to continue may become known soon. */
-    boolean mayBecomeKnown(String service) {
-        return directory.servedVersions().mayBeProven(service);
+    /**
+     * Returns whether the version on which a stream has to continue, which is not known, may become known soon. Asks
+     * for the read of the list that it takes, after which the caller has to resolve the origin again.
+     */
+    boolean seek(String service, StreamOrigin origin) {
+        return directory.servedVersions().seek(service, origin.beganBeforeNanos());
     }
 
     /** Returns the time since the list of upstreams was last known to be complete, a day if it never was. */
--- a/serving/src/main/java/dev/lavenderline/serving/store/KeyedListener.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/KeyedListener.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.store;
 
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.util.List;
 
 /** Receives the records of a partition. Called on the event loop. */
@@ -14,7 +15,9 @@
     default void caughtUp() {}
 
     /**
-     * Called after {@link #caughtUp} if the response reached the end of the partition, so that no record is missing.
+     * Called after {@link #caughtUp} if a response of the store reached the end of the partition.
+     *
+     * @param asked when the read was sent; no record is missing that was written before
      */
-    default void endReached() {}
+    default void endReached(ClockReading asked) {}
 }
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -262,14 +262,11 @@
             runListener(() -> listener.record(record), record.key());
         }
         nextOffset = Math.max(nextOffset, slice.nextOffset());
-        if (nextOffset >= slice.endOffset()) {
-            sent.ifPresent(this::recordAsked);
-        }
+        Optional<ClockReading> endAsked = sent.filter(asked -> nextOffset >= slice.endOffset());
+        endAsked.ifPresent(this::recordAsked);
         recordResponse();
         runListener(listener::caughtUp, null);
-        if (nextOffset >= slice.endOffset()) {
-            runListener(listener::endReached, null);
-        }
+        endAsked.ifPresent(reading -> runListener(() -> listener.endReached(reading), null));
     }
 
     /** Calls the listener; an exception costs one record, not the records after it. */
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
@@ -1,8 +1,8 @@
 package dev.lavenderline.serving.upstreams;
 
 import dev.lavenderline.core.Ticker;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -14,23 +14,34 @@
  * The software versions that were in service while streams that are resumed now may have begun, and whether that is
  * known completely.
  *
- * <p>Invariant: a version counts as the only one of a service only if no other one is listed, was listed in the last
- * {@link #PERIOD} or is recorded in the store, and if the whole period is covered: this node, or one that it hears
- * from, has followed the list of upstreams for that time, or a record proves what was in service before. Not
- * thread-safe; confined to the event loop.
+ * <p>Invariant: a version counts as the only one on which a stream can have begun only if no other one is listed, was
+ * listed in the {@link #PERIOD} before the resumption or is recorded in the store, and if that period is covered. Its
+ * beginning: this node, or one that it hears from, has followed the list of upstreams since then, or a record proves
+ * what was in service before. Its end: the list was read by a read that was sent after the resumption had arrived. What
+ * a response shows is as old as the read, however late the response is handled, and reads of the store are
+ * linearizable. Not thread-safe; confined to the event loop.
  */
 public final class ServedVersions {
     /** Largest age of a stream that is resumed; its caller does so before the deadline of its first attempt. */
     public static final Duration MAX_STREAM_AGE = Duration.ofSeconds(15);
 
-    /** Time by which what is read from the store may be out of date. */
+    /** Time by which the list of a node that follows the store may be out of date. */
     static final Duration LIST_LAG = Duration.ofSeconds(3);
 
     /** Period that has to be known; another node may use an upstream for the lag after this one saw it removed. */
     public static final Duration PERIOD = MAX_STREAM_AGE.plus(LIST_LAG);
 
-    /** Time after the last response of the store above which the list may lack versions; polls take up to 1.4 s. */
-    static final Duration MAX_LIST_AGE = Duration.ofMillis(2500);
+    /** Age of the list up to which this node states it to others; polls are sent up to 2.4 s apart. */
+    static final Duration MAX_LIST_AGE = LIST_LAG;
+
+    /**
+     * Time after the arrival of a resumption in which a read of the list may complete what is known. A read takes
+     * milliseconds; callers give up after 2 s without data.
+     */
+    static final Duration MAX_READ_WAIT = Duration.ofSeconds(1);
+
+    /** Time for which removed versions are kept: the period before a resumption, and the time for which that waits. */
+    private static final Duration RETENTION = PERIOD.plus(MAX_STREAM_AGE);
 
     /**
      * Time after a start within which the records may complete the proof: the lag, the poll that ends after it, and the
@@ -50,6 +61,7 @@
     private Optional<Followed> list = Optional.empty();
     private Optional<Followed> records = Optional.empty();
     private long completeSinceNanos;
+    private Runnable readRequest = () -> {};
 
     /** How the version on which a stream has to continue was found, or why it was not. */
     public enum Cause {
@@ -63,6 +75,8 @@
         SEVERAL_VERSIONS,
         /** There is one version, but others may have been in service. */
         NOT_OBSERVED,
+        /** There was one version, but others may have joined since the list was read. */
+        LIST_OUTDATED,
         /** The service has no upstream. */
         NO_VERSION,
         /** The version is known, but it has no upstream that may continue the stream. */
@@ -76,20 +90,31 @@
      */
     public record Conclusion(Optional<String> version, Cause cause) {}
 
-    /** When a partition was loaded, and its latest response. The wall clock counts the time of a suspension. */
-    private record Followed(long loadedNanos, long confirmedNanos, Instant confirmed) {}
+    /** When a partition was loaded, and when the latest read up to its end after that was sent. */
+    private record Followed(long loadedNanos, Optional<ClockReading> asked) {
+        boolean askedAfter(long nanos) {
+            return asked.map(reading -> reading.nanos() - nanos > 0).orElse(false);
+        }
+    }
 
     ServedVersions(Ticker ticker, Supplier<Set<ServiceVersion>> listed) {
         this.ticker = ticker;
         this.listed = listed;
     }
 
+    /** Sets what requests a read of the list, and of the records while the period is not observed. */
+    public void requestReadsWith(Runnable request) {
+        readRequest = request;
+    }
+
     private Followed loaded() {
-        return new Followed(ticker.nanos(), ticker.nanos(), ticker.now());
+        return new Followed(ticker.nanos(), Optional.empty());
     }
 
-    private Followed confirmed(Followed earlier) {
-        return new Followed(earlier.loadedNanos(), ticker.nanos(), ticker.now());
+    private Followed confirmed(Followed earlier, ClockReading asked) {
+        ClockReading latest =
+                earlier.asked().map(known -> asked.younger(known, ticker)).orElse(asked);
+        return new Followed(earlier.loadedNanos(), Optional.of(latest));
     }
 
     /** Records that the list has been loaded; what was listed between an earlier state and this one is not known. */
@@ -98,9 +123,13 @@
         completeSinceNanos = ticker.nanos();
     }
 
-    /** Records that the list is up to date, and that all changes since it was loaded have been seen. */
-    public void listConfirmed() {
-        list = list.map(this::confirmed);
+    /**
+     * Records that all changes of the list since it was loaded have been seen.
+     *
+     * @param asked when the read was sent that showed the last ones
+     */
+    public void listConfirmed(ClockReading asked) {
+        list = list.map(followed -> confirmed(followed, asked));
     }
 
     /** Records that a version was listed until now. */
@@ -113,9 +142,9 @@
         records = Optional.of(loaded());
     }
 
-    /** Records that the records are up to date. */
-    public void recordsConfirmed() {
-        records = records.map(this::confirmed);
+    /** Records that all records have been seen that were there when a read was sent. */
+    public void recordsConfirmed(ClockReading asked) {
+        records = records.map(followed -> confirmed(followed, asked));
     }
 
     /** Replaces the recorded versions, with whether their records are settled. */
@@ -140,13 +169,25 @@
     /** Returns the versions that were listed in the last {@link #PERIOD}, with the time since then. */
     public Map<ServiceVersion, Duration> ages() {
         long now = ticker.nanos();
-        lastListed.values().removeIf(listedNanos -> now - listedNanos > PERIOD.toNanos());
+        lastListed.values().removeIf(listedNanos -> now - listedNanos > RETENTION.toNanos());
         Map<ServiceVersion, Duration> ages = new HashMap<>();
-        lastListed.forEach((version, listedNanos) -> ages.put(version, Duration.ofNanos(now - listedNanos)));
+        listedSince(now - PERIOD.toNanos())
+                .forEach(version -> ages.put(version, Duration.ofNanos(now - lastListed.get(version))));
         listed.get().forEach(version -> ages.put(version, Duration.ZERO));
         return ages;
     }
 
+    /** Returns the versions that are not listed any more, but were at a monotonic time or later. */
+    private Set<ServiceVersion> listedSince(long nanos) {
+        Set<ServiceVersion> versions = new HashSet<>();
+        lastListed.forEach((version, listedNanos) -> {
+            if (listedNanos - nanos >= 0) {
+                versions.add(version);
+            }
+        });
+        return versions;
+    }
+
     /** Returns the time for which {@link #ages} is complete, zero if the list may be out of date. */
     public Duration complete() {
         return fresh() ? Duration.ofNanos(ticker.nanos() - completeSinceNanos) : Duration.ZERO;
@@ -158,13 +199,7 @@
 
     /** Returns the time since the list was last known to be complete, a day if it never was. */
     public Duration listAge() {
-        return list.map(this::age).orElse(Duration.ofDays(1));
-    }
-
-    private Duration age(Followed followed) {
-        Duration monotonic = Duration.ofNanos(ticker.nanos() - followed.confirmedNanos());
-        Duration wall = Duration.between(followed.confirmed(), ticker.now());
-        return monotonic.compareTo(wall) > 0 ? monotonic : wall;
+        return list.flatMap(Followed::asked).map(asked -> asked.age(ticker)).orElse(Duration.ofDays(1));
     }
 
     /** Returns whether the whole period is covered without the records. */
@@ -172,44 +207,76 @@
         return complete().compareTo(PERIOD) >= 0;
     }
 
-    /** Returns the version of all upstreams of a service that were in service in the last {@link #PERIOD}. */
-    public Conclusion only(String service) {
-        Set<ServiceVersion> versions = new HashSet<>(ages().keySet());
+    /**
+     * Returns the version of all upstreams of a service on which a stream can have begun.
+     *
+     * @param beganBeforeNanos monotonic time at which the request to resume the stream had arrived
+     */
+    public Conclusion only(String service, long beganBeforeNanos) {
+        long periodStart = beganBeforeNanos - PERIOD.toNanos();
+        Set<ServiceVersion> versions = listedSince(periodStart);
+        versions.addAll(listed.get());
         versions.addAll(recorded.keySet());
         versions.removeIf(version -> !version.service().equals(service));
         if (versions.size() != 1) {
             return new Conclusion(Optional.empty(), versions.isEmpty() ? Cause.NO_VERSION : Cause.SEVERAL_VERSIONS);
         }
         ServiceVersion only = versions.iterator().next();
-        if (observed()) {
-            return new Conclusion(Optional.of(only.version()), Cause.OBSERVED);
+        boolean observed = list.isPresent() && completeSinceNanos - periodStart <= 0;
+        boolean recordable = settled(only) && loadedBeforeLag(list) && loadedBeforeLag(records);
+        if (!observed && !recordable) {
+            return new Conclusion(Optional.empty(), Cause.NOT_OBSERVED);
         }
-        if (settled(only) && fresh() && followedForLag(list) && followedForLag(records)) {
-            return new Conclusion(Optional.of(only.version()), Cause.RECORDED);
+        boolean followed = observed || (followedForLag(list) && followedForLag(records));
+        if (!followed || !list.get().askedAfter(beganBeforeNanos)) {
+            return new Conclusion(Optional.empty(), Cause.LIST_OUTDATED);
         }
-        return new Conclusion(Optional.empty(), Cause.NOT_OBSERVED);
+        return new Conclusion(Optional.of(only.version()), observed ? Cause.OBSERVED : Cause.RECORDED);
     }
 
     private boolean settled(ServiceVersion version) {
         return recorded.getOrDefault(version, false);
     }
 
-    /** Returns whether what was written before the partition was loaded has been read, although reads lag. */
+    /** Returns whether what other nodes wrote before the partition was loaded has been read, although they may lag. */
     private static boolean followedForLag(Optional<Followed> partition) {
         return partition
-                .map(followed -> followed.confirmedNanos() - followed.loadedNanos() >= LIST_LAG.toNanos())
+                .map(followed -> followed.askedAfter(followed.loadedNanos() + LIST_LAG.toNanos() - 1))
                 .orElse(false);
     }
 
-    /** Returns whether records may soon prove which version of a service was the only one. */
-    public boolean mayBeProven(String service) {
-        boolean starting = list.map(followed -> ticker.nanos() - followed.loadedNanos() < PROOF_TIME.toNanos())
+    private boolean loadedBeforeLag(Optional<Followed> partition) {
+        return partition
+                .map(followed -> ticker.nanos() - followed.loadedNanos() >= LIST_LAG.toNanos())
                 .orElse(false);
-        if (!starting || only(service).cause() != Cause.NOT_OBSERVED) {
-            return false;
-        }
-        return records.isEmpty()
-                || recorded.entrySet().stream()
-                        .anyMatch(entry -> entry.getKey().service().equals(service) && entry.getValue());
+    }
+
+    /**
+     * Returns whether the only version on which a stream can have begun, which {@link #only} did not return, may be
+     * known soon. Requests the read that this takes.
+     */
+    public boolean seek(String service, long beganBeforeNanos) {
+        return switch (only(service, beganBeforeNanos).cause()) {
+            case LIST_OUTDATED -> {
+                boolean inTime = starting() || ticker.nanos() - beganBeforeNanos < MAX_READ_WAIT.toNanos();
+                if (inTime) {
+                    readRequest.run();
+                }
+                yield inTime;
+            }
+            case NOT_OBSERVED -> starting() && (records.isEmpty() || settledRecord(service));
+            default -> false;
+        };
+    }
+
+    /** Returns whether records may soon prove what was in service before this process was there. */
+    private boolean starting() {
+        return list.map(followed -> ticker.nanos() - followed.loadedNanos() < PROOF_TIME.toNanos())
+                .orElse(false);
+    }
+
+    private boolean settledRecord(String service) {
+        return recorded.entrySet().stream()
+                .anyMatch(entry -> entry.getKey().service().equals(service) && entry.getValue());
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -27,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a node that returns items to the scheduler without a trace in its log and metrics. */
@@ -86,7 +87,7 @@
         }
 
         @Override
-        public Optional<String> versionOf(String service, StreamOrigin origin) {
+        public void findVersion(String service, StreamOrigin origin, Consumer<Optional<String>> listener) {
             throw new UnsupportedOperationException();
         }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -221,6 +221,18 @@
     /** Starts a node with its own view of the store and its own clocks, and waits until it is ready. */
     ServingNode startNode(String name, MetadataStore nodeStore, Ticker ticker, Optional<Duration> keyRevocation)
             throws IOException {
+        return startNode(vertx, context, name, nodeStore, ticker, keyRevocation);
+    }
+
+    /** Starts a node on another event loop, with a view of the store that may be used there. */
+    ServingNode startNode(
+            Vertx nodeVertx,
+            Context nodeContext,
+            String name,
+            MetadataStore nodeStore,
+            Ticker ticker,
+            Optional<Duration> keyRevocation)
+            throws IOException {
         int callers = freePort();
         ServingSettings settings = new ServingSettings(
                 new NodeEntry(name, LOOPBACK, freePort(), "a", 0, 1),
@@ -235,15 +247,15 @@
                 keyRevocation,
                 Topology.ofRegions(Map.of()));
         CompletableFuture<ServingNode> started = new CompletableFuture<>();
-        context.runOnContext(now -> {
+        nodeContext.runOnContext(now -> {
             ServingNode node = new ServingNode(
-                    vertx,
+                    nodeVertx,
                     settings,
                     nodeStore,
                     new TextRecordDecoder(),
                     new TestWireFormat(),
                     ticker,
-                    new VertxTimers(vertx),
+                    new VertxTimers(nodeVertx),
                     (event, fields) -> logged.add(event + " " + Arrays.asList(fields)),
                     RandomSource.SPLIT_MIX_64.create(7));
             node.start().onSuccess(listening -> started.complete(node)).onFailure(started::completeExceptionally);
--- a/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
@@ -14,6 +14,7 @@
 import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -102,8 +103,9 @@
         assertFalse(draining());
     }
 
-    private ServedVersions.Cause cause() {
-        return directory.servedVersions().only("s").cause();
+    /** Returns the cause for a resumption that arrived at a monotonic time. */
+    private ServedVersions.Cause cause(long arrived) {
+        return directory.servedVersions().only("s", arrived).cause();
     }
 
     /** Guards against a conclusion from a list that a node which was cut off has read only in part. */
@@ -124,18 +126,21 @@
                         () -> Duration.ofMillis(400))
                 .start();
         time.advance(ServedVersions.PERIOD.plusSeconds(1));
-        assertEquals(ServedVersions.Cause.OBSERVED, cause());
+        long arrivedInStep = time.nanos();
+        time.advance(Duration.ofSeconds(3));
+        assertEquals(ServedVersions.Cause.OBSERVED, cause(arrivedInStep));
         store.down(true);
         time.advance(Duration.ofSeconds(10));
         store.sliceSize(1);
         store.log(partition).addAll(List.of(entry("e", "v12"), entry("e", "v13"), entry("f", "v21")));
         store.down(false);
+        long arrived = time.nanos();
         for (int i = 0; i < 50; i++) {
             assertEquals(
                     directory.find("f").isPresent()
                             ? ServedVersions.Cause.SEVERAL_VERSIONS
-                            : ServedVersions.Cause.NOT_OBSERVED,
-                    cause());
+                            : ServedVersions.Cause.LIST_OUTDATED,
+                    cause(arrived));
             time.advance(Duration.ofMillis(100));
         }
         assertTrue(directory.find("f").isPresent());
@@ -150,11 +155,14 @@
                 passed = passed.plusSeconds(1)) {
             time.advance(Duration.ofSeconds(1));
             follower.caughtUp();
-            follower.endReached();
+            follower.endReached(ClockReading.now(time));
         }
-        assertEquals(ServedVersions.Cause.OBSERVED, cause());
-        directory.onChange(() -> assertEquals(ServedVersions.Cause.NOT_OBSERVED, cause()));
+        long arrived = time.nanos();
+        time.advance(Duration.ofSeconds(1));
+        follower.endReached(ClockReading.now(time));
+        assertEquals(ServedVersions.Cause.OBSERVED, cause(arrived));
+        directory.onChange(() -> assertEquals(ServedVersions.Cause.NOT_OBSERVED, cause(arrived)));
         follower.reset(List.of(entry("e", "v11")));
-        assertEquals(ServedVersions.Cause.NOT_OBSERVED, cause());
+        assertEquals(ServedVersions.Cause.NOT_OBSERVED, cause(arrived));
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
@@ -10,6 +10,7 @@
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
@@ -31,13 +32,20 @@
                 store, VersionRecords.PARTITION, records, time, time, EventLog.NONE, Duration.ofSeconds(1), () -> STEP);
 
         Process(Upstream... listed) {
-            directory.servedVersions().listConfirmed();
             directory.replaceAll(List.of(listed));
             reader.start();
         }
 
+        void confirmList() {
+            directory.servedVersions().listConfirmed(ClockReading.now(time));
+        }
+
+        /** Returns the cause for a resumption that arrives now, once the list has been read. */
         Cause cause() {
-            return directory.servedVersions().only("s").cause();
+            long arrived = time.nanos();
+            time.advance(Duration.ofNanos(1));
+            confirmList();
+            return directory.servedVersions().only("s", arrived).cause();
         }
     }
 
@@ -54,11 +62,11 @@
     /** Runs the process, with a response of the store for its list and an update of its records every half second. */
     private void run(Duration period) {
         for (Duration passed = Duration.ZERO; passed.compareTo(period) < 0; passed = passed.plus(STEP)) {
-            process.directory.servedVersions().listConfirmed();
+            process.confirmList();
             process.records.update();
             time.advance(STEP);
         }
-        process.directory.servedVersions().listConfirmed();
+        process.confirmList();
     }
 
     /** Ends the process and starts another one, which follows the store for the lag. */
@@ -68,7 +76,7 @@
         Process starting = process;
         for (int i = 0; i < 9; i++) {
             time.advance(STEP);
-            starting.directory.servedVersions().listConfirmed();
+            starting.confirmList();
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
@@ -10,6 +10,7 @@
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.io.IOException;
@@ -57,6 +58,7 @@
         final UpstreamDirectory directory = new UpstreamDirectory(ticker);
         final NodeEntry entry;
         volatile SlotService slots;
+        volatile boolean inStep = true;
 
         Node(String name, double capacity) throws IOException {
             try (ServerSocket socket = new ServerSocket(0)) {
@@ -64,9 +66,12 @@
             }
         }
 
-        /** Starts to follow a list, which is confirmed all the time. */
+        void confirmList() {
+            directory.servedVersions().listConfirmed(ClockReading.now(ticker));
+        }
+
+        /** Starts to follow a list, which is read all the time while the node is in step. */
         void start(Upstream... listed) {
-            directory.servedVersions().listConfirmed();
             directory.replaceAll(List.of(listed));
             slots = new SlotService(
                     vertx,
@@ -84,7 +89,9 @@
             slots.client().start(null);
             slots.listen("127.0.0.1", entry.port());
             vertx.setPeriodic(20, timer -> {
-                directory.servedVersions().listConfirmed();
+                if (inStep) {
+                    confirmList();
+                }
                 slots.scheduler().schedule();
             });
         }
@@ -103,7 +110,7 @@
         void follow(Duration time) {
             run(() -> {
                 ticker.shift = ticker.shift.plus(time);
-                directory.servedVersions().listConfirmed();
+                confirmList();
             });
         }
 
@@ -127,7 +134,7 @@
                                     Set.of(),
                                     0,
                                     true,
-                                    Optional.of(new StreamOrigin(Optional.empty(), Optional.of(attempt)))),
+                                    Optional.of(StreamOrigin.ofAttempt(Optional.of(attempt), ticker.nanos()))),
                             new SlotClient.Listener() {
                                 @Override
                                 public void granted(String upstream) {
@@ -145,8 +152,9 @@
         /** Returns the version on which this node, left alone, would continue a stream of unknown origin. */
         Optional<String> concluded() {
             CompletableFuture<Optional<String>> version = new CompletableFuture<>();
-            run(() -> version.complete(
-                    slots.client().versionOf("s", new StreamOrigin(Optional.empty(), Optional.of("unknown")))));
+            run(() -> slots.client()
+                    .findVersion(
+                            "s", StreamOrigin.ofAttempt(Optional.of("unknown"), ticker.nanos()), version::complete));
             return version.join();
         }
     }
@@ -246,4 +254,36 @@
         other.run(() -> other.directory.put(upstream("e2", "v1")));
         assertEquals("e2", other.resume("began on v1"));
     }
+
+    /** Guards against a grant by a scheduler that has not seen the version on which the stream began. */
+    @Test
+    void schedulerThatIsOutOfStepDoesNotConclude() throws Exception {
+        Node scheduler = node("n0", 2);
+        Node other = node("n1", 1);
+        scheduler.run(() -> scheduler.start(upstream("e1", "v1")));
+        other.run(() -> other.start(upstream("e1", "v1")));
+        scheduler.follow(ServedVersions.PERIOD);
+        join(scheduler);
+        assertEquals("e1", other.resume());
+        scheduler.run(() -> scheduler.inStep = false);
+        other.run(() -> other.directory.put(upstream("e2", "v2")));
+        assertEquals("rejected", other.resume());
+        assertEquals("rejected", scheduler.resume());
+        scheduler.run(() -> scheduler.directory.put(upstream("e2", "v2")));
+        scheduler.inStep = true;
+        assertEquals("rejected", other.resume());
+    }
+
+    /** As above, where a node that is out of step chooses the upstream itself. */
+    @Test
+    void nodeThatIsOutOfStepDoesNotConclude() throws Exception {
+        Node alone = node("n0", 1);
+        alone.run(() -> alone.start(upstream("e1", "v1")));
+        alone.follow(ServedVersions.PERIOD);
+        assertEquals(Optional.of("v1"), alone.concluded());
+        alone.run(() -> alone.inStep = false);
+        assertEquals(Optional.empty(), alone.concluded());
+        alone.inStep = true;
+        assertEquals(Optional.of("v1"), alone.concluded());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
@@ -90,7 +90,7 @@
                                     Set.of(),
                                     0,
                                     true,
-                                    Optional.of(new StreamOrigin(Optional.empty(), Optional.of(attempt)))),
+                                    Optional.of(StreamOrigin.ofAttempt(Optional.of(attempt), System.nanoTime()))),
                             new SlotClient.Listener() {
                                 @Override
                                 public void granted(String upstream) {
--- a/serving/src/test/java/dev/lavenderline/serving/slots/QuotaFleet.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/QuotaFleet.java
@@ -260,7 +260,7 @@
                     from.down(QuotaFrames.decision(
                             frame.getQuotaRequest().getId(),
                             server.decide(node, frame.getQuotaRequest().getWorkspace())));
-                case ACQUIRE -> handle(SlotFrames.request(node, frame.getAcquire()));
+                case ACQUIRE -> handle(SlotFrames.request(node, frame.getAcquire(), 0));
                 default -> throw new IllegalStateException(frame.toString());
             }
         }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -25,8 +26,8 @@
     private final ResumptionCounts counts =
             new ResumptionCounts(time, (event, fields) -> lines.add(Arrays.toString(fields)), streams);
 
-    private static StreamOrigin attempt(String id) {
-        return new StreamOrigin(Optional.empty(), Optional.of(id));
+    private StreamOrigin attempt(String id) {
+        return StreamOrigin.ofAttempt(Optional.of(id), time.nanos());
     }
 
     private static SlotRequest request(StreamOrigin origin) {
@@ -38,14 +39,15 @@
         directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 8, false, "v1"));
         streams.record("r", "v1");
         counts.continued(request(attempt("r")));
-        counts.continued(request(new StreamOrigin(Optional.of("v1"), Optional.of("r"))));
+        counts.continued(request(attempt("r").withVersion(Optional.of("v1"))));
         counts.continued(request(StreamOrigin.ofVersion("v1")));
         assertEquals(Cause.NOT_OBSERVED, counts.refused("s", attempt("unknown")));
         assertEquals(Cause.NO_UPSTREAM, counts.refused("s", StreamOrigin.ofVersion("v1")));
         counts.logIfDue();
         assertEquals(
-                List.of("[reported, 2, observed, 0, recorded, 0, several_versions, 0, not_observed, 1, no_version, 0,"
-                        + " no_upstream, 0]"),
+                List.of(
+                        "[reported, 2, observed, 0, recorded, 0, several_versions, 0, not_observed, 1, list_outdated, 0,"
+                                + " no_version, 0, no_upstream, 0]"),
                 lines);
         counts.decided("none", attempt("unknown"));
         counts.logIfDue();
@@ -61,9 +63,13 @@
     void conclusionsAreLoggedWithTheAgeOfTheList() {
         directory.replaceAll(List.of(new Upstream("e1", "s", "10.0.0.1", 80, "a", 8, false, "v1")));
         directory.servedVersions().heard(Map.of(), ServedVersions.PERIOD);
+        StreamOrigin first = attempt("r");
+        StreamOrigin second = attempt("r2");
+        time.advance(Duration.ofMillis(1));
+        directory.servedVersions().listConfirmed(ClockReading.now(time));
         time.advance(Duration.ofMillis(700));
-        counts.continued(request(attempt("r")));
-        counts.decided("s", attempt("r2"));
+        counts.continued(request(first));
+        counts.decided("s", second);
         streams.record("known", "v1");
         counts.continued(request(attempt("known")));
         assertEquals(
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -690,7 +690,7 @@
     }
 
     private void resume(String attempt) {
-        StreamOrigin origin = new StreamOrigin(Optional.empty(), Optional.of(attempt));
+        StreamOrigin origin = StreamOrigin.ofAttempt(Optional.of(attempt), time.nanos());
         scheduler.acquire(
                 new SlotRequest("n1", nextLease++, "s", TARGET, DEADLINE, Set.of(), 0, true, Optional.of(origin)));
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -17,8 +18,16 @@
     private final UpstreamDirectory directory = new UpstreamDirectory(time);
     private final StreamVersions streams = new StreamVersions(time, directory);
 
-    private static StreamOrigin attempt(String id) {
-        return new StreamOrigin(Optional.empty(), Optional.of(id));
+    /** Returns the origin of a stream whose resumption arrives now, and reads the list after that. */
+    private StreamOrigin attempt(String id) {
+        StreamOrigin origin = StreamOrigin.ofAttempt(Optional.of(id), time.nanos());
+        time.advance(Duration.ofNanos(1));
+        confirmList();
+        return origin;
+    }
+
+    private void confirmList() {
+        directory.servedVersions().listConfirmed(ClockReading.now(time));
     }
 
     private void upstream(String id, String version) {
@@ -35,10 +44,10 @@
     /** Lets the store respond every second. */
     private void follow(Duration period) {
         for (long second = 0; second < period.toSeconds(); second++) {
-            directory.servedVersions().listConfirmed();
+            confirmList();
             time.advance(Duration.ofSeconds(1));
         }
-        directory.servedVersions().listConfirmed();
+        confirmList();
     }
 
     /** Guards against taking the only version listed for the only one in service while that has not been observed. */
--- a/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
@@ -6,6 +6,7 @@
 
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
     private String listenerFailsOn = "";
     private int resets;
     private int caughtUp;
+    private final List<Long> endAskedNanos = new ArrayList<>();
     private final PartitionFollower follower = new PartitionFollower(
             store,
             PARTITION,
@@ -47,6 +49,11 @@
                 public void caughtUp() {
                     caughtUp++;
                 }
+
+                @Override
+                public void endReached(ClockReading asked) {
+                    endAskedNanos.add(asked.nanos());
+                }
             },
             time,
             time,
@@ -98,6 +105,20 @@
         assertEquals(List.of("a", "b", "c", "a2"), delivered);
     }
 
+    /** Guards against taking what a response shows for newer than the read, and own appends for a read. */
+    @Test
+    void endIsKnownAsOfTheTimeAtWhichTheReadWasSent() {
+        follower.start();
+        long sent = time.nanos();
+        time.advance(Duration.ofMillis(700));
+        append("a");
+        store.releasePolls();
+        assertEquals(List.of(sent), endAskedNanos);
+        follower.handleAppended(1, List.of(new KeyedRecord("b", new byte[] {1})));
+        assertEquals(List.of("a", "b"), delivered);
+        assertEquals(List.of(sent), endAskedNanos);
+    }
+
     /** Guards against a lookup that ends in a 404 response because only the first part of the new records was read. */
     @Test
     void refreshReadsUpToTheEndOfThePartition() {
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
@@ -6,6 +6,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -52,9 +53,13 @@
         return new Upstream(id, "s", "10.0.0.1", 80, "a", 8, false, version);
     }
 
+    private void confirmList() {
+        versions.listConfirmed(ClockReading.now(clocks));
+    }
+
     @BeforeEach
     void load() {
-        directory.servedVersions().listConfirmed();
+        confirmList();
         directory.replaceAll(List.of(upstream("e1", "v1")));
     }
 
@@ -62,12 +67,21 @@
     private void follow(Duration period) {
         for (Duration passed = Duration.ZERO; passed.compareTo(period) < 0; passed = passed.plus(SECOND)) {
             clocks.advance(SECOND);
-            directory.servedVersions().listConfirmed();
+            confirmList();
         }
     }
 
+    /** Returns the cause for a resumption that arrives now, without a read of the list after that. */
+    private Cause causeBeforeRead() {
+        return versions.only("s", clocks.nanos()).cause();
+    }
+
+    /** Returns the cause for a resumption that arrives now, once the list has been read. */
     private Cause cause() {
-        return versions.only("s").cause();
+        long arrived = clocks.nanos();
+        clocks.advance(Duration.ofNanos(1));
+        confirmList();
+        return versions.only("s", arrived).cause();
     }
 
     @Test
@@ -77,7 +91,7 @@
         assertEquals(Cause.NOT_OBSERVED, cause());
         follow(SECOND);
         assertEquals(Cause.OBSERVED, cause());
-        assertEquals(Cause.NO_VERSION, versions.only("other").cause());
+        assertEquals(Cause.NO_VERSION, versions.only("other", clocks.nanos()).cause());
     }
 
     /** Guards against a conclusion from an old list by a node that is cut off, and right after it is back. */
@@ -85,21 +99,76 @@
     void nodeThatWasCutOffDuringAReleaseDoesNotConclude() {
         follow(ServedVersions.PERIOD);
         clocks.advance(ServedVersions.MAX_LIST_AGE.plusMillis(1));
-        assertEquals(Cause.NOT_OBSERVED, cause());
+        assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
         assertEquals(Duration.ZERO, versions.complete());
         directory.put(upstream("e2", "v2"));
         directory.remove("e1");
-        directory.servedVersions().listConfirmed();
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
     }
 
+    /** Guards against taking a version for the only one while another one has joined since the last read of the list. */
+    @Test
+    void nodeDoesNotConcludeFromReadsBeforeTheResumptionArrived() {
+        follow(ServedVersions.PERIOD);
+        assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
+        long arrived = clocks.nanos();
+        clocks.advance(Duration.ofMillis(1));
+        assertEquals(Cause.LIST_OUTDATED, versions.only("s", arrived).cause());
+        confirmList();
+        assertEquals(Cause.OBSERVED, versions.only("s", arrived).cause());
+        assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
+    }
+
+    /** Guards against taking a response that waited while the node stood still for a new one. */
+    @Test
+    void responseThatIsHandledLateShowsTheListOfTheTimeOfItsRead() {
+        follow(ServedVersions.PERIOD);
+        ClockReading asked = ClockReading.now(clocks);
+        clocks.advance(Duration.ofSeconds(10));
+        long arrived = clocks.nanos();
+        clocks.advance(Duration.ofMillis(1));
+        versions.listConfirmed(asked);
+        assertEquals(Cause.LIST_OUTDATED, versions.only("s", arrived).cause());
+        assertEquals(Duration.ZERO, versions.complete());
+    }
+
+    /** Guards against forgetting a version while a resumption waits. */
+    @Test
+    void periodEndsAtTheArrivalOfTheResumption() {
+        directory.put(upstream("e2", "v2"));
+        directory.remove("e2");
+        follow(ServedVersions.PERIOD);
+        long arrived = clocks.nanos();
+        follow(Duration.ofSeconds(5));
+        assertEquals(Cause.SEVERAL_VERSIONS, versions.only("s", arrived).cause());
+        assertEquals(Cause.OBSERVED, cause());
+    }
+
+    /** Guards against resumptions that are held although no read completes what is known, and against reads in vain. */
+    @Test
+    void readIsRequestedWhileItMayHelpTheResumption() {
+        int[] requests = new int[1];
+        versions.requestReadsWith(() -> requests[0]++);
+        follow(ServedVersions.PROOF_TIME);
+        assertFalse(versions.seek("s", clocks.nanos()), "not observed");
+        follow(ServedVersions.PERIOD);
+        long arrived = clocks.nanos();
+        assertTrue(versions.seek("s", arrived));
+        assertEquals(1, requests[0]);
+        clocks.advance(ServedVersions.MAX_READ_WAIT);
+        assertFalse(versions.seek("s", arrived), "the store does not respond");
+        directory.put(upstream("e2", "v2"));
+        assertFalse(versions.seek("s", clocks.nanos()), "several versions");
+        assertEquals(1, requests[0]);
+    }
+
     /** Guards against a conclusion after a suspension, which the monotonic clock does not count. */
     @Test
     void hostThatWasSuspendedDoesNotConcludeBeforeItHasReadTheList() {
         follow(ServedVersions.PERIOD);
         clocks.suspend(Duration.ofSeconds(20));
-        assertEquals(Cause.NOT_OBSERVED, cause());
-        directory.servedVersions().listConfirmed();
+        assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
+        assertEquals(Duration.ZERO, versions.complete());
         assertEquals(Cause.OBSERVED, cause());
     }
 
@@ -126,7 +195,7 @@
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
         follow(SECOND);
         assertEquals(Cause.OBSERVED, cause());
-        assertEquals("v1", versions.only("s").version().orElseThrow());
+        assertEquals("v1", versions.only("s", clocks.nanos() - 1).version().orElseThrow());
     }
 
     /** Guards against forgetting the version that an upstream had before it came back under its id. */
@@ -157,9 +226,13 @@
     void observationOfAnotherNodeDoesNotCountBeforeTheListIsLoaded() {
         UpstreamDirectory starting = new UpstreamDirectory(clocks);
         starting.servedVersions().heard(Map.of(V1, Duration.ZERO), ServedVersions.PERIOD);
-        starting.servedVersions().listConfirmed();
+        starting.servedVersions().listConfirmed(ClockReading.now(clocks));
         starting.replaceAll(List.of(upstream("e1", "v1")));
-        assertEquals(Cause.NOT_OBSERVED, starting.servedVersions().only("s").cause());
+        long arrived = clocks.nanos();
+        clocks.advance(SECOND);
+        starting.servedVersions().listConfirmed(ClockReading.now(clocks));
+        assertEquals(
+                Cause.NOT_OBSERVED, starting.servedVersions().only("s", arrived).cause());
     }
 
     @Test
@@ -167,10 +240,13 @@
         versions.recordsLoaded();
         versions.replaceRecorded(Map.of(V1, true));
         assertEquals(Cause.NOT_OBSERVED, cause());
-        assertTrue(versions.mayBeProven("s"));
-        follow(ServedVersions.LIST_LAG);
+        assertTrue(versions.seek("s", clocks.nanos()));
+        follow(ServedVersions.LIST_LAG.minus(SECOND));
         assertEquals(Cause.NOT_OBSERVED, cause());
-        versions.recordsConfirmed();
+        follow(SECOND);
+        assertEquals(Cause.LIST_OUTDATED, cause());
+        assertTrue(versions.seek("s", clocks.nanos()));
+        versions.recordsConfirmed(ClockReading.now(clocks));
         assertEquals(Cause.RECORDED, cause());
     }
 
@@ -179,9 +255,9 @@
         versions.recordsLoaded();
         versions.replaceRecorded(Map.of(V1, false));
         follow(ServedVersions.LIST_LAG);
-        versions.recordsConfirmed();
+        versions.recordsConfirmed(ClockReading.now(clocks));
         assertEquals(Cause.NOT_OBSERVED, cause());
-        assertFalse(versions.mayBeProven("s"));
+        assertFalse(versions.seek("s", clocks.nanos()));
     }
 
     /** Guards against a conclusion that ignores a version of which only the records tell. */
