Send reads of the list by a timer, not within the request for one

A read that ends at once, because the partition has not been loaded or, in tests, because the store is in memory, ran the scheduler within its own pass over the waiting requests. Found in review; no failure was seen. ListReadsTest.requestsBeforeOneReadShareIt now demands that no read is sent within the request.

--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ListReads.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ListReads.java
@@ -10,8 +10,8 @@
  * Reads the list of upstreams for requests that need to know it as of their arrival. One read serves all requests that
  * arrived before it was sent.
  *
- * <p>Invariants: a read is sent after each request for one; at most one is awaited, and they are sent at least
- * {@link #MIN_INTERVAL} apart. Not thread-safe; confined to the event loop.
+ * <p>Invariants: a read is sent after each request for one, and not before {@link #request} has returned; at most one is
+ * awaited, and they are sent at least {@link #MIN_INTERVAL} apart. Not thread-safe; confined to the event loop.
  */
 public final class ListReads {
     /** Bounds the reads of a node; a resumed stream can wait for that long. */
@@ -58,13 +58,10 @@
         if (!requested || scheduled || awaited != 0) {
             return;
         }
+        scheduled = true;
         Duration pause = MIN_INTERVAL.minusNanos(ticker.nanos() - sentNanos);
-        if (pause.isNegative() || pause.isZero()) {
-            send();
-        } else {
-            scheduled = true;
-            timers.after(pause, this::send);
-        }
+        // By a timer in any case, as requests come from within decisions, which the end of a read makes anew.
+        timers.after(pause.isNegative() ? Duration.ZERO : pause, this::send);
     }
 
     private void send() {
