--- a/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/UpstreamFollower.java
@@ -1,11 +1,13 @@
 package dev.lavenderline.serving.node;
 
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedListener;
 import dev.lavenderline.serving.store.KeyedRecord;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vavr.control.Either;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -40,8 +42,8 @@
     }
 
     @Override
-    public void endReached() {
-        directory.servedVersions().listConfirmed();
+    public void endReached(ClockReading asked) {
+        directory.servedVersions().listConfirmed(asked);
     }
 
     @Override
@@ -50,7 +52,11 @@
         Map<String, Upstream> current = new HashMap<>();
         for (KeyedRecord record : newest) {
             if (!record.deletion()) {
-                decode(record).ifPresent(upstream -> current.put(upstream.id(), upstream));
+                FailureGuard.run(
+                        log,
+                        () -> decode(record).ifPresent(upstream -> current.put(upstream.id(), upstream)),
+                        "upstream",
+                        record.key());
             }
         }
         directory.replaceAll(current.values());
--- a/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.proto.versions.VersionRecord;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedListener;
 import dev.lavenderline.serving.store.KeyedRecord;
@@ -11,6 +12,7 @@
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.ServiceVersion;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -61,7 +63,7 @@
         loaded = true;
         entries.clear();
         writing.clear();
-        current.forEach(this::apply);
+        current.forEach(record -> FailureGuard.run(log, () -> apply(record), "key", record.key()));
         publish();
         versions.recordsLoaded();
     }
@@ -74,8 +76,8 @@
     }
 
     @Override
-    public void endReached() {
-        versions.recordsConfirmed();
+    public void endReached(ClockReading asked) {
+        versions.recordsConfirmed(asked);
     }
 
     private void apply(KeyedRecord record) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.online;
 
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
@@ -152,7 +153,7 @@
         this.keyCheck = new KeyCheck(context.keys(), route, info);
         this.events = new EventSequence(resumedByCaller() ? info.lastEventId() : OptionalLong.empty());
         this.origin = resumedByCaller()
-                ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
+                ? Optional.of(StreamOrigin.ofAttempt(info.resumedAttempt(), arrivalNanos))
                 : Optional.empty();
         this.arrivalNanos = arrivalNanos;
         Duration timeout = info.timeout()
@@ -190,10 +191,7 @@
      * wait until the deadline.
      */
     private void endOnException(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            context.log().event(ServingEvent.UNEXPECTED, "request", info.id(), "uri", uri, "message", e);
+        if (!FailureGuard.run(context.log(), step, "request", info.id(), "uri", uri)) {
             endUnexpectedly();
         }
     }
@@ -230,9 +228,8 @@
                 context.slots().admit(caller.workspace(), new QuotaAnswer());
                 return;
             }
-            origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
             if (origin.isPresent() && requiredVersion().isEmpty()) {
-                rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+                context.slots().findVersion(service, origin.get(), this::originFound);
                 return;
             }
             Optional<Upstream> picked = context.placement().pick(service, excluded, requiredVersion());
@@ -266,6 +263,15 @@
         });
     }
 
+    private void originFound(Optional<String> version) {
+        origin = origin.map(began -> began.withVersion(version));
+        if (version.isEmpty()) {
+            rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+        } else if (!done) {
+            endOnException(this::tryUpstream);
+        }
+    }
+
     /** Returns whether the next send counts toward the quota: the first one of a request that begins no stream anew. */
     private boolean toBeCharged() {
         return caller.hasWorkspace() && !charged && origin.isEmpty();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -3,8 +3,11 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.slots.Granted;
+import dev.lavenderline.proto.slots.Rejected;
+import dev.lavenderline.proto.slots.RunItem;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -67,6 +70,7 @@
     private final SchedulerSelector selector;
     private final SlotScheduler scheduler;
     private final StreamVersions streamVersions;
+    private final OriginLookup origins;
     private final CrashingPrompts prompts;
     private final UpstreamDirectory directory;
     private final QuotaConnection quotas;
@@ -132,7 +136,7 @@
             }
             socket = opened;
             configLink = config.connect(socket::write);
-            socket.handler(new SlotFrames.Decoder(this::frame, problem -> {
+            socket.handler(new SlotFrames.Decoder(this::handle, problem -> {
                 log.event(ServingEvent.FRAME_MALFORMED, "peer", target.name(), "message", problem);
                 connectionLost(this, problem);
             }));
@@ -153,6 +157,10 @@
             if (active || closed) {
                 return;
             }
+            if (!local()) {
+                // Orders this hello behind that of a connection to the same scheduler, see HelloOrder.
+                ping();
+            }
             active = true;
             Connection previous = current;
             current = this;
@@ -191,7 +199,15 @@
             }
         }
 
+        /** Handles a frame; a failure costs that frame, not those after it. */
+        void handle(SlotFrame frame) {
+            FailureGuard.run(log, () -> frame(frame), "peer", target.name(), "frame", frame.getBodyCase());
+        }
+
         void frame(SlotFrame frame) {
+            if (closed) {
+                return;
+            }
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> VersionFrames.read(frame.getHello(), directory.servedVersions());
@@ -204,28 +220,14 @@
                 }
                 case CONFIG_REQUEST -> configLink.requested(frame.getConfigRequest());
                 case CONFIG_RECORD -> configLink.received(frame.getConfigRecord());
-                case GRANTED -> granted(frame.getGranted());
-                case REJECTED -> {
-                    long lease = frame.getRejected().getLease();
-                    Duration delay = Duration.ofMillis(frame.getRejected().getRetryAfterMs());
-                    if (frame.getRejected().getOverQuota()) {
-                        overQuota(self.name(), lease, delay);
-                    } else {
-                        rejected(self.name(), lease, delay);
-                    }
-                }
+                case GRANTED -> decided(this, () -> granted(frame.getGranted()));
+                case REJECTED -> decided(this, () -> rejected(frame.getRejected()));
                 case QUOTA_DECISION -> quotas.decided(frame.getQuotaDecision());
                 case LIMITED_WORKSPACES ->
                     quotas.limited(frame.getLimitedWorkspaces().getWorkspacesList());
-                case RUN_ITEM ->
-                    run(
-                            self.name(),
-                            frame.getRunItem().getLease(),
-                            frame.getRunItem().getUpstream(),
-                            new ItemRef(
-                                    frame.getRunItem().getJob(),
-                                    frame.getRunItem().getItem()));
-                case PREEMPT -> preempt(self.name(), frame.getPreempt().getLease());
+                case RUN_ITEM -> decided(this, () -> run(frame.getRunItem()));
+                case PREEMPT ->
+                    decided(this, () -> executor.preempt(frame.getPreempt().getLease()));
                 case REQUEST_SUSPECTED ->
                     prompts.suspect(frame.getRequestSuspected().getRequest());
                 case PROMPT_REJECTED ->
@@ -250,7 +252,7 @@
                             !grant.getVersion().isEmpty() && !upstream.version().equals(grant.getVersion()))
                     .orElse(false);
             if (!continues || !otherVersion) {
-                SchedulerClient.this.granted(self.name(), grant.getLease(), grant.getUpstream());
+                SchedulerClient.this.granted(grant.getLease(), grant.getUpstream());
                 return;
             }
             release(grant.getLease(), ReleaseReason.CANCELLED, 0);
@@ -329,6 +331,7 @@
         this.selector = new SchedulerSelector(ticker);
         this.scheduler = scheduler;
         this.streamVersions = scheduler.streamVersions();
+        this.origins = new OriginLookup(streamVersions, scheduler.resumptions());
         this.server = server;
         this.placement = placement;
         placement.shareLimits(this::nodeCount);
@@ -358,6 +361,7 @@
     private void checkPeriodically() {
         timers.after(CHECK_INTERVAL.plusMillis(INTERVAL_MILLIS_PER_NODE * nodeCount), this::checkPeriodically);
         check();
+        resolveOrigins();
     }
 
     private Duration pingInterval() {
@@ -513,6 +517,7 @@
                 request.origin().flatMap(origin -> streamVersions.resolve(request.service(), origin));
         if (request.origin().isPresent() && version.isEmpty()) {
             // Stays pending until the next scheduler is found, which may know where the stream began.
+            streamVersions.seek(request.service(), request.origin().get());
             return;
         }
         long lease = request.lease();
@@ -608,9 +613,16 @@
     }
 
     @Override
-    public Optional<String> versionOf(String service, StreamOrigin origin) {
-        scheduler.resumptions().decided(service, origin);
-        return streamVersions.resolve(service, origin);
+    public void findVersion(String service, StreamOrigin origin, Consumer<Optional<String>> listener) {
+        origins.find(service, origin, listener);
+    }
+
+    /** Resolves origins again that need to be known as of now; call it after each read of the list of upstreams. */
+    void resolveOrigins() {
+        origins.retry();
+        if (current == null && (candidate == null || searchWaitOver)) {
+            placePendingLocally();
+        }
     }
 
     @Override
@@ -635,59 +647,100 @@
         }
     }
 
-    @Override
-    public void granted(String node, long lease, String upstream) {
+    /**
+     * Carries out a decision of a scheduler after the current task, unless another scheduler is in use by then: that
+     * one has been told what the node holds without this decision, and decides anew.
+     */
+    private void decided(Connection connection, Runnable decision) {
         context.runOnContext(now -> {
-            Pending entry = pending.remove(lease);
-            if (entry == null) {
-                // The request was withdrawn, or granted by two schedulers when the scheduler changed.
-                if (!heldSlots.containsKey(lease)) {
-                    release(lease, ReleaseReason.CANCELLED, 0);
-                }
-                return;
+            if (connection == current) {
+                decision.run();
             }
-            heldSlots.put(lease, new Holding(lease, upstream, Optional.empty()));
-            quotas.granted(entry.request());
-            entry.listener().granted(upstream);
         });
     }
 
+    /** Carries out a decision of this node's scheduler. */
+    private void decidedLocally(Runnable decision) {
+        Connection connection = current;
+        if (connection != null && connection.local()) {
+            decided(connection, decision);
+        }
+    }
+
     @Override
-    public void rejected(String node, long lease, Duration retryAfter) {
-        context.runOnContext(now -> {
-            Pending entry = pending.remove(lease);
-            if (entry != null) {
-                entry.listener().rejected(retryAfter);
+    public void granted(String node, long lease, String upstream) {
+        decidedLocally(() -> granted(lease, upstream));
+    }
+
+    private void granted(long lease, String upstream) {
+        Pending entry = pending.remove(lease);
+        if (entry == null) {
+            // The request was withdrawn.
+            if (!heldSlots.containsKey(lease)) {
+                release(lease, ReleaseReason.CANCELLED, 0);
             }
-        });
+            return;
+        }
+        heldSlots.put(lease, new Holding(lease, upstream, Optional.empty()));
+        quotas.granted(entry.request());
+        entry.listener().granted(upstream);
+    }
+
+    @Override
+    public void rejected(String node, long lease, Duration retryAfter) {
+        decidedLocally(() -> rejected(lease, retryAfter));
+    }
+
+    private void rejected(Rejected rejection) {
+        Duration retryAfter = Duration.ofMillis(rejection.getRetryAfterMs());
+        if (rejection.getOverQuota()) {
+            overQuota(rejection.getLease(), retryAfter);
+        } else {
+            rejected(rejection.getLease(), retryAfter);
+        }
+    }
+
+    private void rejected(long lease, Duration retryAfter) {
+        Pending entry = pending.remove(lease);
+        if (entry != null) {
+            entry.listener().rejected(retryAfter);
+        }
     }
 
     @Override
     public void overQuota(String node, long lease, Duration retryAfter) {
-        context.runOnContext(now -> {
-            Pending entry = pending.remove(lease);
-            if (entry != null) {
-                quotas.rejected();
-                entry.listener().overQuota(retryAfter);
-            }
-        });
+        decidedLocally(() -> overQuota(lease, retryAfter));
+    }
+
+    private void overQuota(long lease, Duration retryAfter) {
+        Pending entry = pending.remove(lease);
+        if (entry != null) {
+            quotas.rejected();
+            entry.listener().overQuota(retryAfter);
+        }
     }
 
     @Override
     public void run(String node, long lease, String upstream, ItemRef item) {
-        context.runOnContext(now -> {
-            if (draining) {
-                release(lease, ReleaseReason.NODE_DECLINED, 0);
-                return;
-            }
-            heldSlots.put(lease, new Holding(lease, upstream, Optional.of(item)));
-            executor.run(lease, upstream, item);
-        });
+        decidedLocally(() -> run(lease, upstream, item));
+    }
+
+    private void run(RunItem order) {
+        run(order.getLease(), order.getUpstream(), new ItemRef(order.getJob(), order.getItem()));
+    }
+
+    private void run(long lease, String upstream, ItemRef item) {
+        if (draining) {
+            release(lease, ReleaseReason.NODE_DECLINED, 0);
+            return;
+        }
+        heldSlots.put(lease, new Holding(lease, upstream, Optional.of(item)));
+        executor.run(lease, upstream, item);
     }
 
     @Override
     public void preempt(String node, long lease) {
-        context.runOnContext(now -> executor.preempt(lease));
+        decidedLocally(() -> executor.preempt(lease));
     }
 
     /** Returns the slots that this node holds. */
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.proto.slots.PromptEnded;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -61,13 +62,14 @@
         final NetSocket socket;
         String node = "";
         String failureDomain = "";
+        long lastPingNanos;
         final ConfigExchange.Link configLink;
         long lastFrameNanos = ticker.nanos();
 
         Peer(NetSocket socket) {
             this.socket = socket;
             this.configLink = config.connect(socket::write);
-            socket.handler(new SlotFrames.Decoder(this::frame, problem -> {
+            socket.handler(new SlotFrames.Decoder(this::handle, problem -> {
                 log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", problem);
                 socket.close();
             }));
@@ -75,7 +77,20 @@
             socket.exceptionHandler(failure -> leave(this, failure.getMessage()));
         }
 
+        /** Returns whether the node has left, or uses another connection. */
+        boolean replaced() {
+            return !node.isEmpty() && peers.get(node) != this;
+        }
+
+        /** Handles a frame; a failure costs that frame, not those after it. */
+        void handle(SlotFrame frame) {
+            FailureGuard.run(log, () -> frame(frame), "peer", node, "frame", frame.getBodyCase());
+        }
+
         void frame(SlotFrame frame) {
+            if (replaced()) {
+                return;
+            }
             lastFrameNanos = ticker.nanos();
             switch (frame.getBodyCase()) {
                 case HELLO -> join(this, frame);
@@ -85,12 +100,13 @@
                             frame.getQuotaRequest().getId(),
                             quotas.decide(node, frame.getQuotaRequest().getWorkspace())));
                 case PING -> {
+                    lastPingNanos = frame.getPing().getSequence();
                     quotas.pinged(node);
                     socket.write(configLink.pong(frame.getPing(), jobStateAge.get()));
                 }
                 case CONFIG_REQUEST -> configLink.requested(frame.getConfigRequest());
                 case CONFIG_RECORD -> configLink.received(frame.getConfigRecord());
-                case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire()));
+                case ACQUIRE -> scheduler.acquire(SlotFrames.request(node, frame.getAcquire(), lastFrameNanos));
                 case RELEASE ->
                     scheduler.released(
                             node,
@@ -179,7 +195,12 @@
 
     private void join(Peer peer, SlotFrame frame) {
         peer.node = frame.getHello().getNode();
-        Peer previous = peers.put(peer.node, peer);
+        Peer previous = peers.get(peer.node);
+        if (previous != null && HelloOrder.late(peer.lastPingNanos, previous.lastPingNanos)) {
+            peer.socket.close();
+            return;
+        }
+        peers.put(peer.node, peer);
         if (previous != null && previous != peer) {
             previous.socket.close();
         }
--- a/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/PartitionFollowerTest.java
@@ -5,7 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.lavenderline.serving.ManualTime;
-import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.workspaces.ClockReading;
 import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,8 +24,11 @@
     private final FakeStore store = new FakeStore();
     private final List<String> delivered = new ArrayList<>();
     private String listenerFailsOn = "";
+    private Error listenerError;
+    private int failures;
     private int resets;
     private int caughtUp;
+    private final List<Long> endAskedNanos = new ArrayList<>();
     private final PartitionFollower follower = new PartitionFollower(
             store,
             PARTITION,
@@ -32,11 +36,13 @@
                 @Override
                 public void reset(List<KeyedRecord> current) {
                     resets++;
+                    failOnRequest();
                     current.forEach(record -> delivered.add(record.key()));
                 }
 
                 @Override
                 public void record(KeyedRecord newer) {
+                    failOnRequest();
                     if (newer.key().equals(listenerFailsOn)) {
                         throw new IllegalStateException("record " + newer.key());
                     }
@@ -47,13 +53,24 @@
                 public void caughtUp() {
                     caughtUp++;
                 }
+
+                @Override
+                public void endReached(ClockReading asked) {
+                    endAskedNanos.add(asked.nanos());
+                }
             },
             time,
             time,
-            EventLog.NONE,
+            (event, fields) -> failures += event == ServingEvent.UNEXPECTED ? 1 : 0,
             Duration.ofSeconds(1),
             () -> Duration.ofMillis(10));
 
+    private void failOnRequest() {
+        if (listenerError != null) {
+            throw listenerError;
+        }
+    }
+
     private void append(String... keys) {
         for (String key : keys) {
             store.log(PARTITION).add(new KeyedRecord(key, new byte[] {1}));
@@ -98,6 +115,20 @@
         assertEquals(List.of("a", "b", "c", "a2"), delivered);
     }
 
+    /** Guards against taking what a response shows for newer than the read, and own appends for a read. */
+    @Test
+    void endIsKnownAsOfTheTimeAtWhichTheReadWasSent() {
+        follower.start();
+        long sent = time.nanos();
+        time.advance(Duration.ofMillis(700));
+        append("a");
+        store.releasePolls();
+        assertEquals(List.of(sent), endAskedNanos);
+        follower.handleAppended(1, List.of(new KeyedRecord("b", new byte[] {1})));
+        assertEquals(List.of("a", "b"), delivered);
+        assertEquals(List.of(sent), endAskedNanos);
+    }
+
     /** Guards against a lookup that ends in a 404 response because only the first part of the new records was read. */
     @Test
     void refreshReadsUpToTheEndOfThePartition() {
@@ -213,4 +244,35 @@
         time.advance(Duration.ofMillis(10));
         assertEquals(1, store.waitingPolls(), "one poll follows the released ones");
     }
+
+    /** Guards against a partition that is not followed any more after an error that is no exception. */
+    @Test
+    void followsOnAfterErrorOfListener() {
+        List<Error> errors = List.of(new StackOverflowError(), new OutOfMemoryError(), new AssertionError());
+        follower.start();
+        for (Error error : errors) {
+            listenerError = error;
+            appendLive("bad");
+            listenerError = null;
+            appendLive("good");
+        }
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("good", "good", "good"), delivered);
+        assertEquals(6, follower.nextOffset());
+        assertEquals(3, failures);
+    }
+
+    /** Guards against a process that follows nothing since it started while an odd record was the newest of its key. */
+    @Test
+    void followsOnAfterErrorAtTheStart() {
+        append("bad");
+        listenerError = new StackOverflowError();
+        Future<Void> loaded = follower.start();
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(loaded.isComplete());
+        listenerError = null;
+        appendLive("good");
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of("good"), delivered);
+    }
 }
