Close the connection of a body that goes on after its last event

After the end marker of a stream, the exchange no longer watched the response. If the engine did not end the body, the connection was neither reused nor closed; with 1,024 of them, requests to that engine waited for a connection until their time was over.

The end of the body now has to follow within 1 s, and a response that a slow caller had paused is read on. RepeatedResponseTest.connectionIsClosedIfTheBodyGoesOnAfterTheLastEvent failed before: with one connection, the second request was not sent within 10 s. A paused response freed its connection before as well; that case is kept as a guard.

--- a/http/src/main/java/dev/lavenderline/http/EngineExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/EngineExchange.java
@@ -165,7 +165,7 @@
             fail(UpstreamFailure.Kind.BROKEN, "the stream ended without a finish reason");
             return;
         }
-        finish();
+        finishBeforeEnd();
         listener.end(new StreamListener.End(finishReason, promptTokens));
     }
 
--- a/http/src/main/java/dev/lavenderline/http/UpstreamExchange.java
+++ b/http/src/main/java/dev/lavenderline/http/UpstreamExchange.java
@@ -29,6 +29,9 @@
     /** Longest time for which a response may go on whose connection is not reused; above every deadline. */
     private static final Duration MAX_RESPONSE_TIME = Duration.ofDays(2);
 
+    /** Longest time between the last event of a response and the end of its body. */
+    private static final Duration END_TIMEOUT = Duration.ofSeconds(1);
+
     private final Vertx vertx;
     private final HttpClientAgent client;
     private final UsedConnections usedConnections;
@@ -224,6 +227,19 @@
         }
     }
 
+    /**
+     * Ends the exchange before the end of the response, which is read on so that its connection may be reused. The
+     * connection is closed if the end does not follow soon.
+     */
+    void finishBeforeEnd() {
+        finish();
+        long endTimer = vertx.setTimer(END_TIMEOUT.toMillis(), fired -> request.reset());
+        response.endHandler(end -> vertx.cancelTimer(endTimer));
+        if (paused) {
+            response.resume();
+        }
+    }
+
     /** Ends the exchange without a further callback and closes its connection. Idempotent. */
     public void close() {
         if (done) {
--- a/http/src/test/java/dev/lavenderline/http/RawUpstream.java
+++ b/http/src/test/java/dev/lavenderline/http/RawUpstream.java
@@ -47,6 +47,10 @@
         return server.getLocalPort();
     }
 
+    int connections() {
+        return connections.get();
+    }
+
     /** Returns the number of connections that the client has closed. */
     int closedConnections() {
         return closedConnections.get();
--- a/http/src/test/java/dev/lavenderline/http/RepeatedResponseTest.java
+++ b/http/src/test/java/dev/lavenderline/http/RepeatedResponseTest.java
@@ -27,14 +27,17 @@
     private final Vertx vertx = Vertx.vertx();
     private final Context eventLoop = vertx.getOrCreateContext();
     private final List<String> events = new CopyOnWriteArrayList<>();
+    private UpstreamClient.Options options = UpstreamClient.Options.defaults();
+    private boolean pausesAtToken;
     private RawUpstream raw;
-    private UpstreamClient client;
+    private volatile UpstreamClient client;
+    private UpstreamClient.Exchange exchange;
     private Upstream upstream;
 
     private void serve(RawUpstream.Script script) throws IOException {
         raw = new RawUpstream(script);
         upstream = new Upstream("u1", Upstream.Kind.ENGINE, "g", "127.0.0.1:" + raw.port(), "r", "d", 1, true);
-        eventLoop.runOnContext(run -> client = new UpstreamClient(vertx, UpstreamClient.Options.defaults()));
+        eventLoop.runOnContext(run -> client = new UpstreamClient(vertx, options));
         await().until(() -> client != null);
     }
 
@@ -78,12 +81,15 @@
         StreamRequest request = new StreamRequest(
                 id, "/v1/completions", Buffer.buffer("{}"), TrafficClass.ONLINE, LIMIT, LIMIT, false, precondition);
         int before = events.size();
-        eventLoop.runOnContext(run -> client.stream(upstream, request, new StreamListener() {
+        eventLoop.runOnContext(run -> exchange = client.stream(upstream, request, new StreamListener() {
             private final StringBuilder text = new StringBuilder();
 
             @Override
             public void token(Token token) {
                 text.append(token.text());
+                if (pausesAtToken) {
+                    exchange.pause();
+                }
             }
 
             @Override
@@ -174,4 +180,35 @@
 
         assertEquals(List.of("r1 CROSSED 0"), events);
     }
+
+    private static String streamWithoutEnd(String id) {
+        String events = "data: {\"id\":\"" + id + "\",\"choices\":[{\"delta\":{\"content\":\"text of " + id
+                + "\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+        return "HTTP/1.1 200 Status\r\nX-Request-Id: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(events.length()) + "\r\n" + events + "\r\n";
+    }
+
+    /** Guards against connections that are never free again because an engine does not end a body after its events. */
+    @Test
+    void connectionIsClosedIfTheBodyGoesOnAfterTheLastEvent() throws Exception {
+        options = new UpstreamClient.Options(Duration.ofSeconds(1), Duration.ofSeconds(10), 1);
+        serve((number, id) -> streamWithoutEnd(id));
+        stream("r1", Optional.empty());
+        stream("r2", Optional.empty());
+
+        assertEquals(List.of("r1 text of r1", "r2 text of r2"), events);
+    }
+
+    /** Guards against connections that are never free again because a slow caller paused the end of its response. */
+    @Test
+    void connectionIsReusedAfterResponseThatWasPausedAtItsLastToken() throws Exception {
+        options = new UpstreamClient.Options(Duration.ofSeconds(1), Duration.ofSeconds(10), 1);
+        pausesAtToken = true;
+        serve((number, id) -> streamWithoutEnd(id) + "0\r\n\r\n");
+        stream("r1", Optional.empty());
+        stream("r2", Optional.empty());
+
+        assertEquals(List.of("r1 text of r1", "r2 text of r2"), events);
+        assertEquals(1, raw.connections());
+    }
 }
