Keep a change that throws from stopping the others of its partition

Cause: a conditional writer evaluates all waiting changes in one loop and reports outcomes in another. An exception in a change, or in what its submitter does at the outcome, left the loop: the other changes waited until their time limit or another submission.

Change: each change and each outcome runs under FailureGuard. A change that throws is abandoned as if its time limit had passed.

Failed before: both tests of ConditionalWriterTest, with the exception.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -121,7 +121,7 @@
             PartitionFollower follower =
                     new PartitionFollower(store, partition, listener(partition), ticker, timers, log, POLL_WAIT, pause);
             followers.add(follower);
-            writers.add(new ConditionalWriter(store, partition, follower, ticker, timers));
+            writers.add(new ConditionalWriter(store, partition, follower, ticker, timers, log));
         }
         ledger.onResult(result -> submittedFailures.remove(new ItemRef(result.getJob(), result.getItem())));
         ledger.onCancelled(
--- a/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
@@ -2,6 +2,8 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.logging.FailureGuard;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.Duration;
@@ -24,7 +26,8 @@
  *
  * <p>Invariants: at most one append is in progress, and each states the offset up to which the follower has read. A
  * change is refused only if the partition was read up to its end since it was submitted and no append of it can still be
- * executed. Not thread-safe; confined to the event loop.
+ * executed. A change that throws is abandoned, and what throws at its outcome keeps no other change from its own. Not
+ * thread-safe; confined to the event loop.
  */
 public final class ConditionalWriter {
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
@@ -37,6 +40,7 @@
     private final PartitionFollower follower;
     private final Ticker ticker;
     private final Timers timers;
+    private final EventLog log;
     private final Deque<PendingChange> waiting = new ArrayDeque<>();
 
     /** Why the last append failed; empty if it succeeded. */
@@ -111,12 +115,18 @@
     }
 
     public ConditionalWriter(
-            MetadataStore store, Partition partition, PartitionFollower follower, Ticker ticker, Timers timers) {
+            MetadataStore store,
+            Partition partition,
+            PartitionFollower follower,
+            Ticker ticker,
+            Timers timers,
+            EventLog log) {
         this.store = store;
         this.partition = partition;
         this.follower = follower;
         this.ticker = ticker;
         this.timers = timers;
+        this.log = log;
     }
 
     /**
@@ -154,63 +164,86 @@
 
     private void expireOverdue() {
         long now = ticker.nanos();
+        List<PendingChange> overdue = new ArrayList<>();
         waiting.removeIf(pending -> {
             if (now - pending.deadlineNanos < 0) {
                 return false;
             }
-            boolean sent = pending.inProgress || pending.maybeAppended;
-            pending.promise.tryComplete(sent ? Result.UNKNOWN : Result.NOT_APPENDED);
+            overdue.add(pending);
             return true;
         });
+        overdue.forEach(this::abandon);
+    }
+
+    private void abandon(PendingChange pending) {
+        boolean sent = pending.inProgress || pending.maybeAppended;
+        complete(pending, sent ? Result.UNKNOWN : Result.NOT_APPENDED);
+    }
+
+    private void complete(PendingChange pending, Result result) {
+        FailureGuard.run(log, () -> pending.promise.tryComplete(result), "partition", partition, "key", pending.name);
     }
 
     private void appendNext() {
         if (!appending.isEmpty() || waiting.isEmpty() || follower.nextOffset() < 0) {
             return;
         }
-        List<PendingChange> batch = new ArrayList<>();
-        List<PendingChange> unread = new ArrayList<>();
-        List<KeyedRecord> records = new ArrayList<>();
-        Reservations reservations = new Reservations();
-        int bytes = 0;
+        Evaluation evaluation = new Evaluation();
         for (PendingChange pending : List.copyOf(waiting)) {
-            if (bytes >= APPEND_BATCH_BYTES) {
+            if (evaluation.bytes >= APPEND_BATCH_BYTES) {
                 break;
             }
             if (pending.reading) {
                 continue;
             }
-            // A change that may be executed is appended again: only that shows whether it was.
-            if (!mayBeExecuted(pending.name) && pending.change.refused()) {
-                if (pending.readToEnd) {
-                    waiting.remove(pending);
-                    pending.promise.tryComplete(Result.REFUSED);
-                } else {
-                    unread.add(pending);
-                }
-                continue;
-            }
-            Optional<List<KeyedRecord>> changeRecords = pending.change.records(reservations);
-            if (changeRecords.isEmpty()) {
-                continue;
+            Runnable task = () -> evaluate(pending, evaluation);
+            if (!FailureGuard.run(log, task, "partition", partition, "key", pending.name)) {
+                waiting.remove(pending);
+                abandon(pending);
             }
-            if (changeRecords.get().isEmpty()) {
+        }
+        if (!evaluation.batch.isEmpty()) {
+            append(evaluation.batch, evaluation.records);
+        }
+        if (!evaluation.unread.isEmpty()) {
+            readToEnd(evaluation.unread);
+        }
+    }
+
+    /** What is to be done for the waiting changes in the current state. */
+    private static final class Evaluation {
+        final List<PendingChange> batch = new ArrayList<>();
+        final List<KeyedRecord> records = new ArrayList<>();
+        final List<PendingChange> unread = new ArrayList<>();
+        final Reservations reservations = new Reservations();
+        int bytes;
+    }
+
+    private void evaluate(PendingChange pending, Evaluation evaluation) {
+        // A change that may be executed is appended again: only that shows whether it was.
+        if (!mayBeExecuted(pending.name) && pending.change.refused()) {
+            if (pending.readToEnd) {
                 waiting.remove(pending);
-                pending.promise.tryComplete(Result.DONE);
-                continue;
+                complete(pending, Result.REFUSED);
+            } else {
+                evaluation.unread.add(pending);
             }
-            batch.add(pending);
-            records.addAll(changeRecords.get());
-            bytes += changeRecords.get().stream()
-                    .mapToInt(record -> record.value().length)
-                    .sum();
+            return;
         }
-        if (!batch.isEmpty()) {
-            append(batch, records);
+        Optional<List<KeyedRecord>> changeRecords = pending.change.records(evaluation.reservations);
+        if (changeRecords.isEmpty()) {
+            return;
         }
-        if (!unread.isEmpty()) {
-            readToEnd(unread);
+        if (changeRecords.get().isEmpty()) {
+            waiting.remove(pending);
+            complete(pending, Result.DONE);
+            return;
         }
+        evaluation.batch.add(pending);
+        evaluation.records.addAll(changeRecords.get());
+        evaluation.bytes += changeRecords.get().stream()
+                .mapToInt(record -> record.value().length)
+                .sum();
     }
 
     /** Reads up to the partition's end, then evaluates changes again. */
@@ -244,7 +277,7 @@
                 follower.handleAppended(offset, records);
                 batch.forEach(pending -> {
                     waiting.remove(pending);
-                    pending.promise.tryComplete(Result.DONE);
+                    complete(pending, Result.DONE);
                 });
                 appendNext();
                 return;
