--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -2,7 +2,7 @@
 
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.MultiMap;
-import io.vertx.core.http.HttpClientConnection;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
@@ -12,8 +12,9 @@
 /**
  * One request and its response on one connection to an upstream.
  *
- * <p>Invariants: a response with the id of another request is never passed on; the connection is reused only after a
- * complete response to this request. Not thread-safe; confined to the event loop.
+ * <p>Invariants: a response belongs to the request only if it has the request's id, whatever else it says; a response
+ * that does not proves nothing, so the request may have run. A response ends where another one begins. The connection is reused only after a complete response to
+ * this request. Not thread-safe; confined to the event loop.
  */
 public final class UpstreamExchange {
     /** Size of the body of a rejection, in bytes, above which reusing its connection is not worth reading it. */
@@ -25,9 +26,12 @@
     private final WireFormat wire;
     private final ResponseListener listener;
 
-    private HttpClientConnection connection;
+    private final EmbeddedResponseDetector detector = new EmbeddedResponseDetector(this::isSecondResponse);
+
+    private UpstreamConnection connection;
     private HttpClientResponse response;
     private Duration keepAlive = Duration.ZERO;
+    private int connectionRequests;
     private int discardedBytes;
     private boolean sent;
     private long sentNanos;
@@ -53,20 +57,23 @@
 
     void start() {
         connections
-                .acquire(upstream)
+                .acquire(upstream, request.requestId())
                 .onSuccess(this::connected)
                 .onFailure(failure -> fail(SendFailure.NOT_CONNECTED, failure.getMessage()));
     }
 
-    private void connected(HttpClientConnection open) {
+    private void connected(UpstreamConnection open) {
         if (done) {
             connections.release(upstream, open, Duration.ofSeconds(2));
             return;
         }
         connection = open;
-        connection.exceptionHandler(failure -> connectionReset = true);
-        connection.closeHandler(closed -> connectionClosed());
+        connection.carries(request.requestId());
+        connectionRequests = connection.requests();
+        connection.http().exceptionHandler(failure -> connectionReset = true);
+        connection.http().closeHandler(closed -> connectionClosed());
         connection
+                .http()
                 .request(new RequestOptions().setMethod(request.method()).setURI(request.uri()))
                 .onSuccess(this::write)
                 .onFailure(failure -> fail(SendFailure.NOT_CONNECTED, failure.getMessage()));
@@ -109,8 +116,8 @@
         response.exceptionHandler(failure -> fail(currentFailure(), failure.getMessage()));
         ResponseInfo info = wire.parseResponse(response.statusCode(), response.headers());
         keepAlive = info.keepAlive();
-        boolean sameId = info.requestId().orElse("").equals(request.requestId());
-        if (!sameId && (info.requestId().isPresent() || !info.notExecuted())) {
+        if (!info.requestId().orElse("").equals(request.requestId())) {
+            connections.rejected(upstream, request, response.statusCode(), info, connectionRequests);
             fail(
                     SendFailure.LOST,
                     info.requestId().map(id -> "response to request " + id).orElse("response without request id"));
@@ -132,20 +139,42 @@
         if (done) {
             return;
         }
-        response.handler(chunk -> {
-            if (!done) {
-                listener.chunk(chunk);
-            }
-        });
+        response.handler(this::receiveBody);
         response.endHandler(end -> complete());
     }
 
+    private void receiveBody(Buffer chunk) {
+        if (done) {
+            return;
+        }
+        Buffer body = detector.feed(chunk);
+        if (body.length() > 0) {
+            listener.chunk(body);
+        }
+        if (detector.found()) {
+            fail(SendFailure.CUT, "second response within the body");
+        }
+    }
+
+    /**
+     * Returns whether a head within the body of a response is that of another one: it has the id of a request that the
+     * connection has carried, or rejects a request that it does not name.
+     */
+    private boolean isSecondResponse(int status, MultiMap headers) {
+        ResponseInfo info = wire.parseResponse(status, headers);
+        boolean second = info.requestId().map(connection::carried).orElse(info.notExecuted());
+        if (second) {
+            connections.rejected(upstream, request, status, info, connectionRequests);
+        }
+        return second;
+    }
+
     /**
      * Reads and drops the body of a response that reports that the request did not run, to reuse the connection. Closes
      * the connection if the body is long or does not end.
      */
     private void discardResponse(SendFailure failure, String message) {
-        HttpClientConnection open = connection;
+        UpstreamConnection open = connection;
         Duration idle = keepAlive;
         connections.closeUnlessReleased(open);
         response.exceptionHandler(broken -> open.close());
@@ -157,7 +186,7 @@
         });
         response.endHandler(end -> connections.release(upstream, open, idle));
         connection = null;
-        open.closeHandler(closed -> connections.closed(open));
+        open.http().closeHandler(closed -> connections.closed(open));
         fail(failure, message);
     }
 
@@ -169,10 +198,16 @@
             fail(SendFailure.CUT, "connection reset during a response without length");
             return;
         }
+        if (detector.remainder().length() > 0) {
+            listener.chunk(detector.remainder());
+        }
+        if (done) {
+            return;
+        }
         done = true;
-        HttpClientConnection open = connection;
-        open.closeHandler(closed -> {});
-        open.exceptionHandler(failure -> open.close());
+        UpstreamConnection open = connection;
+        open.http().closeHandler(closed -> {});
+        open.http().exceptionHandler(failure -> open.close());
         if (closeDelimited || connectionClosed) {
             open.close();
         } else {
@@ -208,7 +243,7 @@
 
     private void close() {
         if (connection != null) {
-            connection.closeHandler(closed -> {});
+            connection.http().closeHandler(closed -> {});
             connection.close();
             connection = null;
         }
@@ -224,6 +259,11 @@
         return closeDelimited;
     }
 
+    /** Returns how many requests the connection has carried, this one included; 0 if it was never opened. */
+    public int connectionRequests() {
+        return connectionRequests;
+    }
+
     /** Stops reading the response until {@link #resume}. */
     public void pause() {
         if (response != null && !done) {
--- a/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
@@ -6,6 +6,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.serving.TestWireFormat;
+import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.upstreams.Upstream;
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
@@ -47,7 +48,7 @@
 
     @BeforeEach
     void start() {
-        connections = new UpstreamConnections(vertx, Ticker.system());
+        connections = new UpstreamConnections(vertx, Ticker.system(), EventLog.NONE);
         NetServer server = vertx.createNetServer().connectHandler(socket -> {
             acceptedConnections.incrementAndGet();
             socket.handler(bytes -> upstreamHandler.accept(socket, bytes.toString()));
@@ -103,9 +104,10 @@
 
     @Test
     void responseIsDeliveredAndConnectionReused() {
-        upstreamHandler = (socket, request) -> socket.write(response("r", "text"));
-        send("r");
-        send("r");
+        AtomicInteger requests = new AtomicInteger();
+        upstreamHandler = (socket, request) -> socket.write(response("r" + requests.incrementAndGet(), "text"));
+        send("r1");
+        send("r2");
         assertEquals(List.of("response text", "response text"), outcomes);
         assertEquals(1, acceptedConnections.get());
     }
@@ -196,11 +198,20 @@
     @Test
     void rejectedRequestHasNotRun() {
         upstreamHandler = (socket, request) ->
-                socket.write("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                socket.write("HTTP/1.1 503 Service Unavailable\r\nid: r\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
         send("r");
         assertEquals(List.of("NOT_EXECUTED"), outcomes);
     }
 
+    /** Guards against sending a running request again for a rejection that need not be its own. */
+    @Test
+    void requestMayHaveRunAfterRejectionWithoutId() {
+        upstreamHandler = (socket, request) ->
+                socket.write("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        send("r");
+        assertEquals(List.of("LOST"), outcomes);
+    }
+
     @Test
     void requestMayHaveRunAfterCloseWithoutResponse() {
         upstreamHandler = (socket, request) -> socket.close();
