--- a/serving/src/test/java/dev/lavenderline/serving/online/HostileExchange.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/HostileExchange.java
@@ -119,8 +119,8 @@
 
     /** Fails if a response is taken for complete that is not, or belongs to another request. */
     static void judge(Plan plan, String id, Received received) {
-        boolean rejected = List.of(Fault.REJECTION_THEN_EXTRA, Fault.ENDLESS_REJECTION)
-                .contains(plan.fault());
+        boolean rejected =
+                List.of(Fault.REJECTION_THEN_EXTRA, Fault.ENDLESS_REJECTION).contains(plan.fault());
         if (received.body().isEmpty()) {
             boolean notRun = List.of("NOT_EXECUTED", "OTHER_INSTANCE").contains(received.failure());
             assertTrue(!notRun || rejected, () -> received.failure() + " despite " + plan);
