--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -153,7 +153,7 @@
         this.keyCheck = new KeyCheck(context.keys(), route, info);
         this.events = new EventSequence(resumedByCaller() ? info.lastEventId() : OptionalLong.empty());
         this.origin = resumedByCaller()
-                ? Optional.of(new StreamOrigin(Optional.empty(), info.resumedAttempt()))
+                ? Optional.of(StreamOrigin.ofAttempt(info.resumedAttempt(), arrivalNanos))
                 : Optional.empty();
         this.arrivalNanos = arrivalNanos;
         Duration timeout = info.timeout()
@@ -228,9 +228,8 @@
                 context.slots().admit(caller.workspace(), new QuotaAnswer());
                 return;
             }
-            origin = origin.map(began -> new StreamOrigin(context.slots().versionOf(service, began), began.attempt()));
             if (origin.isPresent() && requiredVersion().isEmpty()) {
-                rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+                context.slots().findVersion(service, origin.get(), this::originFound);
                 return;
             }
             Optional<Upstream> picked = context.placement().pick(service, excluded, requiredVersion());
@@ -264,6 +263,15 @@
         });
     }
 
+    private void originFound(Optional<String> version) {
+        origin = origin.map(began -> began.withVersion(version));
+        if (version.isEmpty()) {
+            rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
+        } else if (!done) {
+            endOnException(this::tryUpstream);
+        }
+    }
+
     /** Returns whether the next send counts toward the quota: the first one of a request that begins no stream anew. */
     private boolean toBeCharged() {
         return caller.hasWorkspace() && !charged && origin.isEmpty();
