--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -63,9 +63,6 @@
     /** Retry delay for callers if no upstream can be used. */
     private static final Duration NO_UPSTREAM_RETRY_DELAY = Duration.ofMillis(700);
 
-    /** A caller is taken to be retrying if its timeout is below this fraction of the route's timeout. */
-    private static final double RETRY_TIMEOUT_RATIO = 0.97;
-
     private final CallContext context;
     private final Route route;
     private final Caller caller;
@@ -173,13 +170,6 @@
                 - context.ticker().nanos());
     }
 
-    private boolean callerRetries() {
-        return info.timeout()
-                .map(timeout -> timeout.toMillis()
-                        < RETRY_TIMEOUT_RATIO * route.timeout().toMillis())
-                .orElse(false);
-    }
-
     void start(boolean modelEngines, String service) {
         this.service = service;
         this.modelEngines = modelEngines;
@@ -316,7 +306,7 @@
                 remaining(),
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
-                callerRetries() || sends > 0 || origin.isPresent(),
+                info.retries(route.timeout()) || sends > 0 || origin.isPresent(),
                 origin,
                 caller.workspace(),
                 caller.priorityOr(route.priority()),
@@ -702,7 +692,7 @@
                         "deadlineMs",
                         (deadlineNanos - arrivalNanos) / 1_000_000,
                         "returning",
-                        callerRetries(),
+                        info.retries(route.timeout()),
                         "connectionRequests",
                         lastExchange == null ? null : lastExchange.connectionRequests(),
                         "closeDelimited",
