Take an empty stream for broken off unless it continues another one

A batch item was listed as completed without output, and a caller got an empty answer, when an upstream ended a stream in order before its first event. A stream has at least one event; only a continuation may have none, if the run before was cut behind its last event.

ServingNodeTest.chunkedStreamWithoutEventIsNotComplete (200 instead of 502) and itemRunsAgainAfterStreamWithoutEvent (empty output) failed before.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -379,7 +379,8 @@
             } else if (status != OK) {
                 finish(ReleaseReason.ANSWER_LOST, true, "status " + status);
             } else {
-                parser.truncation(exchange.closeDelimited()).ifPresentOrElse(this::streamTruncated, this::completed);
+                parser.truncation(exchange.closeDelimited(), sequence.continuation())
+                        .ifPresentOrElse(this::streamTruncated, this::completed);
             }
         }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
@@ -46,11 +46,13 @@
      * Returns why a stream that ends here is truncated, or empty if it may be complete.
      *
      * @param closeDelimited whether only the end of the connection ends the stream, which then proves nothing
+     * @param continuation whether the stream continues another one, which may have ended with its last event
      */
-    Optional<String> truncation(boolean closeDelimited) {
+    Optional<String> truncation(boolean closeDelimited, boolean continuation) {
         if (withinEvent) {
             return Optional.of("stream ended within an event");
         }
-        return closeDelimited && !anyEvent ? Optional.of("connection closed before the first event") : Optional.empty();
+        boolean mayBeEmpty = continuation && !closeDelimited;
+        return anyEvent || mayBeEmpty ? Optional.empty() : Optional.of("stream ended before the first event");
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -12,6 +12,7 @@
 public final class EventSequence {
     private OptionalLong firstId = OptionalLong.empty();
     private OptionalLong lastId;
+    private final boolean continuation;
     private boolean broken;
     private boolean withoutId;
 
@@ -22,6 +23,12 @@
      */
     public EventSequence(OptionalLong lastId) {
         this.lastId = lastId;
+        this.continuation = lastId.isPresent();
+    }
+
+    /** Returns whether the stream continues another one. */
+    public boolean continuation() {
+        return continuation;
     }
 
     /** Returns whether the next event belongs to the stream, and records its id if it does. */
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
@@ -59,7 +59,7 @@
 
     /** Returns why a stream that ends here is truncated; see {@link EventBoundaryScanner#truncation}. */
     Optional<String> truncation(boolean closeDelimited) {
-        return parser.truncation(closeDelimited);
+        return parser.truncation(closeDelimited, sequence.continuation());
     }
 
     /** Returns the bytes behind the last event of a stream that is not truncated: line ends, if any. */
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -32,8 +32,8 @@
     }
 
     /** Returns why a stream that ends here is truncated; see {@link EventBoundaryScanner#truncation}. */
-    public Optional<String> truncation(boolean closeDelimited) {
-        return boundaries.truncation(closeDelimited);
+    public Optional<String> truncation(boolean closeDelimited, boolean continuation) {
+        return boundaries.truncation(closeDelimited, continuation);
     }
 
     /**
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -935,7 +935,8 @@
         @Override
         public void end() {
             partialEvent = parser.hasPartialEvent();
-            if (status == HTTP_OK && failIfTruncated(parser.truncation(exchange.closeDelimited()))) {
+            if (status == HTTP_OK
+                    && failIfTruncated(parser.truncation(exchange.closeDelimited(), events.continuation()))) {
                 return;
             }
             if (isFailure(status) && attemptsLeft()) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -589,6 +589,14 @@
         assertEquals(502, stream(RawUpstream::closeDelimitedHead).join().statusCode());
     }
 
+    /** Guards against an empty stream reaching its caller as complete because its chunks are. */
+    @Test
+    void chunkedStreamWithoutEventIsNotComplete() throws IOException {
+        assertEquals(
+                502,
+                stream(id -> RawUpstream.chunkedHead(id) + "0\r\n\r\n").join().statusCode());
+    }
+
     /** Guards against taking a body that is no stream of events for a truncated one. */
     @Test
     void closeDelimitedBodyOfAnotherTypeIsComplete() throws IOException {
@@ -620,6 +628,41 @@
         assertEquals(3, runs.get());
     }
 
+    /** Guards against a batch item that is completed without output because an empty stream ended in order. */
+    @Test
+    void itemRunsAgainAfterStreamWithoutEvent() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream raw = new RawUpstream(
+                vertx,
+                (socket, id) -> socket.write(RawUpstream.chunkedHead(id)
+                        + (runs.getAndIncrement() == 0 ? "" : RawUpstream.chunk(events(1, 2)))
+                        + "0\r\n\r\n"));
+        write("upstreams", "e1", "engines " + raw.port);
+        startNode("n1");
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().lines().count() == 1);
+        assertEquals("a=text1|text2\n", get(0, "/jobs/job").body());
+    }
+
+    /** Guards against a run without end if a stream was cut behind its last event, of which nobody knows. */
+    @Test
+    void continuationWithoutEventIsComplete() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream raw = new RawUpstream(vertx, (socket, id) -> {
+            if (runs.getAndIncrement() > 0) {
+                socket.write(RawUpstream.chunkedHead(id) + "0\r\n\r\n");
+                return;
+            }
+            socket.write(RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(1, 2)));
+            vertx.setTimer(50, later -> socket.close());
+        });
+        write("upstreams", "e1", "engines " + raw.port);
+        startNode("n1");
+        assertEquals(202, post(0, "/batch/", "job", "a").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/job").body().lines().count() == 1);
+        assertEquals("a=text1|text2\n", get(0, "/jobs/job").body());
+    }
+
     /** Runs a job at an upstream whose first response is hostile and never ends, and the others are complete. */
     private void assertItemCompletesAfter(String head, String endless, Duration pause) throws Exception {
         AtomicInteger runs = new AtomicInteger();
