--- a/standins/src/main/java/dev/lavenderline/standins/Main.java
+++ b/standins/src/main/java/dev/lavenderline/standins/Main.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.standins.hosts.HostListCommand;
 import dev.lavenderline.standins.log.LogCommand;
 import dev.lavenderline.standins.service.ServiceServer;
+import dev.lavenderline.standins.soak.Soak;
 import dev.lavenderline.standins.weights.WeightStoreCommand;
 import java.util.Arrays;
 import java.util.Map;
@@ -24,7 +25,8 @@
             "hosts", new HostListCommand(),
             "weights", new WeightStoreCommand(),
             "engine", EngineServer::run,
-            "service", ServiceServer::run));
+            "service", ServiceServer::run,
+            "soak", Soak::run));
 
     private Main() {}
 
--- /dev/null
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/EngineSpec.java
@@ -0,0 +1,27 @@
+package dev.lavenderline.standins.platform;
+
+import java.time.Duration;
+
+/**
+ * What an engine is and how fast it works.
+ *
+ * @param id id under which it registers
+ * @param service name of its service
+ * @param version version of its software
+ * @param slots requests that it runs at once
+ * @param queue requests that wait for a slot; any further ones are refused
+ * @param connections connections that it accepts
+ * @param firstEvent time from a slot to the first event of a stream, or to the answer to a request without events
+ * @param eventInterval time from one event to the next
+ * @param keepAlive time after which it closes an idle connection, in whole seconds
+ */
+public record EngineSpec(
+        String id,
+        String service,
+        String version,
+        int slots,
+        int queue,
+        int connections,
+        Duration firstEvent,
+        Duration eventInterval,
+        Duration keepAlive) {}
