--- a/standins/src/main/java/dev/lavenderline/standins/Main.java
+++ b/standins/src/main/java/dev/lavenderline/standins/Main.java
@@ -21,12 +21,18 @@
     private static final int USAGE_EXIT_CODE = 2;
 
     private static final Map<String, Command> COMMANDS = new TreeMap<>(Map.of(
-            "log", new LogCommand(),
-            "hosts", new HostListCommand(),
-            "weights", new WeightStoreCommand(),
-            "engine", EngineServer::run,
-            "service", ServiceServer::run,
-            "soak", Soak::run));
+            "log",
+            new LogCommand(),
+            "hosts",
+            new HostListCommand(),
+            "weights",
+            new WeightStoreCommand(),
+            "engine",
+            EngineServer::run,
+            "service",
+            ServiceServer::run,
+            "soak",
+            Soak::run));
 
     private Main() {}
 
--- a/standins/src/main/java/dev/lavenderline/standins/platform/AnswerJudge.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/AnswerJudge.java
@@ -81,7 +81,8 @@
             found.add(violation(Rule.MIXED, request, "a success without a stamp of its engine", disturbance));
         } else if (request.events() > 0) {
             judgeStream(request, answer, runs, stamped.get(), disturbance, found);
-        } else if (answer.complete() && !Arrays.equals(answer.body(), stamped.get().body())) {
+        } else if (answer.complete()
+                && !Arrays.equals(answer.body(), stamped.get().body())) {
             found.add(violation(Rule.MIXED, request, "the body isn't that of the engine", disturbance));
         }
         return found;
@@ -116,7 +117,9 @@
                 EngineRun before = run;
                 Optional<EngineRun> next =
                         runs.stream().filter(each -> each.stamp().equals(stamp)).findFirst();
-                if (next.isEmpty() || next.get().firstEvent() != number || !request.kind().idempotent()) {
+                if (next.isEmpty()
+                        || next.get().firstEvent() != number
+                        || !request.kind().idempotent()) {
                     found.add(violation(
                             Rule.ORDER, request, "event " + number + " is of another run: " + next, disturbance));
                     return;
@@ -136,8 +139,8 @@
         }
         boolean endedEarly = run.end() == EngineRun.End.EARLY;
         if (position < text.length() && !(endedEarly || !answer.complete())) {
-            found.add(violation(
-                    Rule.MIXED, request, text.length() - position + " bytes that are no event", disturbance));
+            found.add(
+                    violation(Rule.MIXED, request, text.length() - position + " bytes that are no event", disturbance));
         } else if (position < text.length() && !isPartOfEvent(request, expected, runs, text.substring(position))) {
             found.add(violation(Rule.MIXED, request, "bytes that are no part of the next event", disturbance));
         }
@@ -154,7 +157,8 @@
     /** A complete answer with the wrong events isn't the body of its engine either. */
     private static List<Violation> wholeBody(
             CallerRequest request, CallerAnswer answer, List<EngineRun> runs, String disturbance) {
-        boolean matches = runs.size() != 1 || Arrays.equals(answer.body(), runs.get(0).body());
+        boolean matches =
+                runs.size() != 1 || Arrays.equals(answer.body(), runs.get(0).body());
         return !answer.complete() || matches
                 ? List.of()
                 : List.of(violation(Rule.MIXED, request, "the body isn't that of the engine", disturbance));
--- a/standins/src/main/java/dev/lavenderline/standins/platform/CallerConnection.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/CallerConnection.java
@@ -90,15 +90,7 @@
             reusable = false;
         }
         CallerAnswer answer = new CallerAnswer(
-                status,
-                headers,
-                body.toByteArray(),
-                error.isEmpty(),
-                error,
-                sent,
-                history.seconds(),
-                name,
-                exchange);
+                status, headers, body.toByteArray(), error.isEmpty(), error, sent, history.seconds(), name, exchange);
         history.record(History.keys(request.id()), "caller: " + answer);
         if (!reusable) {
             close();
--- a/standins/src/main/java/dev/lavenderline/standins/platform/EngineConnection.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/EngineConnection.java
@@ -34,12 +34,8 @@
     private static final class PlannedReset extends IOException {
         private static final long serialVersionUID = 1;
 
-        private final boolean orderly;
-
-        /** Creates the exception; an orderly end closes the connection, others reset it. */
-        PlannedReset(boolean orderly) {
+        PlannedReset() {
             super("ended as planned");
-            this.orderly = orderly;
         }
     }
 
@@ -92,10 +88,6 @@
                     busy = false;
                 }
             }
-        } catch (PlannedReset e) {
-            if (!e.orderly) {
-                reset();
-            }
         } catch (IOException | InterruptedException e) {
             // The peer closed the connection, or it was idle for too long.
             record("", "connection " + name + " ends after " + exchange + " requests: " + e.getMessage());
@@ -109,13 +101,18 @@
     private boolean respond(Head head, byte[] body) throws IOException, InterruptedException {
         String id = head.header("Request-Id");
         if (id.isEmpty() && head.startLine().startsWith("GET /health ")) {
-            write(head(engine.draining() ? 503 : 200, "Instance-Id: " + engine.spec().id() + "\r\n", "Content-Length: 0"));
+            write(head(
+                    engine.draining() ? 503 : 200,
+                    "Instance-Id: " + engine.spec().id() + "\r\n",
+                    "Content-Length: 0"));
             return true;
         }
-        record(id, name + " request " + exchange + " is " + id + " " + head.startLine() + ", " + body.length + " bytes"
-                + (head.headers().containsKey("Last-Event-Id")
-                        ? ", Last-Event-Id " + head.header("Last-Event-Id")
-                        : ""));
+        record(
+                id,
+                name + " request " + exchange + " is " + id + " " + head.startLine() + ", " + body.length + " bytes"
+                        + (head.headers().containsKey("Last-Event-Id")
+                                ? ", Last-Event-Id " + head.header("Last-Event-Id")
+                                : ""));
         if (id.isEmpty()) {
             write(head(400, "Not-Executed: 1\r\n", "Content-Length: 0"));
             return true;
@@ -175,7 +172,8 @@
     private boolean refuse(String id, int status) throws IOException {
         sendPending(SecondAnswer.BEFORE_NEXT);
         AnswerPlan plan = engine.plan(id, exchange);
-        byte[] answer = head(status, "Not-Executed: 1\r\nRequest-Id: " + id + "\r\n" + keepAlive(), "Content-Length: 0");
+        byte[] answer =
+                head(status, "Not-Executed: 1\r\nRequest-Id: " + id + "\r\n" + keepAlive(), "Content-Length: 0");
         record(id, name + " refuses " + id + " with " + status);
         write(plan.second() == SecondAnswer.BEHIND ? twice(answer, plan) : answer);
         sendPending(SecondAnswer.BEHIND_REFUSAL);
@@ -211,7 +209,9 @@
         AnswerPlan plan = engine.plan(id, exchange);
         String counts = head.header("Token-Counts");
         boolean stream = !counts.isEmpty();
-        int lastEvent = stream ? Integer.parseInt(counts.substring(counts.indexOf(',') + 1).trim()) : 0;
+        int lastEvent = stream
+                ? Integer.parseInt(counts.substring(counts.indexOf(',') + 1).trim())
+                : 0;
         String lastSeen = head.header("Last-Event-Id");
         int firstEvent = lastSeen.isEmpty() ? 1 : Integer.parseInt(lastSeen) + 1;
         awaitClose(engine.spec().firstEvent().toMillis());
@@ -231,7 +231,8 @@
             throw e;
         } catch (IOException e) {
             run.ended(
-                    engine.gone() ? EngineRun.End.BROKEN : EngineRun.End.CANCELLED, engine.history().seconds());
+                    engine.gone() ? EngineRun.End.BROKEN : EngineRun.End.CANCELLED,
+                    engine.history().seconds());
             throw e;
         }
     }
@@ -285,15 +286,16 @@
             }
             if (System.nanoTime() > end) {
                 record(id, name + " ends " + id + " at its deadline");
-                throw new PlannedReset(framing != Framing.CONNECTION);
+                throw planReset(framing != Framing.CONNECTION);
             }
             writeRecorded(written, framing == Framing.CHUNKS ? chunk(parts.get(i)) : parts.get(i));
         }
         if (resets) {
-            // The end of the connection ends a body without framing, so only a reset tells that the body isn't complete.
+            // The end of the connection ends a body without framing, so only a reset tells that the body isn't
+            // complete.
             boolean orderly = framing != Framing.CONNECTION && plan.delay().toMillis() % 2 == 0;
             record(id, name + (orderly ? " closes" : " resets") + " the connection in the answer to " + id);
-            throw new PlannedReset(orderly);
+            throw planReset(orderly);
         }
         byte[] ownCopy = copyInOwnBody(plan, head, body);
         if (ownCopy.length > 0) {
@@ -301,7 +303,9 @@
             run.disturbed("copy " + plan.second() + " in a body of " + framing);
             write(framing == Framing.CHUNKS ? chunk(ownCopy) : ownCopy);
         }
-        run.ended(ending == Ending.COMPLETE ? EngineRun.End.COMPLETE : EngineRun.End.EARLY, engine.history().seconds());
+        run.ended(
+                ending == Ending.COMPLETE ? EngineRun.End.COMPLETE : EngineRun.End.EARLY,
+                engine.history().seconds());
         if (framing == Framing.CHUNKS) {
             byte[] lastChunk = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
             written.writeBytes(lastChunk);
@@ -325,6 +329,14 @@
         return true;
     }
 
+    /** Prepares the end of the connection: an orderly close, or a reset. */
+    private PlannedReset planReset(boolean orderly) throws IOException {
+        if (!orderly) {
+            socket.setSoLinger(true, 0);
+        }
+        return new PlannedReset();
+    }
+
     private static byte[] copyInOwnBody(AnswerPlan plan, byte[] head, byte[] body) {
         boolean fits = plan.second() == SecondAnswer.IN_OWN_BODY && plan.framing() == Framing.CONNECTION
                 || plan.second() == SecondAnswer.EVENTS_AGAIN && plan.framing() != Framing.LENGTH;
@@ -348,8 +360,7 @@
         }
         byte[] copy = secondCopy(answer, plan.secondHasId());
         if (place == SecondAnswer.IDLE) {
-            engine.timers()
-                    .schedule(() -> sendIdle(id, copy), plan.delay().toMillis(), TimeUnit.MILLISECONDS);
+            engine.timers().schedule(() -> sendIdle(id, copy), plan.delay().toMillis(), TimeUnit.MILLISECONDS);
             return;
         }
         int distance = place == SecondAnswer.BEFORE_THIRD ? 3 : 1;
--- a/standins/src/main/java/dev/lavenderline/standins/platform/EngineSpec.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/EngineSpec.java
@@ -8,6 +8,7 @@
  * @param id id under which it registers
  * @param service name of its service
  * @param version version of its software
+ * @param announcedSlots requests that it says it runs at once; more than it does if it is busy with other work
  * @param slots requests that it runs at once
  * @param queue requests that wait for a slot; any further ones are refused
  * @param connections connections that it accepts
@@ -19,6 +20,7 @@
         String id,
         String service,
         String version,
+        int announcedSlots,
         int slots,
         int queue,
         int connections,
--- a/standins/src/main/java/dev/lavenderline/standins/platform/EngineStandin.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/EngineStandin.java
@@ -90,8 +90,8 @@
                     EngineConnection.reset(socket);
                     continue;
                 }
-                EngineConnection connection =
-                        new EngineConnection(this, socket, spec.id() + "/" + born + "#" + connectionCount.incrementAndGet());
+                EngineConnection connection = new EngineConnection(
+                        this, socket, spec.id() + "/" + born + "#" + connectionCount.incrementAndGet());
                 connections.add(connection);
                 threads.execute(() -> {
                     connection.serve();
@@ -112,7 +112,7 @@
                 .put("Address", "127.0.0.1:" + server.getLocalPort())
                 .put("Zone", "zone-a")
                 .put("Version", spec.version())
-                .put("Slots", spec.slots())
+                .put("Slots", spec.announcedSlots())
                 .put("State", state == State.DRAINING ? "draining" : "ready")
                 .put("ColdRemainingMs", 0)
                 .put("born", born)
--- a/standins/src/main/java/dev/lavenderline/standins/soak/Soak.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/Soak.java
@@ -101,8 +101,22 @@
     /** Runs the command {@code soak}; see docs/bench.md. */
     public static void run(String[] args) {
         Arguments arguments = Arguments.parse(
-                args, "seed", "seeds", "seconds", "nodes", "engines", "callers", "places", "stutter", "breaks",
-                "failures", "unframed", "histories", "directory");
+                args,
+                "seed",
+                "seeds",
+                "seconds",
+                "nodes",
+                "engines",
+                "slots",
+                "queue",
+                "callers",
+                "places",
+                "stutter",
+                "breaks",
+                "failures",
+                "unframed",
+                "histories",
+                "directory");
         try {
             System.exit(runSeeds(arguments) ? 0 : BROKEN_EXIT_CODE);
         } catch (IOException | InterruptedException | IllegalStateException e) {
@@ -121,13 +135,16 @@
                     Duration.ofSeconds(arguments.longValue("seconds", 60)),
                     arguments.intValue("nodes", 3),
                     arguments.intValue("engines", 6),
+                    arguments.intValue("slots", 8),
+                    arguments.intValue("queue", 24),
                     arguments.intValue("callers", 40),
                     places(arguments.stringValue("places", "all")),
                     arguments.doubleValue("stutter", 0.05),
                     arguments.doubleValue("breaks", 0.05),
                     arguments.doubleValue("failures", 0.02),
                     arguments.doubleValue("unframed", 0.15));
-            Path directory = Path.of(arguments.stringValue("directory", "target/soak")).resolve("seed-" + seed);
+            Path directory =
+                    Path.of(arguments.stringValue("directory", "target/soak")).resolve("seed-" + seed);
             Result result = run(options, NodeCommand.deployed(root), root, directory.toAbsolutePath());
             print(options, result, arguments.intValue("histories", 3));
             held &= result.violations().isEmpty();
--- a/standins/src/main/java/dev/lavenderline/standins/soak/SoakCaller.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/SoakCaller.java
@@ -99,13 +99,12 @@
 
     private CallerRequest request(Kind kind, int lastEventId) {
         String id = String.format("%016x", random.nextLong());
-        String prefix =
-                switch (kind) {
-                    case STREAM -> SoakFleet.STREAM_PREFIX;
-                    case RESUMABLE_STREAM -> SoakFleet.RESUMABLE_PREFIX;
-                    case SAFE -> SoakFleet.SAFE_PREFIX;
-                    case UNSAFE -> SoakFleet.UNSAFE_PREFIX;
-                };
+        String prefix = switch (kind) {
+            case STREAM -> SoakFleet.STREAM_PREFIX;
+            case RESUMABLE_STREAM -> SoakFleet.RESUMABLE_PREFIX;
+            case SAFE -> SoakFleet.SAFE_PREFIX;
+            case UNSAFE -> SoakFleet.UNSAFE_PREFIX;
+        };
         boolean stream = kind == Kind.STREAM || kind == Kind.RESUMABLE_STREAM;
         return new CallerRequest(
                 id,
--- a/standins/src/main/java/dev/lavenderline/standins/soak/SoakFleet.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/SoakFleet.java
@@ -30,6 +30,7 @@
     static final String SAFE_PREFIX = "/puxa403/";
     static final String UNSAFE_PREFIX = "/tiwe118/";
 
+    private static final int ANNOUNCED_SLOTS = 8;
     private static final String ENGINE_SERVICE = "huvo11a";
     private static final String PLAIN_SERVICE = "wuno96b";
     private static final long READY_TIMEOUT_MS = 40_000;
@@ -43,11 +44,13 @@
     private final History history = new History();
     private final List<SoakNode> nodes = new ArrayList<>();
     private final List<EngineStandin> engines = new CopyOnWriteArrayList<>();
+    private final SoakOptions options;
     private final FaultPlan faults;
     private final Path root;
     private int engineCount;
 
     SoakFleet(SoakOptions options, Path root, Path directory, List<String> command) throws IOException {
+        this.options = options;
         this.root = root;
         this.faults = new FaultPlan(
                 options.seed(),
@@ -97,7 +100,16 @@
 
     private EngineStandin addEngine(String service, String id, String version) {
         EngineSpec spec = new EngineSpec(
-                id, service, version, 8, 24, 230, Duration.ofMillis(20), Duration.ofMillis(8), Duration.ofSeconds(5));
+                id,
+                service,
+                version,
+                ANNOUNCED_SLOTS,
+                options.slots(),
+                options.queue(),
+                230,
+                Duration.ofMillis(20),
+                Duration.ofMillis(8),
+                Duration.ofSeconds(5));
         EngineStandin engine = EngineStandin.start(spec, faults, store, history, 0);
         engines.add(engine);
         return engine;
@@ -112,7 +124,9 @@
         return new JsonObject()
                 .put("Version", version)
                 .put("Routes", routes)
-                .put("Services", new JsonArray().add(service(ENGINE_SERVICE, true)).add(service(PLAIN_SERVICE, false)))
+                .put(
+                        "Services",
+                        new JsonArray().add(service(ENGINE_SERVICE, true)).add(service(PLAIN_SERVICE, false)))
                 .put(
                         "Limits",
                         new JsonObject()
@@ -154,7 +168,7 @@
                 ? service.put(
                         "Engine",
                         new JsonObject()
-                                .put("Slots", 8)
+                                .put("Slots", ANNOUNCED_SLOTS)
                                 .put("KvCacheTokens", 147261)
                                 .put("KvTokenBytes", 163840)
                                 .put("Models", new JsonArray().add(new JsonObject().put("Name", "m"))))
--- a/standins/src/main/java/dev/lavenderline/standins/soak/SoakNode.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/SoakNode.java
@@ -97,7 +97,8 @@
                 .directory(root.toFile())
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-        builder.environment().put("LAVENDERLINE_CONFIG", settings.toAbsolutePath().toString());
+        builder.environment()
+                .put("LAVENDERLINE_CONFIG", settings.toAbsolutePath().toString());
         try {
             process = builder.start();
         } catch (IOException e) {
@@ -107,8 +108,9 @@
 
     boolean isReady() {
         try {
-            HttpURLConnection call = (HttpURLConnection)
-                    URI.create("http://" + ip + ":" + readyPort + "/v1/readiness").toURL().openConnection();
+            HttpURLConnection call = (HttpURLConnection) URI.create("http://" + ip + ":" + readyPort + "/v1/readiness")
+                    .toURL()
+                    .openConnection();
             call.setConnectTimeout(READINESS_TIMEOUT_MS);
             call.setReadTimeout(READINESS_TIMEOUT_MS);
             return call.getResponseCode() == 200;
--- a/standins/src/main/java/dev/lavenderline/standins/soak/SoakOptions.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/SoakOptions.java
@@ -11,6 +11,8 @@
  * @param duration time under load
  * @param nodes number of serving nodes
  * @param engines number of engines of the service of streams
+ * @param slots requests that an engine runs at once
+ * @param queue requests that wait at an engine; any further ones are refused
  * @param callers number of callers, each with one request at a time
  * @param places places of second answers
  * @param stutterShare share of answers that are sent twice, 0 to 1
@@ -23,6 +25,8 @@
         Duration duration,
         int nodes,
         int engines,
+        int slots,
+        int queue,
         int callers,
         List<SecondAnswer> places,
         double stutterShare,
