--- a/standins/src/main/java/dev/lavenderline/standins/platform/CallerConnection.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/CallerConnection.java
@@ -107,6 +107,7 @@
                                 + request.id().substring(0, 8) + ":150"
                         : "")
                 + (request.lastEventId() > 0 ? "\r\nLast-Event-Id: " + request.lastEventId() : "")
+                + (request.resumes().isEmpty() ? "" : "\r\nResumes: " + request.resumes())
                 + "\r\nContent-Length: 5\r\n\r\nhello";
     }
 
--- a/standins/src/main/java/dev/lavenderline/standins/platform/CallerRequest.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/CallerRequest.java
@@ -9,6 +9,7 @@
  * @param path path, with a prefix of its route
  * @param events number of events of the whole stream; 0 for a request whose answer has none
  * @param lastEventId last event that the caller has; 0 for a new stream
+ * @param resumes id of the attempt whose stream this one resumes; empty for a new stream
  * @param deadlineMillis how long the caller waits, in milliseconds
  * @param giveUpMillis time after which the caller closes the connection, in milliseconds; 0 for never
  */
@@ -19,6 +20,7 @@
         String path,
         int events,
         int lastEventId,
+        String resumes,
         long deadlineMillis,
         long giveUpMillis) {
     /** Kind of a request; says what may be repeated. */
--- a/standins/src/main/java/dev/lavenderline/standins/platform/EngineRun.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/EngineRun.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.standins.platform;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Locale;
 
 /**
@@ -30,6 +31,7 @@
     private final double began;
     private volatile int status;
     private volatile byte[] body = new byte[0];
+    private volatile byte[] bodyAsSent = new byte[0];
     private volatile int lastEvent;
     private volatile End end = End.RUNNING;
     private volatile double ended;
@@ -55,6 +57,7 @@
     void answering(int newStatus, byte[] wholeBody, int newLastEvent) {
         status = newStatus;
         body = wholeBody.clone();
+        bodyAsSent = body;
         lastEvent = newLastEvent;
     }
 
@@ -63,6 +66,13 @@
         disturbance = description;
     }
 
+    /** Records that the body was followed by further bytes of this run, within the body's framing. */
+    void sentWithin(byte[] further) {
+        byte[] all = Arrays.copyOf(body, body.length + further.length);
+        System.arraycopy(further, 0, all, body.length, further.length);
+        bodyAsSent = all;
+    }
+
     void ended(End newEnd, double time) {
         if (end == End.RUNNING) {
             ended = time;
@@ -74,6 +84,15 @@
         return requestId;
     }
 
+    public String engine() {
+        return engine;
+    }
+
+    /** Returns when the run began, in seconds of the history. */
+    public double began() {
+        return began;
+    }
+
     public String version() {
         return version;
     }
@@ -101,6 +120,14 @@
         return body.clone();
     }
 
+    /**
+     * Returns the body with all bytes of this run that the engine sent within its framing. Without heads among them, a
+     * receiver can't tell these bytes from the body (RFC 9112, section 6.3).
+     */
+    public byte[] bodyAsSent() {
+        return bodyAsSent.clone();
+    }
+
     /** Returns the number of the last event of the whole stream. */
     public int lastEvent() {
         return lastEvent;
--- a/standins/src/main/java/dev/lavenderline/standins/soak/SoakCaller.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/SoakCaller.java
@@ -32,22 +32,31 @@
     private final UniformRandomProvider random;
     private final BooleanSupplier running;
     private final BiConsumer<CallerRequest, CallerAnswer> results;
+    private final Resumptions resumptions;
     private CallerConnection connection;
     private int connections;
 
+    /** Takes each stream that a caller has resumed. */
+    @FunctionalInterface
+    interface Resumptions {
+        void resumed(CallerRequest first, CallerAnswer answer, CallerRequest rest);
+    }
+
     SoakCaller(
             int number,
             long seed,
             List<SoakNode> nodes,
             History history,
             BooleanSupplier running,
-            BiConsumer<CallerRequest, CallerAnswer> results) {
+            BiConsumer<CallerRequest, CallerAnswer> results,
+            Resumptions resumptions) {
         this.number = number;
         this.nodes = nodes;
         this.history = history;
         this.random = RandomSource.SPLIT_MIX_64.create(seed * 1_000_003 + number);
         this.running = running;
         this.results = results;
+        this.resumptions = resumptions;
     }
 
     @Override
@@ -64,7 +73,7 @@
 
     private void sendNext() throws InterruptedException {
         Kind kind = kind();
-        CallerRequest request = request(kind, 0);
+        CallerRequest request = request(kind, 0, "");
         CallerAnswer answer = send(request);
         if (answer == null) {
             TimeUnit.MILLISECONDS.sleep(RECONNECT_MS);
@@ -78,10 +87,11 @@
                 && request.giveUpMillis() == 0
                 && seen > 0
                 && seen < EVENTS) {
-            CallerRequest rest = request(kind, seen);
+            CallerRequest rest = request(kind, seen, request.id());
             CallerAnswer restAnswer = send(rest);
             if (restAnswer != null) {
                 results.accept(rest, restAnswer);
+                resumptions.resumed(request, answer, rest);
             }
         }
     }
@@ -97,7 +107,7 @@
         return choice < 0.9 ? Kind.SAFE : Kind.UNSAFE;
     }
 
-    private CallerRequest request(Kind kind, int lastEventId) {
+    private CallerRequest request(Kind kind, int lastEventId, String resumes) {
         String id = String.format("%016x", random.nextLong());
         String prefix = switch (kind) {
             case STREAM -> SoakFleet.STREAM_PREFIX;
@@ -113,6 +123,7 @@
                 prefix + id.substring(0, 3),
                 stream ? EVENTS : 0,
                 lastEventId,
+                resumes,
                 DEADLINE_MS,
                 random.nextDouble() < GIVE_UP_SHARE ? 1 + random.nextInt(200) : 0);
     }
