--- a/standins/src/main/java/dev/lavenderline/standins/platform/FaultPlan.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/FaultPlan.java
@@ -71,6 +71,10 @@
         if (second == SecondAnswer.IN_OWN_BODY) {
             framing = Framing.CONNECTION;
         }
+        if (second == SecondAnswer.EVENTS_AGAIN && ending == Ending.EARLY_IN_EVENT) {
+            // The first line behind half an event completes it, which no receiver can tell from a whole event.
+            ending = Ending.EARLY;
+        }
         double endAfter = random.nextDouble();
         int failure = random.nextDouble() < failureShare ? FAILURE_STATUS : 0;
         return new AnswerPlan(
