--- a/standins/src/test/java/dev/lavenderline/standins/platform/JobJudgeTest.java
+++ b/standins/src/test/java/dev/lavenderline/standins/platform/JobJudgeTest.java
@@ -65,6 +65,23 @@
         assertEquals(List.of(Rule.MIXED), brokenRules());
     }
 
+    @Test
+    void endOfItsEngineBehindAnEventCanNotBeTold() {
+        job.submitted(202, 1);
+        run(ITEM, "s1", "v1", 1, 1, 200, End.BROKEN);
+        run(ITEM, "s2", "v1", 3, 2, 200, End.EARLY);
+        listed(0, "completed", lines("s1", "s1"));
+        assertEquals(List.of(), brokenRules());
+    }
+
+    @Test
+    void outputWithoutAnyEvent() {
+        job.submitted(202, 1);
+        run(ITEM, "s1", "v1", 1, 1, 200, End.EARLY);
+        listed(0, "completed", "");
+        assertEquals(List.of(Rule.MIXED), brokenRules());
+    }
+
     @Test
     void outputOfAnotherRun() {
         job.submitted(202, 1);
