--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -297,8 +297,8 @@
                 return;
             }
             idleTimer.cancel();
-            int keptEvents = keepOutput ? output.events.size() : 0;
-            if (!keepOutput || keptEvents == 0) {
+            int keptEvents = keepOutput && sequence.continuable() ? output.events.size() : 0;
+            if (keptEvents == 0) {
                 partialOutputs.remove(ref, output);
             }
             context.metrics().count("lavenderline_item_runs");
@@ -333,8 +333,11 @@
                 return;
             }
             lastProgressNanos = context.ticker().nanos();
-            output.events.add(event.data());
             output.bytes += event.data().length() + EVENT_OVERHEAD_BYTES;
+            if (event.commentOnly()) {
+                return;
+            }
+            output.events.add(event.data());
             output.lastEventId = sequence.lastId();
         }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -63,9 +63,6 @@
     /** Retry delay for callers if no upstream can be used. */
     private static final Duration NO_UPSTREAM_RETRY_DELAY = Duration.ofMillis(700);
 
-    /** A caller is taken to be retrying if its timeout is below this fraction of the route's timeout. */
-    private static final double RETRY_TIMEOUT_RATIO = 0.97;
-
     private final CallContext context;
     private final Route route;
     private final Caller caller;
@@ -173,13 +170,6 @@
                 - context.ticker().nanos());
     }
 
-    private boolean callerRetries() {
-        return info.timeout()
-                .map(timeout -> timeout.toMillis()
-                        < RETRY_TIMEOUT_RATIO * route.timeout().toMillis())
-                .orElse(false);
-    }
-
     void start(boolean modelEngines, String service) {
         this.service = service;
         this.modelEngines = modelEngines;
@@ -316,7 +306,7 @@
                 remaining(),
                 Set.copyOf(unusable),
                 info.sharedPrefix(),
-                callerRetries() || sends > 0 || origin.isPresent(),
+                info.retries(route.timeout()) || sends > 0 || origin.isPresent(),
                 origin,
                 caller.workspace(),
                 caller.priorityOr(route.priority()),
@@ -518,7 +508,9 @@
 
     /** Returns whether a request that may have run can be sent to another upstream. */
     private boolean mayRunAgain() {
-        return route.repeatable() && attemptsLeft() && (!response.started() || route.resumable());
+        return route.repeatable()
+                && attemptsLeft()
+                && (!response.started() || (route.resumable() && events.continuable()));
     }
 
     private void failedWithStatus(int status) {
@@ -700,7 +692,7 @@
                         "deadlineMs",
                         (deadlineNanos - arrivalNanos) / 1_000_000,
                         "returning",
-                        callerRetries(),
+                        info.retries(route.timeout()),
                         "connectionRequests",
                         lastExchange == null ? null : lastExchange.connectionRequests(),
                         "closeDelimited",
@@ -788,20 +780,10 @@
     }
 
     /** Buffers the response until it is complete, so that a truncated response can be requested again. */
-    private final class BufferedResponse implements ResponseListener {
-        private int status;
-        private MultiMap responseHeaders;
+    private final class BufferedResponse extends ForwardedResponse {
         private Buffer received = Buffer.buffer();
         private boolean streaming;
 
-        @Override
-        public void headers(int upstreamStatus, MultiMap upstreamHeaders) {
-            markReceived();
-            status = upstreamStatus;
-            responseHeaders = upstreamHeaders;
-            failIfUnprovenRejection(status);
-        }
-
         @Override
         public void chunk(Buffer chunk) {
             markReceived();
@@ -833,11 +815,6 @@
             }
             complete(status);
         }
-
-        @Override
-        public void failed(SendFailure failure, String message) {
-            attemptFailed(failure, failure.releaseReason(), message);
-        }
     }
 
     /** Ends the attempt if forwarding its status would promise that a request has not run which may have. */
@@ -853,8 +830,8 @@
         attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause);
     }
 
-    /** What the two ways to forward a stream have in common. */
-    private abstract class StreamedResponse implements ResponseListener {
+    /** What the ways to forward a response have in common. */
+    private abstract class ForwardedResponse implements ResponseListener {
         int status;
         MultiMap responseHeaders;
 
@@ -889,7 +866,7 @@
     }
 
     /** Forwards a stream that can't be resumed; a response that consists of no events as it arrives. */
-    private final class PlainStream extends StreamedResponse {
+    private final class PlainStream extends ForwardedResponse {
         private final EventStreamFilter filter = new EventStreamFilter(events);
 
         private boolean hasEvents() {
@@ -924,7 +901,7 @@
     }
 
     /** Forwards only complete events, so that another upstream can continue the stream after the last one. */
-    private final class ResumableStream extends StreamedResponse {
+    private final class ResumableStream extends ForwardedResponse {
         private final EventStreamParser parser = new EventStreamParser(this::event);
         private final Buffer errorBody = Buffer.buffer();
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -32,10 +32,19 @@
         int maxOutputTokens,
         int sharedTokens,
         Duration maxWait) {
+    /** A caller is taken to be retrying if its timeout is below this fraction of the route's timeout. */
+    private static final double RETRY_TIMEOUT_RATIO = 0.97;
+
     public RequestInfo {
         sharedParts = List.copyOf(sharedParts);
     }
 
+    /** Returns whether the caller has used up a part of the timeout of its route, in an earlier attempt. */
+    boolean retries(Duration routeTimeout) {
+        return timeout.map(left -> left.toMillis() < RETRY_TIMEOUT_RATIO * routeTimeout.toMillis())
+                .orElse(false);
+    }
+
     /** Omits the key, which must not appear in logs and messages. */
     @Override
     public String toString() {
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -14,6 +14,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -139,12 +140,14 @@
             }
         });
         startNode(upstream);
-        String received = receiveAll("/stream/x", "r1");
-        assertFalse(complete(received), received);
-        for (int i = 1; i <= EVENTS; i++) {
-            assertTrue(received.split("data: text" + i, -1).length <= 2, "event " + i + " twice: " + received);
+        for (String path : List.of("/stream/x", "/resumable/x")) {
+            String received = receiveAll(path, "r" + path.length());
+            assertFalse(complete(received), received);
+            for (int i = 1; i <= EVENTS; i++) {
+                assertTrue(received.split("data: text" + i, -1).length <= 2, "event " + i + " twice: " + received);
+            }
+            assertEquals(received.lastIndexOf("HTTP/1."), 0, received);
         }
-        assertEquals(received.lastIndexOf("HTTP/1."), 0, received);
     }
 
     /** Guards against recording the second copy of an output as a part of it. */
@@ -221,6 +224,59 @@
         assertEquals("a=text1|text2|text3\n", jobResults());
     }
 
+    /** Guards against a stream that begins anew behind the events that the caller has, as they name no id to continue. */
+    @Test
+    void streamWithoutIdsIsNotBegunAgain() throws IOException {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String chunk = RawUpstream.chunk("data: a\n\n");
+            if (runs.incrementAndGet() == 1) {
+                socket.write(RawUpstream.chunkedHead(id) + chunk);
+                vertx.setTimer(50, later -> socket.close());
+            } else {
+                socket.write(RawUpstream.chunkedHead(id) + chunk + "0\r\n\r\n");
+            }
+        });
+        harness.write("upstreams", "e2", "engines " + upstream.port);
+        startNode(upstream);
+        String received = receiveAll("/resumable/x", "r1");
+        assertEquals(2, received.split("data: a", -1).length, received);
+        assertFalse(complete(received), received);
+    }
+
+    /** Guards against the same in the output of an item. */
+    @Test
+    void outputWithoutIdsIsNotContinued() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String start = RawUpstream.chunkedHead(id) + RawUpstream.chunk("data: a\n\n");
+            if (runs.incrementAndGet() == 1) {
+                socket.write(start);
+                vertx.setTimer(50, later -> socket.close());
+            } else {
+                socket.write(start + RawUpstream.chunk("data: b\n\n") + "0\r\n\r\n");
+            }
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=a|b\n", jobResults());
+    }
+
+    /** Guards against comments of a stream that are recorded as empty events of an output. */
+    @Test
+    void commentsAreNoPartOfAnOutput() throws Exception {
+        RawUpstream upstream = new RawUpstream(
+                vertx,
+                (socket, id) -> socket.write(RawUpstream.chunkedHead(id)
+                        + RawUpstream.chunk(": comment\n\n" + events(1, 2) + ": comment\n\n" + events(3, EVENTS))
+                        + "0\r\n\r\n"));
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
     /** Guards against running a request at a second upstream for a rejection that belongs to no request. */
     @ParameterizedTest
     @ValueSource(strings = {"", "id: earlier\r\n"})
