--- a/standins/src/main/java/dev/lavenderline/standins/Main.java
+++ b/standins/src/main/java/dev/lavenderline/standins/Main.java
@@ -4,6 +4,7 @@
 import dev.lavenderline.standins.hosts.HostListCommand;
 import dev.lavenderline.standins.log.LogCommand;
 import dev.lavenderline.standins.service.ServiceServer;
+import dev.lavenderline.standins.soak.Soak;
 import dev.lavenderline.standins.weights.WeightStoreCommand;
 import java.util.Arrays;
 import java.util.Map;
@@ -20,11 +21,18 @@
     private static final int USAGE_EXIT_CODE = 2;
 
     private static final Map<String, Command> COMMANDS = new TreeMap<>(Map.of(
-            "log", new LogCommand(),
-            "hosts", new HostListCommand(),
-            "weights", new WeightStoreCommand(),
-            "engine", EngineServer::run,
-            "service", ServiceServer::run));
+            "log",
+            new LogCommand(),
+            "hosts",
+            new HostListCommand(),
+            "weights",
+            new WeightStoreCommand(),
+            "engine",
+            EngineServer::run,
+            "service",
+            ServiceServer::run,
+            "soak",
+            Soak::run));
 
     private Main() {}
 
