Forward blocks that set the reconnection time

A block with only a retry field is no event by the HTML standard, but counted it as an event without id. Behind an event with an id it broke the stream off, which was forwarded before. It is now treated like a comment, and is not recorded in the outputs of items either.

Failed before: 2 of 2 cases of reconnectionTimeBetweenEventsIsForwarded.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -334,7 +334,7 @@
             }
             lastProgressNanos = context.ticker().nanos();
             output.bytes += event.data().length() + EVENT_OVERHEAD_BYTES;
-            if (event.commentOnly()) {
+            if (event.controlOnly()) {
                 return;
             }
             output.events.add(event.data());
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -30,8 +30,8 @@
             return false;
         }
         if (event.id().isEmpty()) {
-            broken = lastId.isPresent() && !event.commentOnly();
-            withoutId |= !event.commentOnly();
+            broken = lastId.isPresent() && !event.controlOnly();
+            withoutId |= !event.controlOnly();
             return !broken;
         }
         broken = lastId.isPresent() && event.id().getAsLong() != lastId.getAsLong() + 1;
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -70,9 +70,9 @@
     private static StreamEvent parse(Buffer raw) {
         OptionalLong id = OptionalLong.empty();
         StringBuilder data = null;
-        boolean commentOnly = true;
+        boolean controlOnly = true;
         for (String line : raw.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
-            commentOnly &= line.isEmpty() || line.startsWith(":");
+            controlOnly &= line.isEmpty() || line.startsWith(":") || line.startsWith("retry:");
             if (line.startsWith("id:")) {
                 id = parseId(fieldValue(line, 3));
             } else if (line.startsWith("data:")) {
@@ -80,7 +80,7 @@
                 data.append(fieldValue(line, 5));
             }
         }
-        return new StreamEvent(id, data == null ? "" : data.toString(), commentOnly, raw);
+        return new StreamEvent(id, data == null ? "" : data.toString(), controlOnly, raw);
     }
 
     private static String fieldValue(String line, int from) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/StreamEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/StreamEvent.java
@@ -8,7 +8,7 @@
  *
  * @param id numeric id, empty if the event has none
  * @param data data lines, joined by line feeds
- * @param commentOnly whether it consists of comments and empty lines
+ * @param controlOnly whether it has no fields but comments and the reconnection time
  * @param raw bytes of the event, including the empty line that ends it
  */
-public record StreamEvent(OptionalLong id, String data, boolean commentOnly, Buffer raw) {}
+public record StreamEvent(OptionalLong id, String data, boolean controlOnly, Buffer raw) {}
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -312,4 +312,18 @@
             assertTrue(answered.headers().firstValue("stamp").isEmpty(), path);
         }
     }
+
+    /** Guards against breaking off a stream for a block that sets the reconnection time, which is no event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/stream/x", "/resumable/x"})
+    void reconnectionTimeBetweenEventsIsForwarded(String path) throws IOException {
+        RawUpstream upstream = new RawUpstream(
+                vertx,
+                (socket, id) -> socket.write(RawUpstream.chunkedHead(id)
+                        + RawUpstream.chunk(events(1, 1) + "retry: 500\n\n" + events(2, EVENTS))
+                        + "0\r\n\r\n"));
+        startNode(upstream);
+        String received = receiveAll(path, "r1");
+        assertTrue(complete(received), received);
+    }
 }
