Take no status line for the first event of a stream

The head of another response between the head and the first event of a stream was forwarded as an event, and the stream ended as complete (MIXED), if that head named no request: until an event has had an id, events without one are allowed. No line of an event begins with the version of HTTP, so such bytes now end the stream as cut. Within a body that is no stream, a head that names no request and rejects none still passes.

Failed before: 2 of 2 cases of headWithoutIdIsNoFirstEvent.

--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -10,6 +10,9 @@
  * next; once an event does not belong to the stream, none does. Not thread-safe.
  */
 public final class EventSequence {
+    /** Bytes in which a status line begins, behind line ends if there are any. */
+    private static final int STATUS_LINE_BYTES = 64;
+
     private OptionalLong firstId = OptionalLong.empty();
     private OptionalLong lastId;
     private boolean broken;
@@ -30,7 +33,7 @@
             return false;
         }
         if (event.id().isEmpty()) {
-            broken = lastId.isPresent() && !event.controlOnly();
+            broken = (lastId.isPresent() && !event.controlOnly()) || beginsWithStatusLine(event);
             withoutId |= !event.controlOnly();
             return !broken;
         }
@@ -42,6 +45,14 @@
         return !broken;
     }
 
+    /** Returns whether bytes that were taken for an event are the head of another response, which may name no request. */
+    private static boolean beginsWithStatusLine(StreamEvent event) {
+        return event.raw()
+                .getString(0, Math.min(event.raw().length(), STATUS_LINE_BYTES))
+                .stripLeading()
+                .startsWith("HTTP/1.");
+    }
+
     /** Returns whether an event has arrived that does not belong to the stream. */
     public boolean broken() {
         return broken;
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -313,6 +313,21 @@
         }
     }
 
+    /** Guards against forwarding the head of another response, which names no request, as the first event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/stream/x", "/resumable/x"})
+    void headWithoutIdIsNoFirstEvent(String path) throws IOException {
+        String head = "HTTP/1.1 200 OK\r\nstamp: e1\r\n\r\n";
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            socket.write(RawUpstream.closeDelimitedHead(id) + head + events(1, EVENTS));
+            socket.close();
+        });
+        startNode(upstream);
+        String received = receiveAll(path, "r1");
+        assertFalse(complete(received), received);
+        assertEquals(0, received.lastIndexOf("HTTP/1."), received);
+    }
+
     /** Guards against breaking off a stream for a block that sets the reconnection time, which is no event. */
     @ParameterizedTest
     @ValueSource(strings = {"/stream/x", "/resumable/x"})
