List no item as completed without an event

A 200 in chunks that ended in order without an event, or with a comment only, listed its item as completed with an empty output. An item has at least one event, so such a response is not its output (MIXED); the run now ends like one that is truncated, and the item runs again. A continuation that brings nothing further is complete as before.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -388,6 +388,11 @@
         }
 
         private void completed() {
+            if (output.events.isEmpty()) {
+                // An item has at least one event, so a response without any is not its output.
+                streamTruncated("stream ended without an event");
+                return;
+            }
             context.slots().requestCompleted(traits);
             store.addResult(ref, true, String.join("\n", output.events));
             finish(ReleaseReason.COMPLETED, false, "completed");
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -313,6 +313,21 @@
         }
     }
 
+    /** Guards against listing an item as completed whose stream ended in order without an event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", ": comment\n\n"})
+    void outputWithoutEventsIsNotRecorded(String content) throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String body = runs.incrementAndGet() == 1 ? content : events(1, EVENTS);
+            socket.write(RawUpstream.chunkedHead(id) + (body.isEmpty() ? "" : RawUpstream.chunk(body)) + "0\r\n\r\n");
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
     /** Guards against forwarding the head of another response, which names no request, as the first event. */
     @ParameterizedTest
     @ValueSource(strings = {"/stream/x", "/resumable/x"})
