--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -312,4 +312,48 @@
             assertTrue(answered.headers().firstValue("stamp").isEmpty(), path);
         }
     }
+
+    /** Guards against listing an item as completed whose stream ended in order without an event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", ": comment\n\n"})
+    void outputWithoutEventsIsNotRecorded(String content) throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            String body = runs.incrementAndGet() == 1 ? content : events(1, EVENTS);
+            socket.write(RawUpstream.chunkedHead(id) + (body.isEmpty() ? "" : RawUpstream.chunk(body)) + "0\r\n\r\n");
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
+    /** Guards against forwarding the head of another response, which names no request, as the first event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/stream/x", "/resumable/x"})
+    void headWithoutIdIsNoFirstEvent(String path) throws IOException {
+        String head = "HTTP/1.1 200 OK\r\nstamp: e1\r\n\r\n";
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            socket.write(RawUpstream.closeDelimitedHead(id) + head + events(1, EVENTS));
+            socket.close();
+        });
+        startNode(upstream);
+        String received = receiveAll(path, "r1");
+        assertFalse(complete(received), received);
+        assertEquals(0, received.lastIndexOf("HTTP/1."), received);
+    }
+
+    /** Guards against breaking off a stream for a block that sets the reconnection time, which is no event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/stream/x", "/resumable/x"})
+    void reconnectionTimeBetweenEventsIsForwarded(String path) throws IOException {
+        RawUpstream upstream = new RawUpstream(
+                vertx,
+                (socket, id) -> socket.write(RawUpstream.chunkedHead(id)
+                        + RawUpstream.chunk(events(1, 1) + "retry: 500\n\n" + events(2, EVENTS))
+                        + "0\r\n\r\n"));
+        startNode(upstream);
+        String received = receiveAll(path, "r1");
+        assertTrue(complete(received), received);
+    }
 }
