End a response where a signed head begins in its body

A head with an upstream's signature is that of an answer of an upstream, whatever id it has or has not.

Failed before: 2 of 2 cases of signedResponseWithinABodyIsNotForwarded (200 with the foreign bytes).

--- a/serving/src/main/java/dev/lavenderline/serving/online/ResponseInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/ResponseInfo.java
@@ -8,6 +8,7 @@
  * Protocol details that a node reads from the status and headers of an upstream's response. Immutable.
  *
  * @param requestId id of the request that the response belongs to, empty if the upstream sent none
+ * @param signed whether the response bears an upstream's signature
  * @param notExecuted whether the upstream has not run the request and never will
  * @param misdirected whether another upstream now has the address
  * @param leaving whether the upstream is shutting down and wants no further requests
@@ -16,6 +17,7 @@
  */
 public record ResponseInfo(
         Optional<String> requestId,
+        boolean signed,
         boolean notExecuted,
         boolean misdirected,
         boolean leaving,
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -157,12 +157,13 @@
     }
 
     /**
-     * Returns whether a head within the body of a response is that of another one: it has the id of a request that the
-     * connection has carried, or rejects a request that it does not name.
+     * Returns whether a head within the body of a response is that of another one: it bears an upstream's signature or the
+     * id of a request that the connection has carried, or rejects a request that it does not name.
      */
     private boolean isSecondResponse(int status, MultiMap headers) {
         ResponseInfo info = wire.parseResponse(status, headers);
-        boolean second = info.requestId().map(connection::carried).orElse(info.notExecuted());
+        boolean second =
+                info.signed() || info.requestId().map(connection::carried).orElse(info.notExecuted());
         if (second) {
             connections.rejected(upstream, request, status, info, connectionRequests);
         }
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -149,6 +149,7 @@
         String limit = headers.get("limit");
         return new ResponseInfo(
                 Optional.ofNullable(headers.get("id")),
+                headers.contains("stamp"),
                 headers.contains("Not-Run"),
                 status == 421,
                 headers.contains("leaving"),
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -202,6 +202,18 @@
         assertEquals(502, post("/unsafe/x", "r1", "p").statusCode());
     }
 
+    /** Guards against forwarding another response that names no request, or one of another connection, in a body. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "id: other\r\n"})
+    void signedResponseWithinABodyIsNotForwarded(String idLine) throws IOException {
+        RawUpstream upstream = new RawUpstream(
+                vertx,
+                (socket, id) -> socket.write(response(
+                        "200 OK", id, "whole HTTP/1.1 200 OK\r\n" + idLine + "stamp: e1\r\n\r\nthat of another one")));
+        startNode(upstream);
+        assertEquals(502, post("/unsafe/x", "r1", "p").statusCode());
+    }
+
     /** Guards against failing an item for an upstream's late copy of its earlier failure. */
     @Test
     void lateCopyOfAFailureIsNotCountedAsAnotherOne() throws Exception {
