Report the failure of a request that can't be written

A header or path with characters that HTTP does not allow made UpstreamExchange.write throw within a listener of a future: the exchange reported no outcome and kept its connection. After a time without data the upstream was taken for silent, its idle connections were closed, and an item was sent to the next one. Callers can't cause this, as the server refuses such requests, but the headers and paths of items are values of JSON. The exchange now ends as not connected, or as lost if its encoding has begun.

--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -94,6 +94,15 @@
         if (done) {
             return;
         }
+        try {
+            writeRequest(httpRequest);
+        } catch (IllegalArgumentException e) {
+            // The method, path or a header has characters that HTTP does not allow.
+            fail(currentFailure(), e.getMessage());
+        }
+    }
+
+    private void writeRequest(HttpClientRequest httpRequest) {
         request.headers().forEach((name, value) -> httpRequest.headers().add(name, value));
         httpRequest
                 .headers()
--- a/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/UpstreamExchangeTest.java
@@ -67,11 +67,14 @@
     }
 
     private void send(String id) {
+        send(id, "/p", MultiMap.caseInsensitiveMultiMap());
+    }
+
+    private void send(String id, String uri, MultiMap requestHeaders) {
         int before = outcomes.size();
         context.runOnContext(now -> connections.send(
                 upstream,
-                new UpstreamRequest(
-                        id, HttpMethod.POST, "/p", MultiMap.caseInsensitiveMultiMap(), Buffer.buffer("body")),
+                new UpstreamRequest(id, HttpMethod.POST, uri, requestHeaders, Buffer.buffer("body")),
                 new TestWireFormat(),
                 new ResponseListener() {
                     private final Buffer body = Buffer.buffer();
@@ -112,6 +115,16 @@
         assertEquals(1, acceptedConnections.get());
     }
 
+    /** Guards against a request whose outcome is never reported, as HTTP does not allow what it consists of. */
+    @Test
+    void requestThatCantBeWrittenFails() {
+        upstreamHandler = (socket, request) -> socket.write(response("r", "text"));
+        send("r1", "/p", MultiMap.caseInsensitiveMultiMap().add("name", "text\u0001"));
+        send("r2", "/p", MultiMap.caseInsensitiveMultiMap().add("na me", "text"));
+        send("r3", "/p HTTP/1.1\r\nid: r", MultiMap.caseInsensitiveMultiMap());
+        assertEquals(List.of("NOT_CONNECTED", "NOT_CONNECTED", "LOST"), outcomes);
+    }
+
     @Test
     void responseWithAnotherIdIsRejected() {
         upstreamHandler = (socket, request) -> socket.write(response("other", "text"));
