Let a failed assertion end CallerResponseTest

An assertion that failed on the event loop left its future incomplete, so the test waited for ever instead of failing. It now fails with the assertion.

--- a/serving/src/test/java/dev/lavenderline/serving/online/CallerResponseTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/CallerResponseTest.java
@@ -56,8 +56,12 @@
     private void onEventLoop(Runnable action) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         context.runOnContext(now -> {
-            action.run();
-            done.complete(null);
+            try {
+                action.run();
+                done.complete(null);
+            } catch (Throwable failure) {
+                done.completeExceptionally(failure);
+            }
         });
         done.join();
     }
