--- a/standins/src/main/java/dev/lavenderline/standins/soak/Soak.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/Soak.java
@@ -211,7 +211,7 @@
                     arguments.doubleValue("breaks", 0.05),
                     arguments.doubleValue("failures", 0.02),
                     arguments.doubleValue("unframed", 0.15),
-                    arguments.stringValue("unnamed", "between").equals("all"));
+                    arguments.stringValue("unnamed", "all").equals("all"));
             SoakOptions options = new SoakOptions(
                     Duration.ofSeconds(arguments.longValue("seconds", 60)),
                     arguments.intValue("nodes", 3),
