--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -6,8 +6,8 @@
  * Decides which events belong to a stream. The ids of a stream are consecutive, and so are those of its continuation on
  * another upstream; anything else is a second copy, a gap or bytes of another response.
  *
- * <p>Invariants: the first id of a stream that begins anew may be any; once an event had an id, each further one has the
- * next; once an event does not belong to the stream, none does. Not thread-safe.
+ * <p>Invariants: the first id of a stream that begins anew may be any; once an event had an id, each further one has
+ * the next; once an event does not belong to the stream, none does. Not thread-safe.
  */
 public final class EventSequence {
     /** Bytes in which a status line begins, behind line ends if there are any. */
@@ -52,7 +52,9 @@
         return !broken;
     }
 
-    /** Returns whether bytes that were taken for an event are the head of another response, which may name no request. */
+    /**
+     * Returns whether bytes that were taken for an event are the head of another response, which may name no request.
+     */
     private static boolean beginsWithStatusLine(StreamEvent event) {
         return event.raw()
                 .getString(0, Math.min(event.raw().length(), STATUS_LINE_BYTES))
@@ -65,7 +67,9 @@
         return broken;
     }
 
-    /** Returns whether another run can go on behind the accepted events, or begin anew if there is none but comments. */
+    /**
+     * Returns whether another run can go on behind the accepted events, or begin anew if there is none but comments.
+     */
     public boolean continuable() {
         return lastId.isPresent() || !withoutId;
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
@@ -10,8 +10,8 @@
  * Passes on the events of a stream that can't be resumed, up to the first one that does not belong to it.
  *
  * <p>Invariants: the bytes passed on are those received, in order, and end with a complete event. An event above
- * {@link EventStreamParser#MAX_EVENT_BYTES} is not buffered: if what has arrived of it belongs to the stream, the rest of
- * the stream is passed on unchecked. Not thread-safe.
+ * {@link EventStreamParser#MAX_EVENT_BYTES} is not buffered: if what has arrived of it belongs to the stream, the rest
+ * of the stream is passed on unchecked. Not thread-safe.
  */
 final class EventStreamFilter {
     private final EventSequence sequence;
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnection.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamConnection.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 /**
- * A connection to an upstream and the requests that it has carried. A response names its request but not the sending, as
- * a request that is sent again keeps its id; so the id proves the sending only on a connection that carries it once.
+ * A connection to an upstream and the requests that it has carried. A response names its request but not the sending,
+ * as a request that is sent again keeps its id; so the id proves the sending only on a connection that carries it once.
  *
  * <p>Invariants: no id is carried twice; a connection that carries a request without id carries no other request. Not
  * thread-safe; confined to the event loop.
--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -13,8 +13,8 @@
  * One request and its response on one connection to an upstream.
  *
  * <p>Invariants: a response belongs to the request only if it has the request's id, whatever else it says; a response
- * that does not proves nothing, so the request may have run. A response ends where another one begins. The connection is reused only after a complete response to
- * this request. Not thread-safe; confined to the event loop.
+ * that does not proves nothing, so the request may have run. A response ends where another one begins. The connection
+ * is reused only after a complete response to this request. Not thread-safe; confined to the event loop.
  */
 public final class UpstreamExchange {
     /** Size of the body of a rejection, in bytes, above which reusing its connection is not worth reading it. */
@@ -166,8 +166,8 @@
     }
 
     /**
-     * Returns whether a head within the body of a response is that of another one: it bears an upstream's signature or the
-     * id of a request that the connection has carried, or rejects a request that it does not name.
+     * Returns whether a head within the body of a response is that of another one: it bears an upstream's signature or
+     * the id of a request that the connection has carried, or rejects a request that it does not name.
      */
     private boolean isSecondResponse(int status, MultiMap headers) {
         ResponseInfo info = wire.parseResponse(status, headers);
--- a/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/ConditionalWriter.java
@@ -25,9 +25,9 @@
  * already in effect. Waiting changes are batched into one append.
  *
  * <p>Invariants: at most one append is in progress, and each states the offset up to which the follower has read. A
- * change is refused only if the partition was read up to its end since it was submitted and no append of it can still be
- * executed. A change that throws is abandoned, and what throws at its outcome keeps no other change from its own. Not
- * thread-safe; confined to the event loop.
+ * change is refused only if the partition was read up to its end since it was submitted and no append of it can still
+ * be executed. A change that throws is abandoned, and what throws at its outcome keeps no other change from its own.
+ * Not thread-safe; confined to the event loop.
  */
 public final class ConditionalWriter {
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -20,8 +20,8 @@
  * a pause after each response. A poll without a response in time is repeated on a new connection.
  *
  * <p>Invariants: after the load, each record is delivered at most once and in offset order; the next offset never
- * decreases unless the partition's end does; nothing that the listener throws ends the reading. Not thread-safe; confined
- * to the event loop.
+ * decreases unless the partition's end does; nothing that the listener throws ends the reading. Not thread-safe;
+ * confined to the event loop.
  */
 public final class PartitionFollower {
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ListReads.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ListReads.java
@@ -10,8 +10,8 @@
  * Reads the list of upstreams for requests that need to know it as of their arrival. One read serves all requests that
  * arrived before it was sent.
  *
- * <p>Invariants: a read is sent after each request for one, and not before {@link #request} has returned; at most one is
- * awaited, and they are sent at least {@link #MIN_INTERVAL} apart. Not thread-safe; confined to the event loop.
+ * <p>Invariants: a read is sent after each request for one, and not before {@link #request} has returned; at most one
+ * is awaited, and they are sent at least {@link #MIN_INTERVAL} apart. Not thread-safe; confined to the event loop.
  */
 public final class ListReads {
     /** Bounds the reads of a node; a resumed stream can wait for that long. */
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
@@ -23,7 +23,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Guards against contents of jobs that can't be read back, change, or stay in the store when nothing refers to them. */
+/**
+ * Guards against contents of jobs that can't be read back, change, or stay in the store when nothing refers to them.
+ */
 class PayloadTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final int PAYLOAD_PARTITIONS = 3;
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -236,7 +236,9 @@
         assertEquals("a=text1|text2|text3\n", jobResults());
     }
 
-    /** Guards against a stream that begins anew behind the events that the caller has, as they name no id to continue. */
+    /**
+     * Guards against a stream that begins anew behind the events that the caller has, as they name no id to continue.
+     */
     @Test
     void streamWithoutIdsIsNotBegunAgain() throws IOException {
         AtomicInteger runs = new AtomicInteger();
--- a/serving/src/test/java/dev/lavenderline/serving/online/HostileExchange.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/HostileExchange.java
@@ -155,8 +155,8 @@
     }
 
     /**
-     * Returns whether the head of the other response within the body shows that it belongs to another one: it has the id
-     * of a request on the connection or rejects a request, and is not cut off by the body's length.
+     * Returns whether the head of the other response within the body shows that it belongs to another one: it has the
+     * id of a request on the connection or rejects a request, and is not cut off by the body's length.
      */
     private static boolean recognizable(Plan plan) {
         Extra extra = plan.extra();
--- a/serving/src/test/java/dev/lavenderline/serving/slots/LeaseNumbersTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/LeaseNumbersTest.java
@@ -15,7 +15,9 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a lease that is taken for one of another scheduler, or of an earlier process, with the same number. */
+/**
+ * Guards against a lease that is taken for one of another scheduler, or of an earlier process, with the same number.
+ */
 class LeaseNumbersTest {
     private static final int SLOTS = 2;
     private static final Duration DUE = Duration.ofSeconds(18);
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
@@ -106,7 +106,9 @@
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
     }
 
-    /** Guards against taking a version for the only one while another one has joined since the last read of the list. */
+    /**
+     * Guards against taking a version for the only one while another one has joined since the last read of the list.
+     */
     @Test
     void nodeDoesNotConcludeFromReadsBeforeTheResumptionArrived() {
         follow(ServedVersions.PERIOD);
--- a/standins/src/main/java/dev/lavenderline/standins/platform/EngineConnection.java
+++ b/standins/src/main/java/dev/lavenderline/standins/platform/EngineConnection.java
@@ -19,8 +19,8 @@
 /**
  * A connection to an engine: serves one request after the other and sends second answers between them.
  *
- * <p>The thread that calls {@link #serve} runs the requests; {@link #reset} may be called by any thread. Writes of whole
- * messages are guarded by the lock of the output.
+ * <p>The thread that calls {@link #serve} runs the requests; {@link #reset} may be called by any thread. Writes of
+ * whole messages are guarded by the lock of the output.
  */
 final class EngineConnection {
     private static final int POLL_MS = 3;
