Record the end of a job that has not been submitted yet

Cause: JobStore.cancel appended nothing for a job that the ledger did not know, so nothing told the submission, once it went on, that the job had been ended. The end is now appended in this case too. Both are conditional appends to one partition, so the store decides which comes first, and a job that follows its end is ended from the start. The record is deleted with the retention of results; at most 20,000 are kept.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.proto.jobs.ItemResult;
+import dev.lavenderline.proto.jobs.JobEnded;
 import dev.lavenderline.proto.jobs.JobPart;
 import dev.lavenderline.proto.jobs.JobRecord;
 import dev.lavenderline.serving.logging.EventLog;
@@ -13,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -34,6 +36,10 @@
     private final EventLog log;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, List<JobRecord>> recordsBeforeJob = new HashMap<>();
+
+    /** Times at which callers ended jobs of which no part has been read, by the ticker's clock. */
+    private final Map<String, Long> endsBeforeJob = new HashMap<>();
+
     private List<Job> openJobs = List.of();
     private boolean openJobsStale;
     private final List<Consumer<ItemResult>> resultListeners = new ArrayList<>();
@@ -93,12 +99,14 @@
         jobs.keySet().removeIf(deleted);
         // All records that exist are in the list.
         recordsBeforeJob.keySet().removeIf(inPartition);
+        endsBeforeJob.keySet().removeIf(inPartition);
         openJobsStale = true;
         missed.forEach(job -> cancelListeners.forEach(listener -> listener.accept(job)));
         current.forEach(record -> FailureGuard.run(log, () -> apply(record), "key", record.key()));
     }
 
     private void delete(String key) {
+        JobRecords.jobOfEnd(key).ifPresent(endsBeforeJob::remove);
         JobRecords.jobOfPart(key).ifPresent(id -> {
             jobs.remove(id);
             recordsBeforeJob.remove(id);
@@ -118,6 +126,11 @@
             default -> "";
         };
         Job job = jobs.get(id);
+        if (job == null && record.getBodyCase() == JobRecord.BodyCase.ENDED) {
+            endsBeforeJob.putIfAbsent(
+                    id, ticker.nanos() - age(record.getEnded()).toNanos());
+            return;
+        }
         if (job == null) {
             // The initial read returns records by key, so results may precede their job.
             recordsBeforeJob.computeIfAbsent(id, key -> new ArrayList<>()).add(record);
@@ -139,6 +152,11 @@
         return age.compareTo(retention) < 0 ? age : retention;
     }
 
+    /** Returns the time since a caller ended a job, 0 if the clock of the node that recorded it is ahead. */
+    private Duration age(JobEnded ended) {
+        return Duration.ofMillis(Math.max(0, ticker.now().toEpochMilli() - ended.getEndedUnixMs()));
+    }
+
     private void addPart(JobPart part) {
         Job job = jobs.computeIfAbsent(
                 part.getJob(), id -> new Job(part, ticker.nanos() - age(part).toNanos()));
@@ -152,6 +170,17 @@
         if (records != null) {
             records.forEach(record -> apply(job, record));
         }
+        if (endsBeforeJob.remove(part.getJob()) != null) {
+            cancel(job);
+        }
+    }
+
+    private void cancel(Job job) {
+        if (!job.cancelled()) {
+            job.cancel();
+            openJobsStale = true;
+            cancelListeners.forEach(listener -> listener.accept(job));
+        }
     }
 
     private void apply(Job job, JobRecord record) {
@@ -169,13 +198,7 @@
             case FAILURES ->
                 job.setFailures(
                         record.getFailures().getItem(), record.getFailures().getFailures());
-            case ENDED -> {
-                if (!job.cancelled()) {
-                    job.cancel();
-                    openJobsStale = true;
-                    cancelListeners.forEach(listener -> listener.accept(job));
-                }
-            }
+            case ENDED -> cancel(job);
             default -> log.event(ServingEvent.RECORD_MALFORMED, "job", job.id(), "message", "record has no known body");
         }
     }
@@ -185,6 +208,16 @@
         return Optional.ofNullable(jobs.get(id)).filter(Job::allPartsRead);
     }
 
+    /** Returns whether a caller ended a job of which no part has been read. */
+    boolean endedBeforeJob(String id) {
+        return endsBeforeJob.containsKey(id);
+    }
+
+    /** Returns the jobs that were ended before any of their parts was read, by the time of the end (ticker's clock). */
+    public Map<String, Long> endsBeforeJob() {
+        return Collections.unmodifiableMap(endsBeforeJob);
+    }
+
     /** Returns all jobs, including those of which some parts have not been read. */
     public Collection<Job> all() {
         return jobs.values();
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -8,6 +8,7 @@
 import dev.lavenderline.proto.jobs.JobRecord;
 import dev.lavenderline.proto.jobs.PayloadRef;
 import dev.lavenderline.serving.store.KeyedRecord;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -16,6 +17,8 @@
 final class JobRecords {
     private static final String PART_PREFIX = "job/";
 
+    private static final String END_PREFIX = "end/";
+
     /**
      * Largest number of items of a job in a record, far above that of a submission. Bounds the memory that a record of
      * another writer can demand.
@@ -32,6 +35,7 @@
                 record.getResult().getItem() >= 0 && record.getResult().getPosition() >= 0;
             case FAILURES ->
                 record.getFailures().getItem() >= 0 && record.getFailures().getFailures() >= 0;
+            case ENDED -> record.getEnded().getEndedUnixMs() >= 0;
             default -> true;
         };
     }
@@ -141,10 +145,29 @@
                 JobRecord.newBuilder().setFailures(failures));
     }
 
-    static KeyedRecord cancelled(String job) {
-        return record(
-                "end/" + job,
-                JobRecord.newBuilder().setEnded(JobEnded.newBuilder().setJob(job)));
+    static KeyedRecord cancelled(String job, long endedUnixMs) {
+        JobEnded.Builder ended = JobEnded.newBuilder().setJob(job).setEndedUnixMs(endedUnixMs);
+        return record(endKey(job), JobRecord.newBuilder().setEnded(ended));
+    }
+
+    private static String endKey(String job) {
+        return END_PREFIX + job;
+    }
+
+    /** Returns the id of the job if the key is that of its end. */
+    static Optional<String> jobOfEnd(String key) {
+        return key.startsWith(END_PREFIX) ? Optional.of(key.substring(END_PREFIX.length())) : Optional.empty();
+    }
+
+    /** Returns a deletion of the record of a job's end. */
+    static KeyedRecord endDeletion(String job) {
+        return deletion(endKey(job));
+    }
+
+    /** Returns whether a job can have this id; its keys must not exceed the store's limit. */
+    static boolean validId(String job) {
+        int keyBytes = resultKey(job, MAX_ITEMS).getBytes(StandardCharsets.UTF_8).length;
+        return !job.isEmpty() && keyBytes <= KeyedRecord.MAX_KEY_BYTES;
     }
 
     /** Returns deletions of all keys of a job; its parts come last, so that an incomplete deletion is retried. */
@@ -159,7 +182,7 @@
             }
         }
         if (job.cancelled()) {
-            records.add(deletion("end/" + job.id()));
+            records.add(endDeletion(job.id()));
         }
         for (int i = 0; i < job.parts(); i++) {
             records.add(deletion("job/" + job.id() + "/" + i));
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -60,6 +60,9 @@
     /** Time after which a result that the store has not confirmed is logged. */
     static final Duration RESULT_DELAY = Duration.ofSeconds(5);
 
+    /** Bounds the memory that cancellations of unknown jobs take on all nodes, about 200 bytes each. */
+    static final int MAX_ENDS_BEFORE_JOB = 20_000;
+
     private final String node;
     private final Ticker ticker;
     private final Timers timers;
@@ -387,17 +390,44 @@
                         .build());
     }
 
-    /** Cancels a job; true if it is cancelled or unknown, false if that was not confirmed in time. */
+    /**
+     * Cancels a job. The cancellation of an unknown job is recorded as well, because a submission that is still on its
+     * way, such as one in the socket of a suspended node, must find it.
+     *
+     * @return false if it was not confirmed in time, or if too many unknown jobs have been cancelled lately
+     */
     public Future<Boolean> cancel(String job, Duration timeout) {
+        ConditionalWriter.Change change = new ConditionalWriter.Change() {
+            @Override
+            public Optional<List<KeyedRecord>> records(ConditionalWriter.Reservations reservations) {
+                boolean cancelled = ledger.find(job)
+                        .map(Job::cancelled)
+                        .orElseGet(() -> ledger.endedBeforeJob(job) || !JobRecords.validId(job));
+                if (cancelled) {
+                    return Optional.of(List.of());
+                }
+                return Optional.of(
+                        List.of(JobRecords.cancelled(job, ticker.now().toEpochMilli())));
+            }
+
+            @Override
+            public boolean refused() {
+                return ledger.find(job).isEmpty()
+                        && !ledger.endedBeforeJob(job)
+                        && ledger.endsBeforeJob().size() >= MAX_ENDS_BEFORE_JOB;
+            }
+        };
+        return writer(job).submit("end/" + job, change, timeout).map(result -> result == ConditionalWriter.Result.DONE);
+    }
+
+    /** Deletes the record of the end of a job that was never submitted; false if not confirmed in time. */
+    public Future<Boolean> deleteEnd(String job) {
         return writer(job)
                 .submit(
-                        "end/" + job,
-                        reservations -> {
-                            boolean cancelled =
-                                    ledger.find(job).map(Job::cancelled).orElse(true);
-                            return Optional.of(cancelled ? List.of() : List.of(JobRecords.cancelled(job)));
-                        },
-                        timeout)
+                        "end deletion/" + job,
+                        reservations -> Optional.of(
+                                ledger.endedBeforeJob(job) ? List.of(JobRecords.endDeletion(job)) : List.of()),
+                        WRITE_TIMEOUT)
                 .map(result -> result == ConditionalWriter.Result.DONE);
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
@@ -8,11 +8,12 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
- * Abandons items whose retention has passed and deletes closed jobs whose results no longer have to be readable. Runs
- * on nodes whose scheduler is in use.
+ * Abandons items whose retention has passed, deletes closed jobs whose results no longer have to be readable, and
+ * deletes the ends of jobs that were not submitted within that time. Runs on nodes whose scheduler is in use.
  *
  * <p>Not thread-safe; confined to the event loop.
  */
@@ -28,7 +29,7 @@
     /** Items for which a failure result is being written. */
     private final Set<ItemRef> abandoning = new HashSet<>();
 
-    /** Jobs that are being deleted. */
+    /** Jobs whose records are being deleted. */
     private final Set<String> deleting = new HashSet<>();
 
     /**
@@ -46,6 +47,18 @@
     void run() {
         abandonItems();
         deleteJobs();
+        deleteEnds();
+    }
+
+    private void deleteEnds() {
+        long now = ticker.nanos();
+        long retention = resultRetention.plus(CLOCK_MARGIN).toNanos();
+        List<String> expired = ledger.endsBeforeJob().entrySet().stream()
+                .filter(end -> now - end.getValue() > retention)
+                .map(Map.Entry::getKey)
+                .filter(deleting::add)
+                .toList();
+        expired.forEach(job -> store.deleteEnd(job).onComplete(done -> deleting.remove(job)));
     }
 
     private void deleteJobs() {
--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -214,24 +214,25 @@
     private void cancel(BatchCall.Cancel call, Caller caller, CallerResponse response) {
         String id = JobIds.internal(call.job(), caller.workspace());
         store.refresh(id)
-                .compose(read ->
-                        belongsToAnother(id, caller) ? Future.succeededFuture(true) : store.cancel(id, CANCEL_TIMEOUT))
-                .recover(failure -> Future.succeededFuture(false))
-                .onSuccess(done -> {
-                    if (done && deniesCancel(call, caller)) {
+                .compose(read -> deniesCancel(call, caller)
+                        ? Future.succeededFuture(404)
+                        : store.cancel(id, CANCEL_TIMEOUT).map(cancelled -> cancelled ? 200 : 503))
+                .recover(failure -> Future.succeededFuture(503))
+                .onSuccess(status -> {
+                    if (status == 404) {
                         notFound(call, response);
-                    } else if (done) {
+                    } else if (status == 200) {
                         log.event(ServingEvent.JOB_ENDED, "job", id);
                         response.sendText(200, "ended");
                     } else {
-                        response.sendText(503, "the store does not answer", RETRY_DELAY);
+                        response.sendText(503, "the end was not recorded", RETRY_DELAY);
                     }
                 });
     }
 
     /**
-     * Returns whether a job that could be cancelled does not exist for its caller. An unknown job of a caller without a
-     * workspace counts as ended.
+     * Returns whether the job of a cancellation does not exist for its caller. A caller without a workspace can also
+     * cancel a job whose submission is still on its way, so that an unknown one is not denied.
      */
     private boolean deniesCancel(BatchCall.Cancel call, Caller caller) {
         return ledger.find(call.job(), caller).isEmpty()
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -261,6 +261,62 @@
         assertFalse(ledger.find("j").orElseThrow().open());
     }
 
+    /**
+     * Guards against a job that runs after its end was acknowledged, because its submission was still held by a node
+     * that was suspended when its caller ended it.
+     */
+    @Test
+    void jobThatIsSubmittedAfterItsEndDoesNotRun() {
+        JobLedger otherLedger = new JobLedger(time, EventLog.NONE);
+        JobStore other = startStore(otherLedger);
+        assertTrue(other.cancel("j", TIMEOUT).result());
+        assertEquals(Acceptance.ACCEPTED, accept(jobs, "j", 3, 0).result());
+        time.advance(Duration.ofSeconds(1));
+        JobLedger restarted = new JobLedger(time, EventLog.NONE);
+        startStore(restarted);
+        for (JobLedger node : List.of(ledger, otherLedger, restarted)) {
+            assertTrue(node.find("j").orElseThrow().cancelled());
+            assertEquals(List.of(), node.openByDueTime());
+            assertEquals(0, node.waitingTokens("batch", ""));
+        }
+    }
+
+    /** Guards against the same while the store still executes the append of the submission after the end. */
+    @Test
+    void jobWhoseAppendIsDelayedPastItsEndDoesNotRun() {
+        JobStore other = startStore(new JobLedger(time, EventLog.NONE));
+        store.nextAppends(JobStore.TOPIC, AppendOutcome.LATE);
+        accept(jobs, "j", 3, 0);
+        assertTrue(other.cancel("j", TIMEOUT).result());
+        store.executeLateAppends();
+        time.advance(TIMEOUT);
+        assertEquals(List.of(), ledger.openByDueTime());
+        assertTrue(ledger.find("j").orElseThrow().cancelled(), "the append was repeated after the end");
+    }
+
+    /** Guards against a record for each repetition of the end, and against an end that no key of the store can name. */
+    @Test
+    void endOfUnknownJobIsRecordedOnce() {
+        int before = store.appends(JobStore.TOPIC);
+        assertTrue(jobs.cancel("j", TIMEOUT).result());
+        assertTrue(jobs.cancel("j", TIMEOUT).result());
+        assertTrue(jobs.cancel("x".repeat(300), TIMEOUT).result());
+        assertTrue(jobs.cancel("", TIMEOUT).result());
+        assertEquals(before + 1, store.appends(JobStore.TOPIC));
+    }
+
+    /** Guards against memory and records without bound when callers end jobs that they never submit. */
+    @Test
+    void endsOfUnknownJobsAreBounded() {
+        for (int i = 0; i < JobStore.MAX_ENDS_BEFORE_JOB; i++) {
+            ledger.apply(JobRecords.cancelled("job" + i, 0));
+        }
+        Future<Boolean> cancelled = jobs.cancel("j", TIMEOUT);
+        time.advance(TIMEOUT);
+        assertFalse(cancelled.result());
+        assertTrue(jobs.cancel("job1", TIMEOUT).result());
+    }
+
     @Test
     void deletedJobLeavesNoKeys() {
         accept(jobs, "j", 2, 0);
--- a/serving/src/test/java/dev/lavenderline/serving/node/JobCleanerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/JobCleanerTest.java
@@ -14,8 +14,10 @@
 import dev.lavenderline.serving.routes.WeightedService;
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.store.FakeStore;
+import dev.lavenderline.serving.store.Partition;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -26,19 +28,10 @@
     private static final Duration CLOCK_MARGIN = Duration.ofSeconds(6);
 
     private final ManualTime time = new ManualTime();
+    private final FakeStore store = new FakeStore();
     private final JobLedger ledger = new JobLedger(time, EventLog.NONE);
     private final JobStore jobs = new JobStore(
-            "n1",
-            new FakeStore(),
-            ledger,
-            time,
-            time,
-            EventLog.NONE,
-            1,
-            1,
-            100_000,
-            () -> Duration.ofMillis(100),
-            () -> 1);
+            "n1", store, ledger, time, time, EventLog.NONE, 1, 1, 100_000, () -> Duration.ofMillis(100), () -> 1);
     private final JobCleaner cleaner = new JobCleaner(ledger, jobs, time, RESULT_RETENTION);
 
     @BeforeEach
@@ -86,4 +79,18 @@
         cleaner.run();
         assertTrue(ledger.find("j").isEmpty());
     }
+
+    /** Guards against ends of unknown jobs that stay in the store for good, and against ends that are forgotten early. */
+    @Test
+    void deletesEndOfUnknownJobAfterResultRetention() {
+        jobs.cancel("never submitted", Duration.ofSeconds(1));
+        time.advance(RESULT_RETENTION);
+        cleaner.run();
+        assertEquals(Set.of("never submitted"), ledger.endsBeforeJob().keySet());
+        time.advance(CLOCK_MARGIN.plusSeconds(1));
+        cleaner.run();
+        assertEquals(Set.of(), ledger.endsBeforeJob().keySet());
+        assertTrue(store.newest(new Partition("jobs", 0), "").result().records().stream()
+                .noneMatch(record -> record.key().startsWith("end/")));
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -315,6 +315,21 @@
         await().atMost(TIMEOUT).until(() -> first.cancelled.size() == 1);
     }
 
+    /** Guards against items that run although their job was ended, at another node, before it was submitted. */
+    @Test
+    void jobEndedBeforeItsSubmissionDoesNotRun() throws Exception {
+        startNode("n1");
+        startNode("n2");
+        HttpRequest cancel = request(0, "/jobs/job").DELETE().build();
+        assertEquals(
+                200, client.send(cancel, HttpResponse.BodyHandlers.ofString()).statusCode());
+        assertEquals(202, post(1, "/batch/", "job", "a").join().statusCode());
+        assertEquals(202, post(0, "/batch/", "later", "b").join().statusCode());
+        await().atMost(TIMEOUT).until(() -> get(0, "/jobs/later").body().lines().count() == 1);
+        assertEquals(1, first.requests.size());
+        assertEquals("", get(0, "/jobs/job").body());
+    }
+
     @Test
     void drainCompletesOpenRequestsAndRejectsLateOnes() throws IOException {
         startNode("n1");
