Read a partition to its end without a chain of futures

A node that lagged could not read the jobs to their end if the store returned them in many small slices: refreshes never completed, and callers got no answer for jobs and their ends.

Cause: each slice added a future that completes inside the one before, so the stack needed grew with the number of slices, which the store decides. All reads now complete one promise.

--- a/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
+++ b/serving/src/main/java/dev/lavenderline/serving/store/PartitionFollower.java
@@ -230,23 +230,32 @@
                     new StoreException(StoreException.Reason.REJECTED, partition + " has not been loaded yet"));
         }
         ClockReading sent = ClockReading.now(ticker);
-        return readNext().compose(slice -> readUpTo(slice.endOffset())).onSuccess(read -> recordAsked(sent));
+        Promise<Void> read = Promise.promise();
+        readNext().onSuccess(slice -> readUpTo(slice.endOffset(), read)).onFailure(read::fail);
+        return read.future().onSuccess(done -> recordAsked(sent));
     }
 
-    /** Reads up to an offset that the store has stated as the partition's end. */
-    private Future<Void> readUpTo(long endOffset) {
+    /**
+     * Reads up to an offset that the store has stated as the partition's end. All reads complete one promise: futures
+     * that complete one inside the other would need a stack as deep as the number of reads, which the store decides.
+     */
+    private void readUpTo(long endOffset, Promise<Void> read) {
         if (nextOffset >= endOffset) {
-            return Future.succeededFuture();
+            read.complete();
+            return;
         }
         long offset = nextOffset;
-        return readNext().compose(slice -> {
-            if (nextOffset <= offset) {
-                return Future.failedFuture(new StoreException(
-                        StoreException.Reason.MALFORMED,
-                        partition + " ends at " + endOffset + ", but has no record at " + offset));
-            }
-            return readUpTo(endOffset);
-        });
+        readNext()
+                .onSuccess(slice -> {
+                    if (nextOffset > offset) {
+                        readUpTo(endOffset, read);
+                    } else {
+                        read.fail(new StoreException(
+                                StoreException.Reason.MALFORMED,
+                                partition + " ends at " + endOffset + ", but has no record at " + offset));
+                    }
+                })
+                .onFailure(read::fail);
     }
 
     private Future<LogSlice> readNext() {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadPagesTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadPagesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.lavenderline.proto.jobs.PayloadRef;
+import dev.lavenderline.serving.DeployedStack;
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.store.KeyedPage;
@@ -27,6 +28,9 @@
     /** Far more than any stack bears if the reads complete one inside the other. */
     private static final int PAYLOADS = 50_000;
 
+    /** Number of items of a batch job at most. */
+    private static final int ITEMS = 200;
+
     private final PagedStore store = new PagedStore();
     private final PayloadStore payloads = new PayloadStore(store, new ManualTime(), EventLog.NONE, 1, () -> 0);
 
@@ -89,6 +93,19 @@
         assertEquals(0, store.pages.size());
     }
 
+    /** Guards against a batch job of the largest size whose results can't be read once the history is forgotten. */
+    @Test
+    void resultsOfALargeJobAreReadOnTheStackOfTheProgram() throws Exception {
+        List<Future<byte[]>> reads = new ArrayList<>();
+        DeployedStack.run(() -> {
+            reads.addAll(readAll(ITEMS));
+            while (!store.pages.isEmpty()) {
+                store.pages.poll().complete(page(0, ITEMS));
+            }
+        });
+        assertEquals(ITEMS, reads.stream().filter(Future::succeeded).count());
+    }
+
     @Test
     void readsGoOnAfterPagesWithoutTheWantedPayload() {
         List<Future<byte[]>> reads = readAll(4);
