End a request whose upstream writes interim responses without end

Callers got 504 only after the time limit of their request, and calls beside it 503, as the slot and the connection were held while interim responses (100, 103) were read at full speed.

Cause: each interim response is complete by itself, so no bound on a head applies. More than 64 before the final response now end the exchange as lost.

Evidence: StutteringUpstreamTest.interimResponsesWithoutEndAreBrokenOff failed on (504 after 4 s) for both kinds and passes now.

--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -20,6 +20,9 @@
     /** Size of the body of a rejection, in bytes, above which reusing its connection is not worth reading it. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
+    /** Number of interim responses (RFC 9110, section 15.2) before the final one; a few are usual at most. */
+    static final int MAX_INTERIM_RESPONSES = 64;
+
     private final UpstreamConnections connections;
     private final Upstream upstream;
     private final UpstreamRequest request;
@@ -33,6 +36,7 @@
     private Duration keepAlive = Duration.ZERO;
     private int connectionRequests;
     private int discardedBytes;
+    private int interimResponses;
     private boolean sent;
     private long sentNanos;
     private boolean responseStarted;
@@ -108,6 +112,8 @@
                 .headers()
                 .set(HttpHeaders.CONTENT_LENGTH, Integer.toString(request.body().length()));
         httpRequest.exceptionHandler(failure -> fail(currentFailure(), failure.getMessage()));
+        httpRequest.continueHandler(interim -> interimResponse());
+        httpRequest.earlyHintsHandler(interim -> interimResponse());
         httpRequest
                 .response()
                 .onSuccess(this::receive)
@@ -117,6 +123,14 @@
         httpRequest.end(request.body());
     }
 
+    /** Fails the exchange if the upstream writes interim responses without end, at the speed of the connection. */
+    private void interimResponse() {
+        interimResponses++;
+        if (interimResponses > MAX_INTERIM_RESPONSES) {
+            fail(currentFailure(), "more than " + MAX_INTERIM_RESPONSES + " interim responses");
+        }
+    }
+
     private void receive(HttpClientResponse received) {
         if (done) {
             return;
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.URI;
@@ -370,4 +371,27 @@
         String received = receiveAll(path, "r1");
         assertTrue(complete(received), received);
     }
+
+    /** Guards against a slot that is held, and bytes that are read, until the deadline of a request without answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n"})
+    void interimResponsesWithoutEndAreBrokenOff(String interim) throws IOException {
+        AtomicInteger written = new AtomicInteger();
+        RawUpstream upstream =
+                new RawUpstream(vertx, (socket, id) -> writeWithoutEnd(socket, interim.repeat(100), written));
+        startNode(upstream);
+        long started = System.nanoTime();
+        assertEquals(502, post("/unsafe/x", "r1", "p").statusCode());
+        assertEquals(502, post("/stream/x", "r2", "p").statusCode());
+        assertTrue(Duration.ofNanos(System.nanoTime() - started).toMillis() < 2_000, "ended by the deadline");
+        assertTrue(written.get() < 10_000_000, written + " bytes");
+    }
+
+    /** Writes a text again and again, as fast as it is read, until the connection is closed. */
+    private static void writeWithoutEnd(NetSocket socket, String text, AtomicInteger written) {
+        socket.write(text).onSuccess(done -> {
+            written.addAndGet(text.length());
+            writeWithoutEnd(socket, text, written);
+        });
+    }
 }
