Take no response head for a part of an event

Clients could find the head of an error in the middle of their stream: an upstream stopped within an event whose id was the expected one and went on with a status line, headers and an empty line, which ended the event.

Cause: an event was judged by its id. Lines whose name no field of an event has, and further fields behind a status line, now break the stream off, for streams with and without resumption and for items.

--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -10,9 +10,6 @@
  * the next; once an event does not belong to the stream, none does. Not thread-safe.
  */
 public final class EventSequence {
-    /** Bytes in which a status line begins, behind line ends if there are any. */
-    private static final int STATUS_LINE_BYTES = 64;
-
     private OptionalLong firstId = OptionalLong.empty();
     private OptionalLong lastId;
     private final boolean continuation;
@@ -36,30 +33,27 @@
 
     /** Returns whether the next event belongs to the stream, and records its id if it does. */
     public boolean accepts(StreamEvent event) {
+        if (broken) {
+            return false;
+        }
+        broken = event.foreign() || outOfOrder(event);
         if (broken) {
             return false;
         }
         if (event.id().isEmpty()) {
-            broken = (lastId.isPresent() && !event.controlOnly()) || beginsWithStatusLine(event);
             withoutId |= !event.controlOnly();
-            return !broken;
-        }
-        broken = lastId.isPresent() && event.id().getAsLong() != lastId.getAsLong() + 1;
-        if (!broken) {
+        } else {
             lastId = event.id();
             firstId = firstId.isPresent() ? firstId : lastId;
         }
-        return !broken;
+        return true;
     }
 
-    /**
-     * Returns whether bytes that were taken for an event are the head of another response, which may name no request.
-     */
-    private static boolean beginsWithStatusLine(StreamEvent event) {
-        return event.raw()
-                .getString(0, Math.min(event.raw().length(), STATUS_LINE_BYTES))
-                .stripLeading()
-                .startsWith("HTTP/1.");
+    private boolean outOfOrder(StreamEvent event) {
+        if (event.id().isEmpty()) {
+            return lastId.isPresent() && !event.controlOnly();
+        }
+        return lastId.isPresent() && event.id().getAsLong() != lastId.getAsLong() + 1;
     }
 
     /** Returns whether an event has arrived that does not belong to the stream. */
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -71,7 +72,8 @@
         OptionalLong id = OptionalLong.empty();
         StringBuilder data = null;
         boolean controlOnly = true;
-        for (String line : raw.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
+        List<String> lines = List.of(raw.toString(StandardCharsets.UTF_8).split("\r?\n", -1));
+        for (String line : lines) {
             controlOnly &= line.isEmpty() || line.startsWith(":") || line.startsWith("retry:");
             if (line.startsWith("id:")) {
                 id = parseId(fieldValue(line, 3));
@@ -80,7 +82,7 @@
                 data.append(fieldValue(line, 5));
             }
         }
-        return new StreamEvent(id, data == null ? "" : data.toString(), controlOnly, raw);
+        return new StreamEvent(id, data == null ? "" : data.toString(), controlOnly, ForeignLines.in(lines), raw);
     }
 
     private static String fieldValue(String line, int from) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -372,6 +372,43 @@
         assertTrue(complete(received), received);
     }
 
+    private static final String ERROR_HEAD = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\n";
+
+    /** Guards against forwarding the head of an error as a part of the event within which an upstream stopped. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 3\n", "id: 3\ndata: te", ""})
+    void headWithinAnEventIsNotForwarded(String cut) throws IOException {
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            socket.write(RawUpstream.closeDelimitedHead(id) + events(1, 2) + cut + ERROR_HEAD + "busy");
+            socket.close();
+        });
+        startNode(upstream);
+        for (String path : List.of("/stream/x", "/resumable/x")) {
+            String received = receiveAll(path, "r" + path.length());
+            assertFalse(complete(received), received);
+            assertTrue(received.contains("data: text2"), received);
+            assertFalse(received.contains("503"), received);
+        }
+    }
+
+    /** Guards against recording such a head as a part of an output. */
+    @Test
+    void headWithinAnEventIsNotRecorded() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            if (runs.incrementAndGet() == 1) {
+                socket.write(RawUpstream.closeDelimitedHead(id) + events(1, 2) + "id: 3\n" + ERROR_HEAD);
+            } else {
+                socket.write(RawUpstream.closeDelimitedHead(id) + events(3, EVENTS));
+            }
+            socket.close();
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
     /** Guards against a slot that is held, and bytes that are read, until the deadline of a request without answer. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n"})
--- a/serving/src/test/java/dev/lavenderline/serving/online/EventSequenceTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/EventSequenceTest.java
@@ -113,4 +113,26 @@
         assertEquals(event("1") + event("2") + "broken", copied);
         assertFalse(copied.contains("xx"));
     }
+
+    /** Guards against an event that was cut and goes on with another response, whose empty line ends the event. */
+    @Test
+    void eventThatGoesOnWithAnotherResponseIsForeign() {
+        String head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\n";
+        String lowerCaseHead = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\n";
+        for (String cut :
+                List.of("id: 2\n", "id: 2\ndata: te", "id: 2\ndata: text2\n", "", "da", "weight-versions: 3\n")) {
+            assertEquals("1 broken", accepted(event("1") + cut + head + event("3")), cut);
+            assertEquals("1 broken", accepted(event("1") + cut + lowerCaseHead), cut);
+            assertEquals("broken", accepted(cut + head), cut);
+        }
+        assertEquals("1 broken", accepted(event("1") + "id: 2\nInternal Server Error\n\n"));
+    }
+
+    /** Guards against breaking off a stream for its text, its fields or the mark at its beginning. */
+    @Test
+    void textOfAnEventMayQuoteAResponse() {
+        assertEquals(
+                "- 2", accepted("\uFEFF" + event("1") + "id: 2\ndata: HTTP/1.1 200 OK\ndata: Content-Length: 4\n\n"));
+        assertEquals("1", accepted("trace-id: 7\nid: 1\nevent: delta\ndata\nretry: 5\n\n"));
+    }
 }
