Believe an empty continuation only if another upstream confirms it

Cause: a stream may be cut right behind its last event, so an empty continuation was taken for the end of the stream; a faulty upstream's response looks the same. A second upstream now has to say the same behind the same event, for items also three responses of the only one. Otherwise the caller's connection is closed, and the caller may resume.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.proto.jobs.JobItem;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.online.CallContext;
+import dev.lavenderline.serving.online.ContinuationEnd;
 import dev.lavenderline.serving.online.EventSequence;
 import dev.lavenderline.serving.online.EventStreamParser;
 import dev.lavenderline.serving.online.ResponseListener;
@@ -76,6 +77,7 @@
     private static final class PartialOutput {
         final String version;
         final List<String> events = new ArrayList<>();
+        final ContinuationEnd continuationEnd = new ContinuationEnd();
         OptionalLong lastEventId = OptionalLong.empty();
         long bytes;
 
@@ -379,7 +381,11 @@
             } else if (status != OK) {
                 finish(ReleaseReason.ANSWER_LOST, true, "status " + status);
             } else {
-                parser.truncation(exchange.closeDelimited(), sequence.continuation())
+                sequence.truncation(
+                                parser.hasPartialEvent(),
+                                exchange.closeDelimited(),
+                                upstream.id(),
+                                output.continuationEnd)
                         .ifPresentOrElse(this::streamTruncated, this::completed);
             }
         }
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventBoundaryScanner.java
@@ -1,7 +1,6 @@
 package dev.lavenderline.serving.online;
 
 import io.vertx.core.buffer.Buffer;
-import java.util.Optional;
 
 /**
  * Finds the ends of server-sent events in a stream of bytes: the empty line after an event, with LF or CRLF.
@@ -11,7 +10,6 @@
 final class EventBoundaryScanner {
     private boolean lineEmpty;
     private boolean withinEvent;
-    private boolean anyEvent;
 
     /** Scans the next byte and returns whether it ends an event. */
     boolean scan(byte next) {
@@ -26,7 +24,6 @@
         boolean end = lineEmpty;
         lineEmpty = !end;
         withinEvent &= !end;
-        anyEvent |= end;
         return end;
     }
 
@@ -41,18 +38,4 @@
     boolean withinEvent() {
         return withinEvent;
     }
-
-    /**
-     * Returns why a stream that ends here is truncated, or empty if it may be complete.
-     *
-     * @param closeDelimited whether only the end of the connection ends the stream, which then proves nothing
-     * @param continuation whether the stream continues another one, which may have ended with its last event
-     */
-    Optional<String> truncation(boolean closeDelimited, boolean continuation) {
-        if (withinEvent) {
-            return Optional.of("stream ended within an event");
-        }
-        boolean mayBeEmpty = continuation && !closeDelimited;
-        return anyEvent || mayBeEmpty ? Optional.empty() : Optional.of("stream ended before the first event");
-    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.online;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -15,6 +16,7 @@
     private final boolean continuation;
     private boolean broken;
     private boolean withoutId;
+    private boolean empty = true;
 
     /**
      * Creates a sequence.
@@ -26,20 +28,13 @@
         this.continuation = lastId.isPresent();
     }
 
-    /** Returns whether the stream continues another one. */
-    public boolean continuation() {
-        return continuation;
-    }
-
     /** Returns whether the next event belongs to the stream, and records its id if it does. */
     public boolean accepts(StreamEvent event) {
+        broken = broken || event.foreign() || outOfOrder(event);
         if (broken) {
             return false;
         }
-        broken = event.foreign() || outOfOrder(event);
-        if (broken) {
-            return false;
-        }
+        empty &= event.controlOnly();
         if (event.id().isEmpty()) {
             withoutId |= !event.controlOnly();
         } else {
@@ -56,6 +51,30 @@
         return lastId.isPresent() && event.id().getAsLong() != lastId.getAsLong() + 1;
     }
 
+    /**
+     * Returns why a response that ends in order behind the accepted events is truncated, or empty if it is complete.
+     *
+     * @param withinEvent whether it ends within an event
+     * @param closeDelimited whether only the end of the connection ends it, which then proves nothing
+     * @param upstream id of the upstream
+     * @param continuationEnd the stream's earlier empty continuations
+     */
+    public Optional<String> truncation(
+            boolean withinEvent, boolean closeDelimited, String upstream, ContinuationEnd continuationEnd) {
+        if (withinEvent) {
+            return Optional.of("stream ended within an event");
+        }
+        if (!empty) {
+            return Optional.empty();
+        }
+        if (continuation && !closeDelimited) {
+            return continuationEnd.confirmed(upstream, lastId)
+                    ? Optional.empty()
+                    : Optional.of("continuation ended without an event");
+        }
+        return Optional.of("stream ended before the first event");
+    }
+
     /** Returns whether an event has arrived that does not belong to the stream. */
     public boolean broken() {
         return broken;
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
@@ -4,7 +4,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import java.util.Locale;
-import java.util.Optional;
 
 /**
  * Passes on the events of a stream that can't be resumed, up to the first one that does not belong to it.
@@ -57,11 +56,6 @@
         return parser.hasPartialEvent();
     }
 
-    /** Returns why a stream that ends here is truncated; see {@link EventBoundaryScanner#truncation}. */
-    Optional<String> truncation(boolean closeDelimited) {
-        return parser.truncation(closeDelimited, sequence.continuation());
-    }
-
     /** Returns the bytes behind the last event of a stream that is not truncated: line ends, if any. */
     Buffer remainder() {
         return parser.takeRemainder();
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamParser.java
@@ -3,7 +3,6 @@
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 
@@ -32,11 +31,6 @@
         return boundaries.withinEvent();
     }
 
-    /** Returns why a stream that ends here is truncated; see {@link EventBoundaryScanner#truncation}. */
-    public Optional<String> truncation(boolean closeDelimited, boolean continuation) {
-        return boundaries.truncation(closeDelimited, continuation);
-    }
-
     /**
      * Parses further bytes and passes each completed event to the consumer. Returns false once an event is larger than
      * {@link #MAX_EVENT_BYTES}; that event and all further bytes are only kept for {@link #takeRemainder}.
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -87,6 +87,8 @@
     /** The events that the caller has received, as far as the next send continues them. */
     private EventSequence events;
 
+    private final ContinuationEnd continuationEnd = new ContinuationEnd();
+
     /** Where the stream began that the next send continues; empty if the caller has not received an event. */
     private Optional<StreamOrigin> origin;
 
@@ -758,7 +760,9 @@
      * Ends the attempt if the stream that has just ended is truncated. The response may have been delimited correctly:
      * an upstream may break off a stream and still end its connection, or its last chunk, in order.
      */
-    private boolean failIfTruncated(Optional<String> truncation) {
+    private boolean failIfTruncated(boolean withinEvent) {
+        Optional<String> truncation =
+                events.truncation(withinEvent, exchange.closeDelimited(), upstream.id(), continuationEnd);
         truncation.ifPresent(cause -> attemptFailed(SendFailure.CUT, ReleaseReason.ANSWER_LOST, cause));
         return truncation.isPresent();
     }
@@ -889,7 +893,7 @@
         @Override
         public void end() {
             partialEvent = filter.withinEvent();
-            if (hasEvents() && failIfTruncated(filter.truncation(exchange.closeDelimited()))) {
+            if (hasEvents() && failIfTruncated(partialEvent)) {
                 return;
             }
             Buffer lineEnds = filter.remainder();
@@ -935,8 +939,7 @@
         @Override
         public void end() {
             partialEvent = parser.hasPartialEvent();
-            if (status == HTTP_OK
-                    && failIfTruncated(parser.truncation(exchange.closeDelimited(), events.continuation()))) {
+            if (status == HTTP_OK && failIfTruncated(partialEvent)) {
                 return;
             }
             if (isFailure(status) && attemptsLeft()) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -409,6 +409,65 @@
         assertEquals("a=text1|text2|text3\n", jobResults());
     }
 
+    /** Guards against ending a cut stream as complete because the next upstream answers with nothing. */
+    @Test
+    void emptyContinuationDoesNotCompleteAStream() throws IOException {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            if (runs.incrementAndGet() == 1) {
+                socket.write(RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(1, 2)));
+                vertx.setTimer(50, later -> socket.close());
+            } else {
+                socket.write(RawUpstream.chunkedHead(id) + "0\r\n\r\n");
+            }
+        });
+        harness.write("upstreams", "e2", "engines " + upstream.port);
+        startNode(upstream);
+        String received = receiveAll("/resumable/x", "r1");
+        assertTrue(received.contains("data: text2"), received);
+        assertFalse(complete(received), received);
+        assertEquals(2, runs.get());
+    }
+
+    /** Guards against the same in the output of an item. */
+    @Test
+    void emptyContinuationDoesNotCompleteAnOutput() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            switch (runs.incrementAndGet()) {
+                case 1 -> {
+                    socket.write(RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(1, 2)));
+                    vertx.setTimer(50, later -> socket.close());
+                }
+                case 2 -> socket.write(RawUpstream.chunkedHead(id) + "0\r\n\r\n");
+                default ->
+                    socket.write(RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(3, EVENTS)) + "0\r\n\r\n");
+            }
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
+    /** Guards against an item that never completes because its output was cut right behind the last event. */
+    @Test
+    void outputCutBehindItsLastEventCompletes() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            if (runs.incrementAndGet() == 1) {
+                socket.write(RawUpstream.chunkedHead(id) + RawUpstream.chunk(events(1, EVENTS)));
+                vertx.setTimer(50, later -> socket.close());
+            } else {
+                socket.write(RawUpstream.chunkedHead(id) + "0\r\n\r\n");
+            }
+        });
+        startNode(upstream);
+        assertEquals(202, post("/batch/", "job", "a").statusCode());
+        await().atMost(TIMEOUT).until(() -> !jobResults().isEmpty());
+        assertEquals("a=text1|text2|text3\n", jobResults());
+    }
+
     /** Guards against a slot that is held, and bytes that are read, until the deadline of a request without answer. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n"})
