Break off streams whose upstream writes comments without end

A stream without progress was forwarded until its time limit at the speed of the connection if its upstream wrote comments or empty lines without end, and on routes without resumption also one comment line without end.

Cause: comments are no events, so that neither their order nor the size of an event bounded them. More than 64 KB of them between two events now break the stream off, for callers and for items, and an event above its size limit is passed on only if it is no comment.

--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -11,12 +11,16 @@
  * the next; once an event does not belong to the stream, none does. Not thread-safe.
  */
 public final class EventSequence {
+    /** Size of all comments between two events, in bytes, above which the upstream is taken to write without end. */
+    static final int MAX_CONTROL_BYTES = 64 * 1024;
+
     private OptionalLong firstId = OptionalLong.empty();
     private OptionalLong lastId;
     private final boolean continuation;
     private boolean broken;
     private boolean withoutId;
     private boolean empty = true;
+    private int controlBytes;
 
     /**
      * Creates a sequence.
@@ -30,7 +34,8 @@
 
     /** Returns whether the next event belongs to the stream, and records its id if it does. */
     public boolean accepts(StreamEvent event) {
-        broken = broken || event.foreign() || outOfOrder(event);
+        controlBytes = event.controlOnly() ? controlBytes + event.raw().length() : 0;
+        broken = broken || event.foreign() || outOfOrder(event) || controlBytes > MAX_CONTROL_BYTES;
         if (broken) {
             return false;
         }
--- a/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventStreamFilter.java
@@ -42,7 +42,8 @@
             return accepted;
         }
         if (!withinLimit && !unchecked) {
-            unchecked = sequence.accepts(parser.partialEvent());
+            StreamEvent partial = parser.partialEvent();
+            unchecked = sequence.accepts(partial) && !partial.controlOnly();
         }
         return unchecked ? accepted.appendBuffer(parser.takeRemainder()) : accepted;
     }
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -483,6 +483,26 @@
         assertTrue(written.get() < 10_000_000, written + " bytes");
     }
 
+    /** Guards against a stream without progress whose comments are forwarded until its deadline. */
+    @ParameterizedTest
+    @ValueSource(strings = {": comment\n\n", "\n\n", ": comment without end "})
+    void commentsWithoutEndAreBrokenOff(String comment) throws IOException {
+        AtomicInteger written = new AtomicInteger();
+        RawUpstream upstream = new RawUpstream(vertx, (socket, id) -> {
+            socket.write(RawUpstream.closeDelimitedHead(id) + events(1, 1));
+            writeWithoutEnd(socket, comment.repeat(100), written);
+        });
+        startNode(upstream);
+        for (String path : List.of("/stream/x", "/resumable/x")) {
+            long started = System.nanoTime();
+            String received = receiveAll(path, "r" + path.length());
+            assertTrue(received.contains("data: text1"), path);
+            assertFalse(complete(received), path);
+            assertTrue(Duration.ofNanos(System.nanoTime() - started).toMillis() < 2_000, path);
+        }
+        assertTrue(written.get() < 20_000_000, written + " bytes");
+    }
+
     /** Writes a text again and again, as fast as it is read, until the connection is closed. */
     private static void writeWithoutEnd(NetSocket socket, String text, AtomicInteger written) {
         socket.write(text).onSuccess(done -> {
--- a/serving/src/test/java/dev/lavenderline/serving/online/EventSequenceTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/EventSequenceTest.java
@@ -135,4 +135,14 @@
                 "- 2", accepted("\uFEFF" + event("1") + "id: 2\ndata: HTTP/1.1 200 OK\ndata: Content-Length: 4\n\n"));
         assertEquals("1", accepted("trace-id: 7\nid: 1\nevent: delta\ndata\nretry: 5\n\n"));
     }
+
+    /** Guards against an upstream that writes comments without end instead of events. */
+    @Test
+    void commentsWithoutEndBreakAStream() {
+        String comments = ": comment\n\n".repeat(1 + EventSequence.MAX_CONTROL_BYTES / 11);
+        assertTrue(accepted(event("1") + comments).endsWith("broken"));
+        assertFalse(accepted(event("1") + comments.substring(0, comments.length() / 11 / 2 * 11) + event("2"))
+                .endsWith("broken"));
+        assertTrue(accepted("\n".repeat(2 + EventSequence.MAX_CONTROL_BYTES)).endsWith("broken"));
+    }
 }
