Count requests whose body is on its way when a node stops

A node that was asked to stop exited as idle while the body of a request was still arriving; its caller got a closed connection.

Cause: a request counted as in progress from the end of its body. It now counts from the end of its head.

Evidence: ServingNodeTest.drainWaitsForTheBodyOfARequest failed on (stopped 2.6 s after the signal) and passes now.

--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -144,9 +144,12 @@
         }
     }
 
-    /** Returns the number of requests in progress, including those whose response has not been written completely. */
+    /**
+     * Returns the number of requests in progress, from the end of their head until their response has been written
+     * completely.
+     */
     public int activeRequests() {
-        return activeResponses.size();
+        return openRequests.values().stream().mapToInt(Integer::intValue).sum();
     }
 
     /** Closes the server and its connections. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -446,6 +446,27 @@
         assertTrue(rejected.headers().firstValue("retry").isPresent());
     }
 
+    /** Guards against an exit while the body of a request is still on its way. */
+    @Test
+    void drainWaitsForTheBodyOfARequest() throws Exception {
+        startNode("n1");
+        try (Socket caller = new Socket(LOOPBACK, ports.get(0))) {
+            caller.getOutputStream()
+                    .write(("POST /unsafe/x HTTP/1.1\r\nHost: " + LOOPBACK
+                                    + "\r\nid: r\r\nleft: 4000\r\nContent-Length: 4\r\n\r\nbo")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            CompletableFuture<Integer> stopped = drain(0);
+            await().pollDelay(ServingNode.MIN_DRAIN_TIME.plusMillis(500))
+                    .atMost(TIMEOUT)
+                    .until(() -> true);
+            assertFalse(stopped.isDone());
+            caller.getOutputStream().write("dy".getBytes(StandardCharsets.ISO_8859_1));
+            String response = new String(caller.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+            assertEquals("HTTP/1.1 503", response);
+            assertEquals(0, stopped.get(2, TimeUnit.SECONDS));
+        }
+    }
+
     /** Guards against taking an upstream for silent while the node itself has stopped reading its response. */
     @Test
     void streamOfSlowCallerIsNotRequestedAgain() throws Exception {
