Take a request during a planned stop only if it ends before the exit

In a planned stop, requests that came late were taken, passed on and cut off without an answer at the end of the grace period, among them requests that may not be repeated: streams of 4.9 s sent 2.56 to 2.60 s after SIGTERM with a grace period of 8 s.

Cause: the last moment at which a request is taken was fixed at 2.6 s, whatever the grace period and the time limit of the request. A request is now taken only if its time limit precedes the exit, and gets 503 "not run" at once otherwise. The time reserved for the exit is at most a twelfth of the grace period, so that a short one leaves time for requests.

Evidence: ServingNodeTest.requestThatMayOutlastTheDrainIsRejectedAtOnce failed on (200) and passes now; ServingNodeTest passes.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -83,9 +83,12 @@
     /** The platform routes new callers here until two readiness probes, one per second, have failed. */
     static final Duration MIN_DRAIN_TIME = Duration.ofMillis(2600);
 
-    /** Part of the grace period reserved for the exit after the drain. */
+    /** Part of the grace period reserved for the exit after the drain; less if the period is short. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(600);
 
+    /** Share of a short grace period that is reserved for the exit. */
+    private static final int EXIT_MARGIN_DIVISOR = 12;
+
     /**
      * Time before the end of the drain from which requests that wait for a slot are rejected. Their responses take a
      * few milliseconds; a request sent to an upstream later than this would mostly be cut by the exit.
@@ -379,6 +382,12 @@
         return metrics.text();
     }
 
+    /** Returns the time after which the process exits, whatever is in progress. */
+    private static Duration drainLimit(Duration gracePeriod) {
+        Duration share = gracePeriod.dividedBy(EXIT_MARGIN_DIVISOR);
+        return gracePeriod.minus(share.compareTo(EXIT_MARGIN) < 0 ? share : EXIT_MARGIN);
+    }
+
     /**
      * Finishes requests and batch items in progress and then runs a callback; later calls have no effect. Items that
      * are not complete shortly before the grace period runs out are stopped, and run again elsewhere from the start;
@@ -392,11 +401,11 @@
         }
         draining = true;
         log.event(ServingEvent.STOPPING, "requests", callers.activeRequests(), "items", runner.running());
-        callers.drain();
+        long started = ticker.nanos();
+        Duration limit = drainLimit(settings.gracePeriod());
+        callers.drain(started + limit.toNanos());
         schedulerClient.drain();
         registry.deregister();
-        long started = ticker.nanos();
-        Duration limit = settings.gracePeriod().minus(EXIT_MARGIN);
         timers.after(MIN_DRAIN_TIME, callers::refuse);
         timers.after(limit.minus(ITEM_MARGIN), runner::stopAll);
         timers.every(DRAIN_CHECK_PERIOD, () -> {
--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -28,10 +28,13 @@
  * <p>Not thread-safe; confined to the event loop.
  */
 final class BatchCallHandler {
+    /** Time within which requests about jobs end, besides the wait of a long poll. */
+    static final Duration CALL_TIMEOUT = Duration.ofMillis(2500);
+
     /** Below the time for which callers wait for the acknowledgement of a job. */
-    private static final Duration ACCEPT_TIMEOUT = Duration.ofMillis(2500);
+    private static final Duration ACCEPT_TIMEOUT = CALL_TIMEOUT;
 
-    private static final Duration CANCEL_TIMEOUT = Duration.ofMillis(2500);
+    private static final Duration CANCEL_TIMEOUT = CALL_TIMEOUT;
 
     /** Retry delay while jobs can't be read from or written to the store. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(700);
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -62,7 +62,10 @@
     private HttpServer server;
     private final Set<CallerResponse> activeResponses = new HashSet<>();
     private final Map<HttpConnection, Integer> openRequests = new HashMap<>();
-    private boolean draining;
+
+    /** Present once the node is about to exit. */
+    private Optional<DrainAdmission> draining = Optional.empty();
+
     private boolean refusing;
 
     /**
@@ -117,10 +120,12 @@
 
     /**
      * Asks callers to close their connections after the next response, also that to a request in progress; requests are
-     * still served.
+     * still served if they end before the exit.
+     *
+     * @param exitNanos when the process exits at the latest, by the ticker's clock
      */
-    public void drain() {
-        draining = true;
+    public void drain(long exitNanos) {
+        draining = Optional.of(new DrainAdmission(exitNanos));
         activeResponses.forEach(CallerResponse::closeConnectionAfterwards);
     }
 
@@ -175,7 +180,7 @@
         });
         request.endHandler(end -> {
             trackResponse(request, response);
-            if (draining) {
+            if (draining.isPresent()) {
                 response.closeConnectionAfterwards();
             }
             if (tooLarge[0]) {
@@ -183,7 +188,7 @@
                 return;
             }
             if (refusing) {
-                response.sendText(503, "not run: this node is leaving", DRAINING_RETRY_DELAY);
+                rejectLeaving(response);
                 return;
             }
             startupQueue.submit(
@@ -215,17 +220,33 @@
         response.onWritten(() -> {
             activeResponses.remove(response);
             openRequests.computeIfPresent(request.connection(), (connection, count) -> count - 1);
-            if (draining) {
+            if (draining.isPresent()) {
                 context.timers().after(CLOSE_DELAY, () -> closeIfIdle(request.connection()));
             }
         });
     }
 
+    private static void rejectLeaving(CallerResponse response) {
+        response.sendText(503, "not run: this node is leaving", DRAINING_RETRY_DELAY);
+    }
+
+    /** Returns whether a request is answered before the process exits, if it is about to. */
+    private boolean endsBeforeExit(Optional<Route> route, RequestInfo info, long arrivalNanos) {
+        Duration limit = route.filter(known -> known.kind() != RouteKind.BATCH)
+                .map(known -> info.limit(known.timeout()))
+                .orElse(BatchCallHandler.CALL_TIMEOUT.plus(info.maxWait()));
+        return draining.map(admission -> admission.admits(arrivalNanos, limit)).orElse(true);
+    }
+
     private void dispatch(HttpServerRequest request, Buffer body, CallerResponse response, long arrivalNanos) {
         FleetConfig current = config.get().orElseThrow();
         String host = Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse("");
         RequestInfo info = context.wire().parseRequest(request.headers());
         Optional<Route> route = current.route(host, request.path() == null ? "" : request.path());
+        if (!endsBeforeExit(route, info, arrivalNanos)) {
+            rejectLeaving(response);
+            return;
+        }
         if (route.isEmpty()) {
             Optional<BatchCall> call = current.hasHost(host)
                     ? context.wire().parseBatchCall(request.method(), request.uri())
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -155,10 +155,7 @@
                 ? Optional.of(StreamOrigin.ofAttempt(info.resumedAttempt(), arrivalNanos))
                 : Optional.empty();
         this.arrivalNanos = arrivalNanos;
-        Duration timeout = info.timeout()
-                .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
-                .orElse(route.timeout());
-        this.deadlineNanos = arrivalNanos + timeout.toNanos();
+        this.deadlineNanos = arrivalNanos + info.limit(route.timeout()).toNanos();
         this.deadlineTimer = context.timers().after(remaining(), this::deadlinePassed);
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -39,6 +39,12 @@
         sharedParts = List.copyOf(sharedParts);
     }
 
+    /** Returns the time within which the request ends: the route's, or less if the caller waits for less. */
+    Duration limit(Duration routeTimeout) {
+        return timeout.filter(callerTimeout -> callerTimeout.compareTo(routeTimeout) < 0)
+                .orElse(routeTimeout);
+    }
+
     /** Returns whether the caller has used up a part of the timeout of its route, in an earlier attempt. */
     boolean retries(Duration routeTimeout) {
         return timeout.map(left -> left.toMillis() < RETRY_TIMEOUT_RATIO * routeTimeout.toMillis())
--- a/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/ServingNodeTest.java
@@ -446,6 +446,26 @@
         assertTrue(rejected.headers().firstValue("retry").isPresent());
     }
 
+    /** Guards against taking a request that may last beyond the exit, which would cut it off without an answer. */
+    @Test
+    void requestThatMayOutlastTheDrainIsRejectedAtOnce() throws IOException {
+        startNode("n1");
+        first.script = (request, body) -> ScriptedUpstream.stream(vertx, request, 600, ScriptedUpstream.EVENT_COUNT);
+        CompletableFuture<Integer> stopped = drain(0);
+        HttpRequest request = request(0, "/long/x")
+                .setHeader("left", "12000")
+                .header("id", "r1")
+                .POST(HttpRequest.BodyPublishers.ofString("p"))
+                .build();
+        HttpResponse<String> rejected =
+                client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).join();
+        assertEquals(503, rejected.statusCode());
+        assertTrue(rejected.headers().firstValue("retry").isPresent());
+        assertEquals(200, post(0, "/stream/x", "r2", "p").join().statusCode(), "ends before the exit");
+        assertEquals(1, first.requests.size());
+        assertEquals(0, stopped.join());
+    }
+
     /** Guards against an exit while the body of a request is still on its way. */
     @Test
     void drainWaitsForTheBodyOfARequest() throws Exception {
