Forward no response with a status below 200

A caller got 101, 102 or 150 as the answer to its request and waited for another response, if a faulty upstream wrote such a status with the id of the request.

Cause: the HTTP client takes interim responses but for 100 and 103 for final ones, and nothing looked at the status. They now end the exchange as lost.

Evidence: StutteringUpstreamTest.furtherInterimResponseIsNoAnswer failed for all three on and passes now.

--- a/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/UpstreamExchange.java
@@ -20,6 +20,12 @@
     /** Size of the body of a rejection, in bytes, above which reusing its connection is not worth reading it. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
+    /**
+     * Lowest status of a final response. The HTTP client takes interim responses but for 100 and 103 for final ones;
+     * a caller that got one would wait for another response.
+     */
+    private static final int MIN_FINAL_STATUS = 200;
+
     /** Number of interim responses (RFC 9110, section 15.2) before the final one; a few are usual at most. */
     static final int MAX_INTERIM_RESPONSES = 64;
 
@@ -137,6 +143,10 @@
         }
         response = received;
         response.exceptionHandler(failure -> fail(currentFailure(), failure.getMessage()));
+        if (response.statusCode() < MIN_FINAL_STATUS) {
+            fail(SendFailure.LOST, "interim response with status " + response.statusCode());
+            return;
+        }
         ResponseInfo info = wire.parseResponse(response.statusCode(), response.headers());
         keepAlive = info.keepAlive();
         if (!info.requestId().orElse("").equals(request.requestId())) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/StutteringUpstreamTest.java
@@ -510,4 +510,19 @@
             writeWithoutEnd(socket, text, written);
         });
     }
+
+    /** Guards against forwarding an interim response as the answer, for whose end the caller would wait. */
+    @ParameterizedTest
+    @ValueSource(strings = {"101 Switching Protocols", "102 Processing", "150 Other"})
+    void furtherInterimResponseIsNoAnswer(String status) throws IOException {
+        RawUpstream upstream = new RawUpstream(
+                vertx,
+                (socket, id) -> socket.write("HTTP/1.1 " + status + "\r\nid: " + id + "\r\n\r\n"
+                        + response("200 OK", id, events(1, EVENTS))));
+        startNode(upstream);
+        for (String path : List.of("/unsafe/x", "/stream/x", "/resumable/x")) {
+            String received = receiveAll(path, "r" + path.length());
+            assertTrue(received.startsWith("HTTP/1.1 5"), path + received);
+        }
+    }
 }
