Let a later run of an item take over from an earlier one on the node

Cause shown: a node that was ordered to run an item that it still ran, as the next scheduler may not know of the run, started a second one, and both added their events to the same partial output. The earlier run is now stopped, and the later one continues behind its events.

Evidence: ConcurrentItemRunsTest fails on (events 2 and 3 twice) and passes now.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -36,7 +36,7 @@
  * later run continues.
  *
  * <p>Invariant: a partial output consists of events with consecutive ids, each from a run on the same software version
- * that was asked to continue after the previous event. Not thread-safe; confined to the event loop.
+ * that was asked to continue after the previous event; an item has at most one run on this node. Not thread-safe; confined to the event loop.
  */
 public final class ItemRunner implements ItemExecutor {
     private static final int UNPROCESSABLE_CONTENT = 422;
@@ -147,11 +147,22 @@
             context.slots().release(lease, ReleaseReason.CANCELLED, 0);
             return;
         }
+        stopEarlierRuns(ref);
         Run run = new Run(lease, ref, job.get(), item.get(), upstream.get());
         runs.put(lease, run);
         run.start();
     }
 
+    /**
+     * Stops the runs of an item that is about to start again. After a change of the scheduler, the next one may not know
+     * of a run that its predecessor ordered; two runs would both add their events to the partial output.
+     */
+    private void stopEarlierRuns(ItemRef ref) {
+        List.copyOf(runs.values()).stream()
+                .filter(run -> run.ref.equals(ref))
+                .forEach(run -> run.stop(ReleaseReason.CANCELLED, true));
+    }
+
     private void logDeclined(ItemRef ref, String upstream, String cause) {
         context.metrics().count("lavenderline_items_declined");
         context.log()
