--- a/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/EventSequence.java
@@ -58,6 +58,7 @@
 
     /**
      * Returns why a response that ends in order behind the accepted events is truncated, or empty if it is complete.
+     * Records the response if it is an empty continuation; to be called once, at its end.
      *
      * @param withinEvent whether it ends within an event
      * @param closeDelimited whether only the end of the connection ends it, which then proves nothing
