Bound what all callers together make a node hold

What callers saw: with some dozens of clients that sent legal requests and stopped short of their end, ordinary requests were not answered any more, or the process ended.

Cause: nothing bounded the memory and descriptors of all connections together. Bodies were read before their route was looked up and kept without a common limit, a head of 16 KB in short lines took a megabyte of objects, pipelined requests were parsed without bound, and the fleet's limits on heads and idle times were decoded and not used.

Change: one HoldingAccount for each process, charged before memory is held and given back on every way out. ConnectionGuard stands in the pipeline of each HTTP connection (callers, readiness, metrics) and charges the connection, the head by lines, bodies as they come, and responses that are not read, until the last byte is written; it passes one pipelined request at a time to the program and enforces HeaderBytes, HeaderTimeoutMs and IdleTimeoutMs. FrameGuard does the same for connections between nodes. Requests without a route or a known key, and bodies announced as too large, are rejected before the body is kept. The limits follow from the heap, MemoryMb and FileDescriptors.

--- /dev/null
+++ b/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
@@ -0,0 +1,425 @@
+package dev.lavenderline.core.overload;
+
+import dev.lavenderline.core.overload.Holding.Stage;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AttributeKey;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Charges what one connection of an HTTP server makes the process hold, from accept to the last byte written, and
+ * enforces the limits on its head, times and pipeline. Its two handlers stand before the HTTP codec, where bytes are
+ * counted before they are parsed, and behind it, where requests begin and responses end.
+ *
+ * <p>Invariants: a charge precedes what it is for; a request is rejected with 503 only while the program has not got
+ * all of it; once a request has been rejected, nothing of the connection reaches the program any more. Not thread-safe;
+ * confined to the event loop of the channel.
+ */
+final class ConnectionGuard extends GuardedConnection {
+    /** Largest number of bytes that are read at once; bounds what is parsed before the next decision. */
+    static final int MAX_READ_BYTES = 16 << 10;
+
+    static final AttributeKey<ConnectionGuard> KEY = AttributeKey.valueOf(ConnectionGuard.class, "guard");
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int FIRST_READ_BYTES = 2 << 10;
+
+    /** Requests that may be sent ahead of their responses. */
+    private static final int MAX_PIPELINED_REQUESTS = 16;
+
+    /** Time for which a rejected client may go on to write, so that it reads the response before the close. */
+    private static final Duration CLOSE_DELAY = Duration.ofSeconds(2);
+
+    private static final int RETRY_AFTER_SECONDS = 1;
+
+    private final ListenerGuard listener;
+    private final Channel channel;
+    private final HeadScanner head = new HeadScanner();
+    private final Deque<Request> requests = new ArrayDeque<>();
+    private final MessagesHandler messages = new MessagesHandler();
+    private ChannelHandlerContext bytesContext;
+
+    /** Whether the next byte belongs to a head, as far as the codec has parsed. */
+    private boolean awaitingHead = true;
+
+    private boolean rejected;
+    private boolean closed;
+
+    /** When the current wait for the peer began, or the peer last did what it is waited for. */
+    private long progressNanos;
+
+    private long headNanos;
+    private long bodyNanos;
+    private long unsentBytes;
+    private long rejectedNanos;
+
+    /** A request from the end of its head until its response is written. */
+    private static final class Request {
+        private long heldBytes;
+        private boolean received;
+
+        Request(long heldBytes) {
+            this.heldBytes = heldBytes;
+        }
+    }
+
+    ConnectionGuard(ListenerGuard listener, Channel channel) {
+        this.listener = listener;
+        this.channel = channel;
+        this.progressNanos = nanos();
+    }
+
+    private long nanos() {
+        return listener.account().nanos();
+    }
+
+    @Override
+    String peer() {
+        return String.valueOf(channel.remoteAddress());
+    }
+
+    void install(ChannelHandlerContext server) {
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES));
+        channel.attr(KEY).set(this);
+        listener.account().add(this);
+        channel.closeFuture().addListener(done -> release());
+        server.pipeline().addFirst(new BytesHandler());
+        server.pipeline().addBefore(server.name(), null, messages);
+        if (!charge()) {
+            reject(RefusalReason.MEMORY);
+        }
+    }
+
+    private void release() {
+        closed = true;
+        messages.dropWaiting();
+        listener.account().remove(this);
+        listener.closed(this);
+    }
+
+    private long heldBytes() {
+        long bytes = HeldMemory.CONNECTION_BYTES + unsentBytes + (awaitingHead ? head.heldBytes() : 0);
+        for (Request request : requests) {
+            bytes += request.heldBytes;
+        }
+        return bytes;
+    }
+
+    /** Charges what is held now; returns false if there is no room. */
+    private boolean charge() {
+        return closed || rejected || listener.account().raise(this, heldBytes());
+    }
+
+    /** Charges more memory for the request that the program works on; returns false if there is no room. */
+    boolean charge(long bytes) {
+        Request request = requests.peek();
+        if (request == null || rejected) {
+            return false;
+        }
+        request.heldBytes += bytes;
+        if (charge()) {
+            return true;
+        }
+        request.heldBytes -= bytes;
+        return false;
+    }
+
+    @Override
+    Holding holding(long nowNanos) {
+        return new Holding(charged(), stage(), Duration.ofNanos(Math.max(0, nowNanos - progressNanos)));
+    }
+
+    private Stage stage() {
+        if (rejected) {
+            return Stage.CLOSING;
+        }
+        if (unsentBytes > 0) {
+            return Stage.SENDING;
+        }
+        if (requests.isEmpty()) {
+            return head.begun() || !awaitingHead ? Stage.RECEIVING : Stage.IDLE;
+        }
+        return requests.size() == 1 && !requests.peek().received ? Stage.RECEIVING : Stage.SERVING;
+    }
+
+    /** Returns whether the program has answered a request that is still being received. */
+    private boolean answeredEarly() {
+        return requests.isEmpty() && !awaitingHead;
+    }
+
+    @Override
+    void giveUp(RefusalReason reason) {
+        reject(reason);
+    }
+
+    /**
+     * Rejects the request that is being received, if the program does not work on another one; closes the connection
+     * in any case. What is not parsed yet belongs to no request of the program.
+     */
+    private void reject(RefusalReason reason) {
+        if (rejected || closed) {
+            return;
+        }
+        listener.report(reason, this);
+        boolean respond = stage() == Stage.RECEIVING && !answeredEarly() && reason != RefusalReason.CONNECTIONS;
+        rejected = true;
+        rejectedNanos = nanos();
+        messages.dropWaiting();
+        requests.clear();
+        listener.account().set(this, HeldMemory.CONNECTION_BYTES);
+        if (!respond) {
+            close();
+            return;
+        }
+        // Closing at once would reset the connection, and the client might not read the response.
+        bytesContext.writeAndFlush(response(reason)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Closes the connection at once; the server would first wait until all that it has written is sent. */
+    private void close() {
+        bytesContext.close();
+    }
+
+    private static ByteBuf response(RefusalReason reason) {
+        String status = switch (reason) {
+            case HEAD_TOO_LARGE -> "431 Request Header Fields Too Large";
+            case HEAD_TIMEOUT, BODY_TIMEOUT -> "408 Request Timeout";
+            default -> "503 Service Unavailable";
+        };
+        String body = "not run: " + reason.label() + "\n";
+        return Unpooled.copiedBuffer(
+                "HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: "
+                        + body.length()
+                        + (reason == RefusalReason.HEAD_TOO_LARGE ? "" : "\r\nRetry-After: " + RETRY_AFTER_SECONDS)
+                        + "\r\n\r\n" + body,
+                StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    void enforceTimes(long now, ConnectionLimits limits) {
+        if (rejected) {
+            if (now - rejectedNanos > CLOSE_DELAY.toNanos()) {
+                close();
+            }
+            return;
+        }
+        updateUnsent(now);
+        switch (stage()) {
+            case IDLE -> rejectAfter(progressNanos, now, limits.idleTimeout(), RefusalReason.IDLE);
+            case SENDING -> rejectAfter(progressNanos, now, limits.idleTimeout(), RefusalReason.UNREAD_RESPONSE);
+            case RECEIVING -> {
+                if (awaitingHead) {
+                    rejectAfter(headNanos, now, limits.headerTimeout(), RefusalReason.HEAD_TIMEOUT);
+                } else {
+                    rejectAfter(bodyNanos, now, limits.bodyTimeout(), RefusalReason.BODY_TIMEOUT);
+                }
+            }
+            case SERVING, CLOSING -> {}
+        }
+    }
+
+    private void rejectAfter(long sinceNanos, long now, Duration limit, RefusalReason reason) {
+        if (now - sinceNanos > limit.toNanos()) {
+            reject(reason);
+        }
+    }
+
+    /** Charges the bytes of responses that the peer has not made room for. */
+    private void updateUnsent(long now) {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        long unsent = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        if (unsent == 0 && unsentBytes == 0) {
+            return;
+        }
+        if (unsent < unsentBytes || unsentBytes == 0) {
+            progressNanos = now;
+        }
+        unsentBytes = unsent;
+        if (!charge()) {
+            reject(RefusalReason.MEMORY);
+        }
+    }
+
+    private boolean withinHeadLimits() {
+        int limit = listener.limits().headerBytes();
+        return head.firstLineBytes() <= limit && head.headerBytes() <= limit;
+    }
+
+    /** Stands before the codec. */
+    private final class BytesHandler extends ChannelDuplexHandler {
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            bytesContext = context;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (rejected) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            long now = nanos();
+            if (message instanceof ByteBuf bytes && awaitingHead) {
+                if (!head.begun()) {
+                    headNanos = now;
+                }
+                head.feed(bytes);
+                if (!withinHeadLimits()) {
+                    reject(RefusalReason.HEAD_TOO_LARGE);
+                } else if (!charge()) {
+                    reject(RefusalReason.MEMORY);
+                }
+            }
+            if (rejected) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            if (stage() != Stage.SENDING) {
+                progressNanos = now;
+            }
+            context.fireChannelRead(message);
+        }
+
+        @Override
+        public void flush(ChannelHandlerContext context) {
+            context.flush();
+            updateUnsent(nanos());
+        }
+    }
+
+    /** Stands behind the codec; passes one request at a time to the program. */
+    private final class MessagesHandler extends ChannelDuplexHandler {
+        private final Deque<Object> waiting = new ArrayDeque<>();
+        private ChannelHandlerContext context;
+
+        /** Whether the program has a request whose response is not complete. */
+        private boolean responding;
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext added) {
+            context = added;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (!rejected) {
+                received(message);
+            }
+            if (rejected) {
+                ReferenceCountUtil.release(message);
+            } else if (waiting.isEmpty() && !(message instanceof HttpRequest && !mayBegin())) {
+                pass(message);
+            } else {
+                waiting.add(message);
+            }
+        }
+
+        private boolean mayBegin() {
+            return !responding && channel.isWritable();
+        }
+
+        private void pass(Object message) {
+            responding |= message instanceof HttpRequest;
+            context.fireChannelRead(message);
+        }
+
+        private void received(Object message) {
+            if (message instanceof HttpRequest request) {
+                if (requests.size() >= MAX_PIPELINED_REQUESTS) {
+                    reject(RefusalReason.PIPELINE);
+                    return;
+                }
+                requests.add(new Request(head.begun() ? head.heldBytes() : HeldMemory.ofParsedHead(request)));
+                head.reset();
+                awaitingHead = false;
+                bodyNanos = nanos();
+                if (!charge()) {
+                    reject(RefusalReason.MEMORY);
+                    return;
+                }
+            }
+            if (message instanceof HttpContent content) {
+                receivedContent(content);
+            }
+        }
+
+        private void receivedContent(HttpContent content) {
+            Request last = requests.peekLast();
+            boolean complete = content instanceof LastHttpContent;
+            if (last != null && !last.received) {
+                last.heldBytes += HeldMemory.ofBody(content.content().readableBytes());
+                if (!charge()) {
+                    reject(RefusalReason.MEMORY);
+                    return;
+                }
+                last.received = complete;
+            }
+            awaitingHead = complete;
+        }
+
+        /** Passes the messages of the next request that waits, if the one before it has been answered. */
+        private void passWaiting() {
+            if (waiting.isEmpty() || closed || !mayBegin()) {
+                return;
+            }
+            pass(waiting.poll());
+            while (!waiting.isEmpty() && !(waiting.peek() instanceof HttpRequest)) {
+                pass(waiting.poll());
+            }
+            context.fireChannelReadComplete();
+        }
+
+        private void dropWaiting() {
+            waiting.forEach(ReferenceCountUtil::release);
+            waiting.clear();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            ctx.fireChannelWritabilityChanged();
+            channel.eventLoop().execute(this::passWaiting);
+        }
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            if (rejected) {
+                ReferenceCountUtil.release(message);
+                promise.tryFailure(new ClosedChannelException());
+                return;
+            }
+            // A writer may reuse the message.
+            boolean ends = message instanceof LastHttpContent
+                    && !(message instanceof HttpResponse response
+                            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL);
+            ctx.write(message, promise);
+            if (ends) {
+                responding = false;
+                requests.poll();
+                progressNanos = nanos();
+                listener.account().set(ConnectionGuard.this, heldBytes());
+                if (!waiting.isEmpty()) {
+                    channel.eventLoop().execute(this::passWaiting);
+                }
+            }
+        }
+    }
+}
--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -54,6 +54,8 @@
     CONFIG_TOO_OLD("LL-1475", "configuration too old to check keys; requests with keys are refused"),
     CONFIG_CONFIRMED("LL-1476", "configuration confirmed again; requests with keys are served"),
     QUOTA_REACHED("LL-1477", "requests beyond the quota of a workspace rejected"),
+    CALLER_REFUSED("LL-1480", "request refused or connection closed to bound what callers hold"),
+    MEMORY_EXHAUSTED("LL-1481", "out of memory; process exiting"),
     LINES_DROPPED("LL-1490", "log lines dropped"),
     UNEXPECTED("LL-1499", "unexpected failure");
 
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -2,6 +2,8 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.core.overload.HoldingAccount;
+import dev.lavenderline.core.overload.RefusalLog;
 import dev.lavenderline.serving.jobs.ItemRunner;
 import dev.lavenderline.serving.jobs.JobLedger;
 import dev.lavenderline.serving.jobs.JobStore;
@@ -123,6 +125,7 @@
     private final SlotService slots;
     private final SchedulerClient schedulerClient;
     private final NodeRegistry registry;
+    private final HoldingAccount account;
     private final CallerServer callers;
     private final UpstreamConnections connections;
     private final JobCleaner cleaner;
@@ -251,10 +254,21 @@
                 () -> config.current()
                         .map(current -> current.workspaces().enabled())
                         .orElse(false));
-        this.callers = new CallerServer(vertx, context, config::current, this::configAge, ledger, jobs, timers);
+        this.account = new HoldingAccount(
+                settings.limits(),
+                ticker,
+                new RefusalLog(
+                        reason -> metrics.count("lavenderline_caller_refusals_" + reason.label()),
+                        timers,
+                        new RefusalEvents(log)));
+        slots.guard(account);
+        metrics.gauge("lavenderline_held_bytes", account::heldBytes);
+        metrics.gauge("lavenderline_held_connections", () -> (long) account.holders());
+        this.callers =
+                new CallerServer(vertx, context, config::current, this::configAge, ledger, jobs, timers, account);
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, schedulerClient::replaceNodes);
         this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultRetention());
-        this.status = new StatusServer(vertx, this::ready, metrics::text);
+        this.status = new StatusServer(vertx, account, this::ready, metrics::text);
         directory.onChange(() -> {
             if (slots.scheduler().nodeCount() > 0) {
                 versionRecords.update();
@@ -359,6 +373,8 @@
 
     private void housekeeping() {
         connections.closeExpired();
+        callers.enforceTimes();
+        status.enforceTimes();
         slots.logResumptions();
         if (slots.scheduler().nodeCount() > 0) {
             cleaner.run();
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingSettings.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.node;
 
+import dev.lavenderline.core.overload.ProcessLimits;
 import dev.lavenderline.serving.slots.NodeEntry;
 import dev.lavenderline.serving.slots.Topology;
 import java.time.Duration;
@@ -20,6 +21,7 @@
  * @param keyRevocation time after the acknowledgement of a configuration without a key from which no request with that
  *     key may run; empty if there is no such bound
  * @param topology distances between failure domains, and the price of traffic between them
+ * @param limits what the process may hold for all its callers
  */
 public record ServingSettings(
         NodeEntry self,
@@ -32,7 +34,8 @@
         Duration resultRetention,
         Duration gracePeriod,
         Optional<Duration> keyRevocation,
-        Topology topology) {
+        Topology topology,
+        ProcessLimits limits) {
     /** A host and a port. */
     public record Address(String host, int port) {
         @Override
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerAdmission.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerAdmission.java
@@ -69,16 +69,30 @@
             metrics.request(decision.get());
             return Optional.of(decision.get());
         }
-        if (decision.getLeft() == CallerCheck.Refusal.CONFIG_OUTDATED) {
+        reject(decision.getLeft(), info, route, response);
+        return Optional.empty();
+    }
+
+    /** Answers a request whose key does not name a caller; the arguments are those of {@link #admit}. */
+    void rejectUnknownCaller(
+            FleetConfig config, RequestInfo info, String route, boolean publicAccess, CallerResponse response) {
+        Either<CallerCheck.Refusal, Caller> decision =
+                CallerCheck.identify(config.workspaces(), info.apiKey(), publicAccess, this::configOutdated);
+        if (decision.isLeft()) {
+            reject(decision.getLeft(), info, route, response);
+        }
+    }
+
+    private void reject(CallerCheck.Refusal refusal, RequestInfo info, String route, CallerResponse response) {
+        if (refusal == CallerCheck.Refusal.CONFIG_OUTDATED) {
             rejections.outdated(configAge.get());
             response.sendText(503, "not run: the configuration may be outdated", retryDelay);
         } else {
             metrics.keyRejected();
-            rejections.rejected(info.id(), route, decision.getLeft());
+            rejections.rejected(info.id(), route, refusal);
             response.putHeader("WWW-Authenticate", "Bearer");
             response.sendText(401, "the request needs a valid API key");
         }
-        return Optional.empty();
     }
 
     private void logOutdated(RequestInfo info, String route) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -1,10 +1,14 @@
 package dev.lavenderline.serving.online;
 
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.core.overload.ConnectionLimits;
+import dev.lavenderline.core.overload.HoldingAccount;
+import dev.lavenderline.core.overload.ListenerGuard;
 import dev.lavenderline.serving.jobs.JobLedger;
 import dev.lavenderline.serving.jobs.JobStore;
 import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.routes.CallerLimits;
 import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
@@ -40,6 +44,9 @@
     /** Retry delay for callers that are rejected while this node stops; short because another node serves them. */
     private static final Duration DRAINING_RETRY_DELAY = Duration.ofMillis(50);
 
+    /** Retry delay for a job that found no room; the jobs that hold it are stored within some seconds. */
+    private static final Duration NO_MEMORY_RETRY_DELAY = Duration.ofMillis(1500);
+
     /** Time between the end of a response and the close of its connection while the node stops. */
     private static final Duration CLOSE_DELAY = Duration.ofMillis(200);
 
@@ -60,6 +67,7 @@
     private final StartupQueue startupQueue;
     private final Map<HttpConnection, Set<OnlineCall>> callsByConnection = new HashMap<>();
     private HttpServer server;
+    private final ListenerGuard guard;
     private final Set<CallerResponse> activeResponses = new HashSet<>();
     private final Map<HttpConnection, Integer> openRequests = new HashMap<>();
 
@@ -81,8 +89,10 @@
             Supplier<Duration> configAge,
             JobLedger ledger,
             JobStore jobs,
-            Timers timers) {
+            Timers timers,
+            HoldingAccount account) {
         this.vertx = vertx;
+        this.guard = new ListenerGuard("callers", account, account.limits().connections(), this::connectionLimits);
         this.context = context;
         this.config = config;
         this.startupQueue = new StartupQueue(
@@ -102,6 +112,7 @@
                 .setHttp2ClearTextEnabled(false)
                 .setAcceptBacklog(1024));
         server.connectionHandler(connection -> {
+            guard.accepted(connection);
             callsByConnection.put(connection, new HashSet<>());
             openRequests.put(connection, 0);
             connection.closeHandler(closed -> connectionClosed(connection));
@@ -110,6 +121,22 @@
         return server.listen(port, host).map(HttpServer::actualPort);
     }
 
+    private CallerLimits limits() {
+        return config.get().map(FleetConfig::limits).orElseGet(CallerLimits::defaults);
+    }
+
+    private ConnectionLimits connectionLimits() {
+        CallerLimits limits = limits();
+        Duration longest = config.get().map(FleetConfig::longestTimeout).orElse(Duration.ZERO);
+        Duration bodyTimeout = longest.compareTo(limits.idleTimeout()) > 0 ? longest : limits.idleTimeout();
+        return new ConnectionLimits(limits.headerBytes(), limits.headerTimeout(), bodyTimeout, limits.idleTimeout());
+    }
+
+    /** Closes connections whose time is up; call it about once a second. */
+    public void enforceTimes() {
+        guard.enforceTimes();
+    }
+
     private void connectionClosed(HttpConnection connection) {
         Set<OnlineCall> open = callsByConnection.remove(connection);
         openRequests.remove(connection);
@@ -166,27 +193,30 @@
         long arrivalNanos = context.ticker().nanos();
         openRequests.computeIfPresent(request.connection(), (connection, count) -> count + 1);
         CallerResponse response = new CallerResponse(request, context.wire());
-        Optional<FleetConfig> current = config.get();
-        int maxBodyBytes = current.map(latest -> latest.limits().bodyBytes()).orElse(4 * 1024 * 1024);
+        int maxBodyBytes = limits().bodyBytes();
         Buffer body = Buffer.buffer();
-        boolean[] tooLarge = new boolean[1];
         request.exceptionHandler(failure -> {});
+        trackResponse(request, response);
+        if (hasBody(request)) {
+            rejectBeforeBody(request, response, maxBodyBytes);
+        }
         request.handler(chunk -> {
+            if (response.ended()) {
+                return;
+            }
             if (body.length() + chunk.length() > maxBodyBytes) {
-                tooLarge[0] = true;
+                rejectTooLarge(response, maxBodyBytes);
             } else {
                 body.appendBuffer(chunk);
             }
         });
         request.endHandler(end -> {
-            trackResponse(request, response);
+            if (response.ended()) {
+                return;
+            }
             if (draining.isPresent()) {
                 response.closeConnectionAfterwards();
             }
-            if (tooLarge[0]) {
-                response.sendText(413, "the body has more than " + maxBodyBytes + " bytes");
-                return;
-            }
             if (refusing) {
                 rejectLeaving(response);
                 return;
@@ -198,6 +228,62 @@
         });
     }
 
+    private static boolean hasBody(HttpServerRequest request) {
+        return request.headers().contains(HttpHeaders.TRANSFER_ENCODING) || contentLength(request) > 0;
+    }
+
+    /** Returns the length that a request announces; 0 if it announces none. */
+    private static long contentLength(HttpServerRequest request) {
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        try {
+            return length == null ? 0 : Long.parseLong(length);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private static void rejectTooLarge(CallerResponse response, int maxBodyBytes) {
+        response.sendText(413, "the body has more than " + maxBodyBytes + " bytes");
+    }
+
+    /** Rejects a request whose head alone shows that it can't be served; the rest of its body is dropped. */
+    private void rejectBeforeBody(HttpServerRequest request, CallerResponse response, int maxBodyBytes) {
+        if (contentLength(request) > maxBodyBytes) {
+            rejectTooLarge(response, maxBodyBytes);
+        } else if (context.directory().loaded()) {
+            config.get().ifPresent(current -> rejectBeforeBody(request, response, current));
+        }
+    }
+
+    private void rejectBeforeBody(HttpServerRequest request, CallerResponse response, FleetConfig current) {
+        RequestInfo info = context.wire().parseRequest(request.headers());
+        Optional<Route> route = current.route(host(request), path(request));
+        if (route.isPresent()) {
+            admission.rejectUnknownCaller(current, info, route.get().name(), publicAccess(route.get()), response);
+        } else if (batchCall(request, current).isEmpty()) {
+            rejectUnknownRoute(request, host(request), info, current, response);
+        }
+    }
+
+    private static String host(HttpServerRequest request) {
+        return Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse("");
+    }
+
+    private static String path(HttpServerRequest request) {
+        return request.path() == null ? "" : request.path();
+    }
+
+    private Optional<BatchCall> batchCall(HttpServerRequest request, FleetConfig current) {
+        return current.hasHost(host(request))
+                ? context.wire().parseBatchCall(request.method(), request.uri())
+                : Optional.empty();
+    }
+
+    /** A job without a workspace could not be read, so a submission needs a key also on a public route. */
+    private static boolean publicAccess(Route route) {
+        return route.publicAccess() && route.kind() != RouteKind.BATCH;
+    }
+
     /** Returns the time for which a request may wait for the start; the other half of its time is left to serve it. */
     private Duration maxStartupWait(HttpServerRequest request) {
         return context.wire()
@@ -240,17 +326,15 @@
 
     private void dispatch(HttpServerRequest request, Buffer body, CallerResponse response, long arrivalNanos) {
         FleetConfig current = config.get().orElseThrow();
-        String host = Optional.ofNullable(request.getHeader(HttpHeaders.HOST)).orElse("");
+        String host = host(request);
         RequestInfo info = context.wire().parseRequest(request.headers());
-        Optional<Route> route = current.route(host, request.path() == null ? "" : request.path());
+        Optional<Route> route = current.route(host, path(request));
         if (!endsBeforeExit(route, info, arrivalNanos)) {
             rejectLeaving(response);
             return;
         }
         if (route.isEmpty()) {
-            Optional<BatchCall> call = current.hasHost(host)
-                    ? context.wire().parseBatchCall(request.method(), request.uri())
-                    : Optional.empty();
+            Optional<BatchCall> call = batchCall(request, current);
             if (call.isPresent()) {
                 admission
                         .admit(current, info, "", false, response)
@@ -261,14 +345,17 @@
             return;
         }
         boolean batchRoute = route.get().kind() == RouteKind.BATCH;
-        // A job without a workspace could not be read, so a submission needs a key also on a public route.
-        boolean publicAccess = route.get().publicAccess() && !batchRoute;
-        Optional<Caller> caller = admission.admit(current, info, route.get().name(), publicAccess, response);
+        Optional<Caller> caller =
+                admission.admit(current, info, route.get().name(), publicAccess(route.get()), response);
         if (caller.isEmpty()) {
             return;
         }
         if (batchRoute) {
-            batch.submit(route.get(), host, caller.get(), info, body, response);
+            if (guard.charge(request.connection(), context.wire().submissionBytes(body))) {
+                batch.submit(route.get(), host, caller.get(), info, body, response);
+            } else {
+                response.sendText(503, "not run: no memory for the job", NO_MEMORY_RETRY_DELAY);
+            }
             return;
         }
         handleOnline(request, body, response, arrivalNanos, info, route.get(), caller.get(), current);
--- a/serving/src/main/java/dev/lavenderline/serving/online/ServingMetrics.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/ServingMetrics.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /** Counters and latency timers of the process. Thread-safe. */
 public final class ServingMetrics {
@@ -18,6 +19,11 @@
         return workspaces;
     }
 
+    /** Adds a value that is read whenever the metrics are; called on the thread that reads them. */
+    public void gauge(String name, Supplier<Long> value) {
+        registry.gauge(name, () -> value::get);
+    }
+
     /** Increments a counter. */
     public void count(String name) {
         registry.counter(name).inc();
@@ -36,6 +42,9 @@
                         .append("_total ")
                         .append(counter.getCount())
                         .append('\n'));
+        registry.getGauges()
+                .forEach((name, gauge) ->
+                        text.append(name).append(' ').append(gauge.getValue()).append('\n'));
         for (Map.Entry<String, Timer> entry : registry.getTimers().entrySet()) {
             Snapshot snapshot = entry.getValue().getSnapshot();
             appendQuantile(text, entry.getKey(), 0.5, snapshot.getMedian());
--- a/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
@@ -26,6 +26,9 @@
     /** Parses a request about a batch job; returns empty if the method and URI denote none. */
     Optional<BatchCall> parseBatchCall(HttpMethod method, String uri);
 
+    /** Returns an upper bound of the memory that a submitted job takes besides its body until it has been stored. */
+    long submissionBytes(Buffer body);
+
     /**
      * Parses a submitted job.
      *
--- a/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.routes;
 
 import dev.lavenderline.serving.workspaces.Workspaces;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -21,6 +22,7 @@
     private final Map<String, Route> routesByName = new HashMap<>();
     private final Map<String, ServiceInfo> services = new HashMap<>();
     private final CallerLimits limits;
+    private final Duration longestTimeout;
     private final Workspaces workspaces;
 
     /** Creates a configuration without workspaces. */
@@ -37,6 +39,8 @@
         this.version = version;
         this.limits = limits;
         this.workspaces = workspaces;
+        this.longestTimeout =
+                routes.stream().map(Route::timeout).max(Duration::compareTo).orElse(Duration.ZERO);
         services.forEach(service -> this.services.put(service.name(), service));
         for (Route route : routes) {
             routesByName.put(route.name(), route);
@@ -64,6 +68,11 @@
         return workspaces;
     }
 
+    /** Returns the longest timeout of all routes; zero without routes. */
+    public Duration longestTimeout() {
+        return longestTimeout;
+    }
+
     /** Returns the number of routes. */
     public int routeCount() {
         return routesByName.size();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -315,6 +315,11 @@
             this.errorHandler = errorHandler;
         }
 
+        /** Returns the number of bytes that are kept until their frame is complete. */
+        int pendingBytes() {
+            return pending.length();
+        }
+
         @Override
         public void handle(Buffer chunk) {
             pending.appendBuffer(chunk);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -2,6 +2,10 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.core.overload.ConnectionLimits;
+import dev.lavenderline.core.overload.FrameGuard;
+import dev.lavenderline.core.overload.HoldingAccount;
+import dev.lavenderline.core.overload.ListenerGuard;
 import dev.lavenderline.proto.slots.PromptEnded;
 import dev.lavenderline.proto.slots.SlotFrame;
 import dev.lavenderline.serving.logging.EventLog;
@@ -35,6 +39,12 @@
     /** A connection without a frame for this long is closed; nodes ping several times a second. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMillis(2500);
 
+    private static final ConnectionLimits CONNECTION_LIMITS =
+            new ConnectionLimits(SlotFrames.MAX_FRAME_BYTES, IDLE_TIMEOUT, IDLE_TIMEOUT, IDLE_TIMEOUT);
+
+    /** Connections of callers that a node may have for each one of another node. */
+    private static final int CALLERS_PER_PEER = 2;
+
     /** Time for which the origins of streams are collected before they are copied; bounds the number of frames. */
     private static final Duration REPLICATION_DELAY = Duration.ofMillis(50);
 
@@ -57,23 +67,35 @@
     private SlotDecisionListener localListener;
     private NetServer server;
     private ConfigExchange config;
+    private ListenerGuard listenerGuard;
 
     private final class Peer {
         final NetSocket socket;
+        final FrameGuard guard;
         String node = "";
         String failureDomain = "";
         long lastPingNanos;
         final ConfigExchange.Link configLink;
         long lastFrameNanos = ticker.nanos();
 
-        Peer(NetSocket socket) {
+        Peer(NetSocket socket, FrameGuard guard) {
             this.socket = socket;
+            this.guard = guard;
             this.configLink = config.connect(socket::write);
-            socket.handler(new SlotFrames.Decoder(this::handle, problem -> {
+            SlotFrames.Decoder decoder = new SlotFrames.Decoder(this::handle, problem -> {
                 log.event(ServingEvent.FRAME_MALFORMED, "peer", node, "message", problem);
                 socket.close();
-            }));
-            socket.closeHandler(closed -> leave(this, "connection closed"));
+            });
+            socket.handler(chunk -> {
+                if (guard.buffered(decoder.pendingBytes() + chunk.length())) {
+                    decoder.handle(chunk);
+                    guard.buffered(decoder.pendingBytes());
+                }
+            });
+            socket.closeHandler(closed -> {
+                guard.closed();
+                leave(this, "connection closed");
+            });
             socket.exceptionHandler(failure -> leave(this, failure.getMessage()));
         }
 
@@ -149,6 +171,13 @@
         this.ticker = ticker;
         this.log = log;
         this.config = ConfigExchange.none(ticker);
+        guard(HoldingAccount.unbounded(ticker));
+    }
+
+    /** Sets the account that bounds what other nodes make this one hold; call it before {@link #listen}. */
+    final void guard(HoldingAccount account) {
+        listenerGuard = new ListenerGuard(
+                "peers", account, account.limits().connections() / CALLERS_PER_PEER, () -> CONNECTION_LIMITS);
     }
 
     /** Sets the exchange of configurations with the nodes that use this scheduler; call it before {@link #listen}. */
@@ -178,12 +207,13 @@
     /** Starts accepting connections; returns the port. */
     Future<Integer> listen(String host, int port) {
         server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
-        server.connectHandler(Peer::new);
+        server.connectHandler(socket -> listenerGuard.accepted(socket).ifPresent(guard -> new Peer(socket, guard)));
         timers.every(Duration.ofMillis(500), this::closeIdle);
         return server.listen(port, host).map(NetServer::actualPort);
     }
 
     private void closeIdle() {
+        listenerGuard.enforceTimes();
         long now = ticker.nanos();
         for (Peer peer : List.copyOf(peers.values())) {
             if (now - peer.lastFrameNanos > IDLE_TIMEOUT.toNanos()) {
@@ -195,6 +225,7 @@
 
     private void join(Peer peer, SlotFrame frame) {
         peer.node = frame.getHello().getNode();
+        peer.guard.introduced();
         Peer previous = peers.get(peer.node);
         if (previous != null && HelloOrder.late(peer.lastPingNanos, previous.lastPingNanos)) {
             peer.socket.close();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotService.java
@@ -2,6 +2,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.core.overload.HoldingAccount;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -138,6 +139,11 @@
         client.exchangeConfig(exchange);
     }
 
+    /** Sets the account that bounds what other nodes make this one hold; call it before {@link #listen}. */
+    public void guard(HoldingAccount account) {
+        server.guard(account);
+    }
+
     /** Starts accepting connections of other nodes; returns the port. */
     public Future<Integer> listen(String host, int port) {
         return server.listen(host, port);
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -87,6 +87,11 @@
                         : new BatchCall.ReadResults(segments[2], 0));
     }
 
+    @Override
+    public long submissionBytes(Buffer body) {
+        return 2L * body.length();
+    }
+
     @Override
     public JobSubmission parseSubmission(String jobId, Buffer body) {
         if (body.length() == 0) {
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -4,6 +4,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.VertxTimers;
+import dev.lavenderline.core.overload.ProcessLimits;
 import dev.lavenderline.proto.versions.VersionRecord;
 import dev.lavenderline.serving.TestWireFormat;
 import dev.lavenderline.serving.node.ServingSettings.Address;
@@ -245,7 +246,11 @@
                 Duration.ofSeconds(120),
                 Duration.ofSeconds(8),
                 keyRevocation,
-                Topology.ofRegions(Map.of()));
+                Topology.ofRegions(Map.of()),
+                ProcessLimits.of(
+                        Runtime.getRuntime().maxMemory(),
+                        4 * Runtime.getRuntime().maxMemory(),
+                        8200));
         CompletableFuture<ServingNode> started = new CompletableFuture<>();
         nodeContext.runOnContext(now -> {
             ServingNode node = new ServingNode(
--- a/standins/src/main/java/dev/lavenderline/standins/soak/SoakFleet.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/SoakFleet.java
@@ -25,13 +25,13 @@
  *
  * <p>Thread-safe; engines may be added and removed while callers send requests.
  */
-final class SoakFleet implements AutoCloseable {
-    static final String HOST = "kola17.example";
+public final class SoakFleet implements AutoCloseable {
+    public static final String HOST = "kola17.example";
     static final String STREAM_PREFIX = "/lohu930/";
     static final String RESUMABLE_PREFIX = "/pufi791/";
-    static final String SAFE_PREFIX = "/puxa403/";
+    public static final String SAFE_PREFIX = "/puxa403/";
     static final String UNSAFE_PREFIX = "/tiwe118/";
-    static final String BATCH_PREFIX = "/pule252/";
+    public static final String BATCH_PREFIX = "/pule252/";
 
     /** Attempts of the route of batch jobs. */
     static final int ITEM_ATTEMPTS = 3;
@@ -62,6 +62,12 @@
     private volatile boolean faulty;
 
     SoakFleet(SoakOptions options, Path root, Path directory, List<String> command) throws IOException {
+        this(options, root, directory, command, SoakNode.Limits.DEFAULT);
+    }
+
+    /** Creates a fleet whose nodes have machines with some limits. */
+    public SoakFleet(SoakOptions options, Path root, Path directory, List<String> command, SoakNode.Limits limits)
+            throws IOException {
         this.options = options;
         this.root = root;
         Files.createDirectories(directory);
@@ -69,7 +75,7 @@
         for (int i = 1; i <= options.nodes(); i++) {
             String ip = "127." + (1 + Math.floorMod(ProcessHandle.current().pid(), 250)) + "."
                     + Math.floorMod(options.faults().seed(), 250) + "." + (10 + i);
-            nodes.add(new SoakNode("front-" + i, ip, storePort, command, root, directory));
+            nodes.add(new SoakNode("front-" + i, ip, storePort, command, root, directory, limits));
         }
         for (int i = 0; i < options.engines(); i++) {
             addEngine("v1");
@@ -80,7 +86,8 @@
         store.put("keyed.op", "config", configuration(1).toBuffer());
     }
 
-    void start() throws InterruptedException {
+    /** Starts the nodes and waits until they serve. */
+    public void start() throws InterruptedException {
         nodes.forEach(node -> node.start(root));
         awaitReady(nodes);
         TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
@@ -173,7 +180,7 @@
         takenNodes.remove(node);
     }
 
-    void startNode(SoakNode node) {
+    public void startNode(SoakNode node) {
         node.start(root);
     }
 
@@ -260,7 +267,7 @@
                 : service;
     }
 
-    List<SoakNode> nodes() {
+    public List<SoakNode> nodes() {
         return List.copyOf(nodes);
     }
 
@@ -268,7 +275,7 @@
         return engines;
     }
 
-    History history() {
+    public History history() {
         return history;
     }
 
--- a/standins/src/main/java/dev/lavenderline/standins/soak/SoakNode.java
+++ b/standins/src/main/java/dev/lavenderline/standins/soak/SoakNode.java
@@ -20,13 +20,27 @@
  *
  * <p>Thread-safe: its process is replaced under its lock.
  */
-final class SoakNode implements AutoCloseable {
+public final class SoakNode implements AutoCloseable {
     private static final int READINESS_TIMEOUT_MS = 1000;
 
+    private static final int METRICS_PORT = 9464;
+
+    /**
+     * Limits of the machine of a node, as its settings name them.
+     *
+     * @param memoryMb memory that the process may use, in MB
+     * @param descriptors descriptors that the process may have open
+     */
+    public record Limits(int memoryMb, int descriptors) {
+        /** Limits of the smaller deployments. */
+        public static final Limits DEFAULT = new Limits(470, 8200);
+    }
+
     private final String name;
     private final String ip;
     private final int callersPort;
     private final int readyPort;
+    private final int internalPort;
     private final List<String> command;
     private final Path settings;
     private final File log;
@@ -38,8 +52,9 @@
      * @param command command of the process
      * @param root root of the repository
      * @param directory directory for settings and logs
+     * @param limits limits of its machine
      */
-    SoakNode(String name, String ip, int storePort, List<String> command, Path root, Path directory)
+    SoakNode(String name, String ip, int storePort, List<String> command, Path root, Path directory, Limits limits)
             throws IOException {
         this.name = name;
         this.ip = ip;
@@ -48,7 +63,7 @@
         this.readyPort = freePort(ip);
         this.settings = directory.resolve(name + ".json");
         this.log = directory.resolve(name + ".log").toFile();
-        int internalPort = freePort(ip);
+        this.internalPort = freePort(ip);
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("{{Node|json}}", quoted(name));
         fields.put("{{Zone|json}}", quoted("zone-a"));
@@ -59,6 +74,8 @@
         fields.put("{{InternalPorts|json}}", "[" + internalPort + "," + internalPort + "]");
         fields.put("{{Limits.CpuShare|json}}", "0.75");
         fields.put("{{Limits.Cores|json}}", "2");
+        fields.put("{{Limits.MemoryMb|json}}", Integer.toString(limits.memoryMb()));
+        fields.put("{{Limits.FileDescriptors|json}}", Integer.toString(limits.descriptors()));
         fields.put("{{Bounds.StatusS|json}}", "120");
         fields.put("{{Bounds.GraceS|json}}", "8");
         fields.put("{{Zones|json}}", "{\"zone-a\":\"region-a\"}");
@@ -87,10 +104,38 @@
         return name;
     }
 
-    InetSocketAddress callersAddress() {
+    public InetSocketAddress callersAddress() {
         return new InetSocketAddress(ip, callersPort);
     }
 
+    public InetSocketAddress readinessAddress() {
+        return new InetSocketAddress(ip, readyPort);
+    }
+
+    public InetSocketAddress metricsAddress() {
+        return new InetSocketAddress(ip, METRICS_PORT);
+    }
+
+    /** Returns the address for other nodes. */
+    public InetSocketAddress peersAddress() {
+        return new InetSocketAddress(ip, internalPort);
+    }
+
+    /** Returns the process of the last start. */
+    public synchronized ProcessHandle process() {
+        return process.toHandle();
+    }
+
+    /** Returns the exit code of the process, which must have ended. */
+    public synchronized int exitCode() {
+        return process.exitValue();
+    }
+
+    /** Returns what the process has written. */
+    public List<String> logLines() throws IOException {
+        return Files.readAllLines(log.toPath());
+    }
+
     /** Starts the process, in the root of the repository. */
     synchronized void start(Path root) {
         ProcessBuilder builder = new ProcessBuilder(command)
@@ -106,7 +151,7 @@
         }
     }
 
-    boolean isReady() {
+    public boolean isReady() {
         try {
             HttpURLConnection call = (HttpURLConnection) URI.create("http://" + ip + ":" + readyPort + "/v1/readiness")
                     .toURL()
@@ -119,7 +164,7 @@
         }
     }
 
-    synchronized boolean isAlive() {
+    public synchronized boolean isAlive() {
         return process != null && process.isAlive();
     }
 
