End a process that has run out of memory

What callers saw: a node that had met an error of memory logged it and went on half alive, or ended with exit code 0 and no line once its event loops were gone.

Cause: FailureGuard treated OutOfMemoryError like the failure of one task.

The platform replaces the process.

--- a/serving/src/main/java/dev/lavenderline/serving/logging/FailureGuard.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/FailureGuard.java
@@ -6,16 +6,23 @@
  * Runs a task whose failure must not end the loop that runs it, such as the handling of a record, a frame or a request.
  * The failure costs that task and is logged.
  *
- * <p>Errors are handled like exceptions. A {@link StackOverflowError} or an {@link OutOfMemoryError} is usually that of
- * one task whose input is too deep or too large; once the task has been given up, the stack and the heap are as before.
- * A process that ended instead would end again after each restart while the input is in the store. A process that can
- * no longer serve fails its readiness probe, which is the platform's reason to replace it.
+ * <p>Errors are handled like exceptions: a {@link StackOverflowError} is usually that of one task whose input is too
+ * deep, and once the task has been given up, the stack is as before. An {@link OutOfMemoryError} is that of the whole
+ * process: other threads may have met it too, and an event loop that has ended serves nobody. The program therefore ends
+ * the process, which the platform replaces; see {@link #endOnMemoryError}.
  *
- * <p>Stateless and thread-safe.
+ * <p>Thread-safe.
  */
 public final class FailureGuard {
+    private static volatile Runnable endProcess = () -> {};
+
     private FailureGuard() {}
 
+    /** Sets what ends the process after an {@link OutOfMemoryError} has been logged; by default nothing does. */
+    public static void endOnMemoryError(Runnable end) {
+        endProcess = end;
+    }
+
     /**
      * Runs a task; returns whether it completed normally.
      *
@@ -37,9 +44,13 @@
             Object[] event = Arrays.copyOf(fields, fields.length + 2);
             event[fields.length] = "message";
             event[fields.length + 1] = failure;
-            log.event(ServingEvent.UNEXPECTED, event);
+            boolean outOfMemory = failure instanceof OutOfMemoryError;
+            log.event(outOfMemory ? ServingEvent.MEMORY_EXHAUSTED : ServingEvent.UNEXPECTED, event);
         } catch (Throwable ignored) {
             // The log has failed as well, so there is no place left to report either of them.
         }
+        if (failure instanceof OutOfMemoryError) {
+            endProcess.run();
+        }
     }
 }
