Bound what callers make a node of the second interface hold

The callers' and operators' listeners of the second interface use the same account, policy and guard as the serving program, with limits by the heap, the memory of the machine and the descriptors of the process. Not shown failing with a crowd of its own before.

--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -6,6 +6,9 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.config.Deployment;
 import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.overload.ConnectionLimits;
+import dev.lavenderline.core.overload.HoldingAccount;
+import dev.lavenderline.core.overload.ListenerGuard;
 import dev.lavenderline.core.routing.Dispatcher;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -46,7 +49,18 @@
     /** Longest wait for the end handlers of requests that a drain has cut off. */
     private static final Duration END_HANDLER_TIMEOUT = Duration.ofSeconds(1);
 
+    private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Time for the body of a request; input files have up to some hundred megabytes. */
+    private static final Duration BODY_TIMEOUT = Duration.ofMinutes(10);
+
+    /** Above the time for which the usual clients keep an idle connection. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(75);
+
+    private static final Duration ENFORCEMENT_PERIOD = Duration.ofSeconds(1);
+
     private final Builder settings;
+    private final ListenerGuard guard;
     private final ServerContext context;
     private final BearerTokens tokens;
     private final Promise<Void> allRequestsEnded = Promise.promise();
@@ -54,6 +68,7 @@
     private boolean draining;
     private boolean connectionsClosed;
     private int openRequests;
+    private long enforcement;
 
     private CallerServer(Builder settings) {
         this.settings = settings;
@@ -66,6 +81,10 @@
                 settings.ticker,
                 new HttpMetrics(settings.registry));
         this.tokens = new BearerTokens(settings.config);
+        ConnectionLimits limits =
+                new ConnectionLimits(settings.limits.maxHeaderBytes(), HEADER_TIMEOUT, BODY_TIMEOUT, IDLE_TIMEOUT);
+        this.guard = new ListenerGuard(
+                "callers", settings.account, settings.account.limits().connections(), () -> limits);
     }
 
     /** Starts building a server. */
@@ -84,10 +103,14 @@
                 .setTcpNoDelay(true);
         server = settings.vertx
                 .createHttpServer(options)
-                .connectionHandler(connection -> connection.exceptionHandler(
-                        cause -> HttpEvent.CONNECTION_BROKEN.debug(connection.remoteAddress(), cause.getMessage())))
+                .connectionHandler(connection -> {
+                    guard.accepted(connection);
+                    connection.exceptionHandler(
+                            cause -> HttpEvent.CONNECTION_BROKEN.debug(connection.remoteAddress(), cause.getMessage()));
+                })
                 .invalidRequestHandler(this::rejectInvalidRequest)
                 .requestHandler(router());
+        enforcement = settings.vertx.setPeriodic(ENFORCEMENT_PERIOD.toMillis(), tick -> guard.enforceTimes());
         return server.listen()
                 .onSuccess(started -> HttpEvent.LISTENING.info(settings.host, started.actualPort()))
                 .mapEmpty();
@@ -117,6 +140,7 @@
         HttpEvent.DRAINING.info(openRequests);
         return server.shutdown(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .compose(closed -> awaitLastRequest())
+                .onComplete(done -> settings.vertx.cancelTimer(enforcement))
                 .onComplete(done -> HttpEvent.DRAINED.info(openRequests));
     }
 
@@ -250,6 +274,7 @@
         private BatchApi batch;
         private KeyedCalls keyedCalls;
         private HttpLimits limits = HttpLimits.defaults();
+        private HoldingAccount account = HoldingAccount.unbounded(Ticker.system());
         private Ticker ticker = Ticker.system();
         private MetricRegistry registry = new MetricRegistry();
         private long requestCount;
@@ -302,6 +327,12 @@
             return this;
         }
 
+        /** Sets the account of what callers make the process hold; default one without bounds. */
+        public Builder account(HoldingAccount newAccount) {
+            account = newAccount;
+            return this;
+        }
+
         /** Sets the clock; default the system clock. */
         public Builder ticker(Ticker newTicker) {
             ticker = newTicker;
--- a/node/src/main/java/dev/lavenderline/node/CallerServerComponent.java
+++ b/node/src/main/java/dev/lavenderline/node/CallerServerComponent.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.Timers;
+import dev.lavenderline.core.overload.HoldingAccount;
 import dev.lavenderline.http.CallerServer;
 import dev.lavenderline.http.HttpLimits;
 import dev.lavenderline.log.Futures;
@@ -28,7 +29,8 @@
             Node.Components components,
             MetricRegistry metrics,
             Timers timers,
-            Ticker ticker) {
+            Ticker ticker,
+            HoldingAccount account) {
         KeyedCallService keyedCalls = new KeyedCallService(
                 components.streams.calls(),
                 identity.incarnation(),
@@ -49,6 +51,7 @@
                         .withEngineTimeouts(traffic.firstTokenLimit(), traffic.stallLimit())
                         .withBodies((int) traffic.maxRequestBytes(), (int) traffic.maxFileBytes()))
                 .ticker(ticker)
+                .account(account)
                 .metrics(metrics)
                 .build();
     }
--- a/node/src/main/java/dev/lavenderline/node/Node.java
+++ b/node/src/main/java/dev/lavenderline/node/Node.java
@@ -5,6 +5,10 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.core.VertxTimers;
 import dev.lavenderline.core.config.FleetConfig;
+import dev.lavenderline.core.overload.HoldingAccount;
+import dev.lavenderline.core.overload.ProcessLimits;
+import dev.lavenderline.core.overload.RefusalLog;
+import dev.lavenderline.core.overload.RefusalReason;
 import dev.lavenderline.log.Futures;
 import dev.lavenderline.node.cluster.ClusterComponent;
 import dev.lavenderline.node.cluster.ConfigRelay;
@@ -42,6 +46,18 @@
     private static final Duration MAX_CONFIG_AGE = Duration.ofSeconds(17);
     private static final Duration READINESS_CHECK_PERIOD = Duration.ofSeconds(1);
 
+    private static final RefusalLog.Writer REFUSALS = new RefusalLog.Writer() {
+        @Override
+        public void refused(String listener, RefusalReason reason, String peer, long heldBytes) {
+            NodeEvent.CALLER_REFUSED.log(listener, reason.label(), peer, heldBytes);
+        }
+
+        @Override
+        public void refusedFurther(RefusalReason reason, long count) {
+            NodeEvent.CALLERS_REFUSED_FURTHER.log(reason.label(), count);
+        }
+    };
+
     private final Settings settings;
     private final Ticker ticker;
     private final IntConsumer onExit;
@@ -51,6 +67,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final Identity identity;
     private final Supervisor root;
+    private final HoldingAccount account;
     private final OperatorsServer operators;
     private final long createdNanos;
     private Components components;
@@ -67,7 +84,13 @@
         this.context = vertx.getOrCreateContext();
         this.timers = new VertxTimers(vertx);
         this.identity = Identity.create(settings);
-        this.operators = new OperatorsServer(vertx, metrics, this::state, this::isReady, () -> drain("operator"));
+        this.account = new HoldingAccount(
+                ProcessLimits.ofThisProcess(),
+                ticker,
+                new RefusalLog(
+                        reason -> metrics.counter("refusals." + reason.label()).inc(), timers, REFUSALS));
+        this.operators =
+                new OperatorsServer(vertx, account, metrics, this::state, this::isReady, () -> drain("operator"));
         this.root = new Supervisor("node", timers, ticker, this::logChildFailure, this::exitAfterFailure);
         addChildren();
     }
@@ -178,7 +201,7 @@
         });
         root.child("callers", onFailure -> {
             components.callers =
-                    new CallerServerComponent(vertx, settings, identity, components, metrics, timers, ticker);
+                    new CallerServerComponent(vertx, settings, identity, components, metrics, timers, ticker, account);
             return components.callers;
         });
     }
--- a/node/src/main/java/dev/lavenderline/node/NodeEvent.java
+++ b/node/src/main/java/dev/lavenderline/node/NodeEvent.java
@@ -22,6 +22,11 @@
     STOPPED("LL-1003", Level.INFO, "node {} stopped with exit code {}"),
     DRAIN_STARTED("LL-1004", Level.INFO, "drain started ({}): new requests accepted for another {}, {} in flight"),
     DRAIN_FINISHED("LL-1005", Level.INFO, "drain finished after {}"),
+    CALLER_REFUSED(
+            "LL-1006",
+            Level.WARN,
+            "{}: request refused or connection closed ({}) of {}, which made the node hold {} bytes"),
+    CALLERS_REFUSED_FURTHER("LL-1007", Level.WARN, "requests refused or connections closed ({}): {} more"),
     CHILD_FAILED("LL-1012", Level.ERROR, "component {} failed: {}"),
     ROOT_FAILED("LL-1015", Level.ERROR, "unrecoverable failure: process exits with code {}"),
     CONFIG_IN_EFFECT(
--- a/node/src/main/java/dev/lavenderline/node/operators/OperatorsServer.java
+++ b/node/src/main/java/dev/lavenderline/node/operators/OperatorsServer.java
@@ -3,12 +3,16 @@
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.lavenderline.core.overload.ConnectionLimits;
+import dev.lavenderline.core.overload.HoldingAccount;
+import dev.lavenderline.core.overload.ListenerGuard;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
+import java.time.Duration;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -22,7 +26,15 @@
 public final class OperatorsServer {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Probes, a metrics collector and the command line need a few connections each. */
+    private static final int MAX_CONNECTIONS = 64;
+
+    private static final ConnectionLimits LIMITS =
+            new ConnectionLimits(8 << 10, Duration.ofSeconds(10), Duration.ofSeconds(10), Duration.ofSeconds(75));
+    private static final Duration ENFORCEMENT_PERIOD = Duration.ofSeconds(1);
+
     private final Vertx vertx;
+    private final ListenerGuard guard;
     private final MetricRegistry metrics;
     private final Supplier<Map<String, Object>> state;
     private final BooleanSupplier isReady;
@@ -37,11 +49,13 @@
      */
     public OperatorsServer(
             Vertx vertx,
+            HoldingAccount account,
             MetricRegistry metrics,
             Supplier<Map<String, Object>> state,
             BooleanSupplier isReady,
             Runnable drain) {
         this.vertx = vertx;
+        this.guard = new ListenerGuard("operators", account, MAX_CONNECTIONS, () -> LIMITS);
         this.metrics = metrics;
         this.state = state;
         this.isReady = isReady;
@@ -67,7 +81,9 @@
         });
         // An upgrade to HTTP/2, which the JDK's client asks for, breaks off large responses.
         server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
+                .connectionHandler(guard::accepted)
                 .requestHandler(router);
+        vertx.setPeriodic(ENFORCEMENT_PERIOD.toMillis(), tick -> guard.enforceTimes());
         return server.listen(port, host).mapEmpty();
     }
 
--- a/node/src/test/java/dev/lavenderline/node/operators/OperatorsServerTest.java
+++ b/node/src/test/java/dev/lavenderline/node/operators/OperatorsServerTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.codahale.metrics.MetricRegistry;
+import dev.lavenderline.core.Ticker;
+import dev.lavenderline.core.overload.HoldingAccount;
 import io.vertx.core.Vertx;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -23,8 +25,13 @@
     /** Guards against upgrades to HTTP/2 that the JDK's client asks for and that break off large responses. */
     @Test
     void clientThatAsksForAnUpgradeStaysWithHttp1() throws Exception {
-        OperatorsServer server =
-                new OperatorsServer(vertx, new MetricRegistry(), () -> Map.of("a", 1), () -> true, () -> {});
+        OperatorsServer server = new OperatorsServer(
+                vertx,
+                HoldingAccount.unbounded(Ticker.system()),
+                new MetricRegistry(),
+                () -> Map.of("a", 1),
+                () -> true,
+                () -> {});
         server.start("127.0.0.1", 0).toCompletionStage().toCompletableFuture().join();
         HttpResponse<String> response = HttpClient.newHttpClient()
                 .send(
