Pass one pipelined request at a time, and nothing behind the last one

The gate of pipelined requests becomes a handler of its own. A request behind one that asks to close the connection is not begun any more: the connection closes behind the response before, so that it could run without an answer. A rejected request whose response has begun gets no second response. New connections take the place of those that have sent nothing for 0.2 s.

--- a/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
@@ -13,7 +13,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
@@ -25,8 +25,8 @@
 
 /**
  * Charges what one connection of an HTTP server makes the process hold, from accept to the last byte written, and
- * enforces the limits on its head, times and pipeline. Its two handlers stand before the HTTP codec, where bytes are
- * counted before they are parsed, and behind it, where requests begin and responses end.
+ * enforces the limits on its head, times and pipeline. One of its handlers stands before the HTTP codec, where
+ * bytes are counted before they are parsed, the other one behind it, where requests begin and responses end.
  *
  * <p>Invariants: a charge precedes what it is for; a request is rejected with 503 only while the program has not got
  * all of it; once a request has been rejected, nothing of the connection reaches the program any more. Not thread-safe;
@@ -53,12 +53,15 @@
     private final Channel channel;
     private final HeadScanner head = new HeadScanner();
     private final Deque<Request> requests = new ArrayDeque<>();
-    private final MessagesHandler messages = new MessagesHandler();
+    private final PipelineGate gate = new PipelineGate();
     private ChannelHandlerContext bytesContext;
 
     /** Whether the next byte belongs to a head, as far as the codec has parsed. */
     private boolean awaitingHead = true;
 
+    /** Whether a response has been begun and not completed. */
+    private boolean responseBegun;
+
     private boolean rejected;
     private boolean closed;
 
@@ -103,7 +106,8 @@
         listener.account().add(this);
         channel.closeFuture().addListener(done -> release());
         server.pipeline().addFirst(new BytesHandler());
-        server.pipeline().addBefore(server.name(), null, messages);
+        server.pipeline().addBefore(server.name(), null, new MessagesHandler());
+        server.pipeline().addBefore(server.name(), null, gate);
         if (!charge()) {
             reject(RefusalReason.MEMORY);
         }
@@ -111,7 +115,7 @@
 
     private void release() {
         closed = true;
-        messages.dropWaiting();
+        gate.dropWaiting();
         listener.account().remove(this);
         listener.closed(this);
     }
@@ -183,7 +187,7 @@
         boolean respond = stage() == Stage.RECEIVING && !answeredEarly() && reason != RefusalReason.CONNECTIONS;
         rejected = true;
         rejectedNanos = nanos();
-        messages.dropWaiting();
+        gate.dropWaiting();
         requests.clear();
         listener.account().set(this, HeldMemory.CONNECTION_BYTES);
         if (!respond) {
@@ -306,120 +310,87 @@
         }
     }
 
-    /** Stands behind the codec; passes one request at a time to the program. */
+    /** Stands behind the codec, before the {@link PipelineGate}. */
     private final class MessagesHandler extends ChannelDuplexHandler {
-        private final Deque<Object> waiting = new ArrayDeque<>();
-        private ChannelHandlerContext context;
+        /** Whether the newest request has announced the end of the connection. */
+        private boolean lastRequest;
 
-        /** Whether the program has a request whose response is not complete. */
-        private boolean responding;
+        /** Whether what arrives stands behind the last request. */
+        private boolean behindLast;
 
         @Override
-        public void handlerAdded(ChannelHandlerContext added) {
-            context = added;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            if (!rejected) {
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            behindLast |= lastRequest && message instanceof HttpRequest;
+            if (!rejected && !behindLast) {
                 received(message);
             }
-            if (rejected) {
+            if (rejected || behindLast) {
                 ReferenceCountUtil.release(message);
-            } else if (waiting.isEmpty() && !(message instanceof HttpRequest && !mayBegin())) {
-                pass(message);
             } else {
-                waiting.add(message);
+                context.fireChannelRead(message);
             }
         }
 
-        private boolean mayBegin() {
-            return !responding && channel.isWritable();
-        }
-
-        private void pass(Object message) {
-            responding |= message instanceof HttpRequest;
-            context.fireChannelRead(message);
-        }
-
         private void received(Object message) {
             if (message instanceof HttpRequest request) {
-                if (requests.size() >= MAX_PIPELINED_REQUESTS) {
-                    reject(RefusalReason.PIPELINE);
-                    return;
-                }
-                requests.add(new Request(head.begun() ? head.heldBytes() : HeldMemory.ofParsedHead(request)));
-                head.reset();
-                awaitingHead = false;
-                bodyNanos = nanos();
-                if (!charge()) {
-                    reject(RefusalReason.MEMORY);
-                    return;
-                }
+                lastRequest = !HttpUtil.isKeepAlive(request);
+                receivedHead(request);
             }
-            if (message instanceof HttpContent content) {
+            if (message instanceof HttpContent content && !rejected) {
                 receivedContent(content);
             }
         }
 
+        private void receivedHead(HttpRequest request) {
+            if (requests.size() >= MAX_PIPELINED_REQUESTS) {
+                reject(RefusalReason.PIPELINE);
+                return;
+            }
+            requests.add(new Request(head.begun() ? head.heldBytes() : HeldMemory.ofParsedHead(request)));
+            head.reset();
+            awaitingHead = false;
+            bodyNanos = nanos();
+            if (!charge()) {
+                reject(RefusalReason.MEMORY);
+            }
+        }
+
         private void receivedContent(HttpContent content) {
-            Request last = requests.peekLast();
+            Request newest = requests.peekLast();
             boolean complete = content instanceof LastHttpContent;
-            if (last != null && !last.received) {
-                last.heldBytes += HeldMemory.ofBody(content.content().readableBytes());
+            if (newest != null && !newest.received) {
+                newest.heldBytes += HeldMemory.ofBody(content.content().readableBytes());
                 if (!charge()) {
                     reject(RefusalReason.MEMORY);
                     return;
                 }
-                last.received = complete;
+                newest.received = complete;
             }
             awaitingHead = complete;
         }
 
-        /** Passes the messages of the next request that waits, if the one before it has been answered. */
-        private void passWaiting() {
-            if (waiting.isEmpty() || closed || !mayBegin()) {
-                return;
-            }
-            pass(waiting.poll());
-            while (!waiting.isEmpty() && !(waiting.peek() instanceof HttpRequest)) {
-                pass(waiting.poll());
-            }
-            context.fireChannelReadComplete();
-        }
-
-        private void dropWaiting() {
-            waiting.forEach(ReferenceCountUtil::release);
-            waiting.clear();
-        }
-
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            ctx.fireChannelWritabilityChanged();
-            channel.eventLoop().execute(this::passWaiting);
-        }
-
         @Override
-        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
             if (rejected) {
                 ReferenceCountUtil.release(message);
                 promise.tryFailure(new ClosedChannelException());
                 return;
             }
-            // A writer may reuse the message.
-            boolean ends = message instanceof LastHttpContent
-                    && !(message instanceof HttpResponse response
-                            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL);
-            ctx.write(message, promise);
+            // The message may be released once it is written.
+            boolean interim = PipelineGate.isInterim(message);
+            boolean ends = message instanceof LastHttpContent && !interim;
+            responseBegun |= message instanceof HttpResponse && !interim;
+            context.write(message, promise);
             if (ends) {
-                responding = false;
-                requests.poll();
-                progressNanos = nanos();
-                listener.account().set(ConnectionGuard.this, heldBytes());
-                if (!waiting.isEmpty()) {
-                    channel.eventLoop().execute(this::passWaiting);
-                }
+                responseEnded();
             }
         }
+
+        private void responseEnded() {
+            responseBegun = false;
+            requests.poll();
+            progressNanos = nanos();
+            listener.account().set(ConnectionGuard.this, heldBytes());
+        }
     }
 }
--- a/core/src/main/java/dev/lavenderline/core/overload/OverloadPolicy.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/OverloadPolicy.java
@@ -25,6 +25,9 @@
     /** A peer that was active within this time is given no blame for its connection's wait. */
     static final Duration MIN_SILENCE = Duration.ofSeconds(1);
 
+    /** A client that opens a connection for a request sends that at once. */
+    static final Duration MIN_IDLE = Duration.ofMillis(200);
+
     private OverloadPolicy() {}
 
     /** Returns whether a holding counts as a large one. */
@@ -93,7 +96,8 @@
     }
 
     private static boolean isSilent(Holding holding) {
-        return holding.sinceProgress().compareTo(MIN_SILENCE) >= 0;
+        Duration least = holding.stage() == Stage.IDLE ? MIN_IDLE : MIN_SILENCE;
+        return holding.sinceProgress().compareTo(least) >= 0;
     }
 
     private static boolean isMoreSilent(Holding holding, Holding other) {
--- a/core/src/test/java/dev/lavenderline/core/overload/ConnectionGuardTest.java
+++ b/core/src/test/java/dev/lavenderline/core/overload/ConnectionGuardTest.java
@@ -97,6 +97,8 @@
         request.endHandler(end -> {
             if (request.path().startsWith("/hold")) {
                 unanswered.add(request);
+            } else if (request.path().startsWith("/close")) {
+                request.response().putHeader("Connection", "close").end(request.path() + " " + body.length());
             } else if (request.path().startsWith("/large")) {
                 request.response().end(Buffer.buffer(new byte[8 << 20]));
             } else {
@@ -215,6 +217,26 @@
         assertEquals("200 /3 5", read(socket));
     }
 
+    /** The connection closes behind the response to the first one, so that the second one could not be answered. */
+    @Test
+    void requestBehindTheLastOneIsNotBegun() throws Exception {
+        Socket socket = connect();
+        write(socket, head("/1", "Connection: close\r\nContent-Length: 0\r\n") + withBody("/2", 1));
+        assertEquals("200 /1 0", read(socket));
+        assertEquals("", read(socket));
+        assertEquals(List.of("/1"), begun);
+        await(() -> account.heldBytes() == 0);
+    }
+
+    /** A server that is about to stop asks its callers to close, and serves those that send on. */
+    @Test
+    void requestBehindAResponseThatAsksToCloseIsServed() throws Exception {
+        Socket socket = connect();
+        write(socket, withBody("/close", 1) + withBody("/2", 1));
+        assertEquals("200 /close 1", read(socket));
+        assertEquals("200 /2 1", read(socket));
+    }
+
     @Test
     void tooManyPipelinedRequestsEndTheConnection() throws Exception {
         Socket socket = connect();
--- a/core/src/test/java/dev/lavenderline/core/overload/OverloadPolicyTest.java
+++ b/core/src/test/java/dev/lavenderline/core/overload/OverloadPolicyTest.java
@@ -78,6 +78,13 @@
         assertEquals(OptionalInt.empty(), OverloadPolicy.closeForConnection(holdings));
     }
 
+    @Test
+    void connectionThatHasJustOpenedKeepsItsRoom() {
+        List<Holding> holdings = List.of(holding(ORDINARY, Stage.IDLE, 199));
+        assertEquals(OptionalInt.empty(), OverloadPolicy.closeForConnection(holdings));
+        assertEquals(OptionalInt.of(0), OverloadPolicy.closeForConnection(List.of(holding(ORDINARY, Stage.IDLE, 200))));
+    }
+
     @Test
     void newConnectionTakesTheRoomOfTheMostSilent() {
         List<Holding> holdings = List.of(
--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -81,8 +81,9 @@
                 settings.ticker,
                 new HttpMetrics(settings.registry));
         this.tokens = new BearerTokens(settings.config);
+        // The server itself rejects a head above its limit, with an error body.
         ConnectionLimits limits =
-                new ConnectionLimits(settings.limits.maxHeaderBytes(), HEADER_TIMEOUT, BODY_TIMEOUT, IDLE_TIMEOUT);
+                new ConnectionLimits(2 * settings.limits.maxHeaderBytes(), HEADER_TIMEOUT, BODY_TIMEOUT, IDLE_TIMEOUT);
         this.guard = new ListenerGuard(
                 "callers", settings.account, settings.account.limits().connections(), () -> limits);
     }
--- a/http/src/test/java/dev/lavenderline/http/TestFleet.java
+++ b/http/src/test/java/dev/lavenderline/http/TestFleet.java
@@ -4,11 +4,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.hash.Hashing;
+import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.config.Deployment;
 import dev.lavenderline.core.config.FleetConfig;
 import dev.lavenderline.core.config.Route;
 import dev.lavenderline.core.config.Upstream;
 import dev.lavenderline.core.config.Workspace;
+import dev.lavenderline.core.overload.HoldingAccount;
+import dev.lavenderline.core.overload.ProcessLimits;
 import dev.lavenderline.standins.engine.EngineOptions;
 import dev.lavenderline.standins.engine.EngineServer;
 import dev.lavenderline.standins.service.ServiceOptions;
@@ -52,6 +55,7 @@
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private final AtomicLong requestIds = new AtomicLong();
     private HttpLimits limits = HttpLimits.defaults();
+    HoldingAccount account = HoldingAccount.unbounded(Ticker.system());
     private Duration timeout = Duration.ofSeconds(30);
     private Context eventLoop;
     CallerServer server;
@@ -79,6 +83,12 @@
         return this;
     }
 
+    /** Sets what all callers together may make the server hold. */
+    TestFleet processLimits(ProcessLimits processLimits) {
+        account = new HoldingAccount(processLimits, Ticker.system(), (listener, reason, peer, bytes) -> {});
+        return this;
+    }
+
     TestFleet timeout(Duration newTimeout) {
         timeout = newTimeout;
         return this;
@@ -119,6 +129,7 @@
                                 .batch(batch)
                                 .keyedCalls(keyedCalls)
                                 .limits(limits)
+                                .account(account)
                                 .metrics(metrics)
                                 .requestIds(() -> "req-" + requestIds.incrementAndGet())
                                 .build();
