Charge trailers and heads that begin behind another request

The guard assigns each byte of a read to the head, the body or its framing, and charges what is left as header lines of the shortest kind until the next part of a request has been parsed.

--- a/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
@@ -62,12 +62,24 @@
     /** Whether a response has been begun and not completed. */
     private boolean responseBegun;
 
+    /** Whether the body of the newest request is sent in chunks. */
+    private boolean chunked;
+
+    /** Whether a part of a request has been parsed in the read in progress. */
+    private boolean parsed;
+
     private boolean rejected;
     private boolean closed;
 
     /** When the current wait for the peer began, or the peer last did what it is waited for. */
     private long progressNanos;
 
+    /** Bytes of the read in progress that have not turned out to be a part of a request. */
+    private long unassignedBytes;
+
+    /** Bytes since the last parsed part of a request; they may be trailers, or the begin of another head. */
+    private long unparsedBytes;
+
     private long headNanos;
     private long bodyNanos;
     private long unsentBytes;
@@ -121,7 +133,8 @@
     }
 
     private long heldBytes() {
-        long bytes = HeldMemory.CONNECTION_BYTES + unsentBytes + (awaitingHead ? head.heldBytes() : 0);
+        long bytes = HeldMemory.CONNECTION_BYTES + unsentBytes + HeldMemory.ofUnparsed(unparsedBytes);
+        bytes += awaitingHead ? head.heldBytes() : 0;
         for (Request request : requests) {
             bytes += request.heldBytes;
         }
@@ -282,16 +295,8 @@
                 return;
             }
             long now = nanos();
-            if (message instanceof ByteBuf bytes && awaitingHead) {
-                if (!head.begun()) {
-                    headNanos = now;
-                }
-                head.feed(bytes);
-                if (!withinHeadLimits()) {
-                    reject(RefusalReason.HEAD_TOO_LARGE);
-                } else if (!charge()) {
-                    reject(RefusalReason.MEMORY);
-                }
+            if (message instanceof ByteBuf bytes) {
+                read(bytes, now);
             }
             if (rejected) {
                 ReferenceCountUtil.release(message);
@@ -300,7 +305,33 @@
             if (stage() != Stage.SENDING) {
                 progressNanos = now;
             }
+            long before = unparsedBytes;
+            parsed = false;
             context.fireChannelRead(message);
+            unparsedBytes = unassignedBytes + (parsed ? 0 : before);
+            if (unparsedBytes > 0) {
+                checkLimits();
+            }
+        }
+
+        private void read(ByteBuf bytes, long now) {
+            unassignedBytes = bytes.readableBytes();
+            if (!awaitingHead) {
+                return;
+            }
+            if (!head.begun()) {
+                headNanos = now;
+            }
+            unassignedBytes -= head.feed(bytes);
+            checkLimits();
+        }
+
+        private void checkLimits() {
+            if (!withinHeadLimits()) {
+                reject(RefusalReason.HEAD_TOO_LARGE);
+            } else if (!charge()) {
+                reject(RefusalReason.MEMORY);
+            }
         }
 
         @Override
@@ -346,8 +377,17 @@
                 reject(RefusalReason.PIPELINE);
                 return;
             }
-            requests.add(new Request(head.begun() ? head.heldBytes() : HeldMemory.ofParsedHead(request)));
-            head.reset();
+            parsed = true;
+            unparsedBytes = 0;
+            chunked = HttpUtil.isTransferEncodingChunked(request);
+            if (head.begun()) {
+                requests.add(new Request(head.heldBytes()));
+                head.reset();
+            } else {
+                // Its begin stood behind another request.
+                requests.add(new Request(HeldMemory.ofParsedHead(request)));
+                unassignedBytes = Math.max(0, unassignedBytes - HeldMemory.wireBytes(request));
+            }
             awaitingHead = false;
             bodyNanos = nanos();
             if (!charge()) {
@@ -356,10 +396,18 @@
         }
 
         private void receivedContent(HttpContent content) {
+            int bytes = content.content().readableBytes();
+            parsed = true;
+            unparsedBytes = 0;
+            int framing = chunked ? HeldMemory.framingBytes(bytes) : 0;
+            unassignedBytes = Math.max(0, unassignedBytes - bytes - framing);
             Request newest = requests.peekLast();
             boolean complete = content instanceof LastHttpContent;
             if (newest != null && !newest.received) {
-                newest.heldBytes += HeldMemory.ofBody(content.content().readableBytes());
+                newest.heldBytes += HeldMemory.ofBody(bytes);
+                if (content instanceof LastHttpContent end) {
+                    newest.heldBytes += HeldMemory.ofHeaders(end.trailingHeaders());
+                }
                 if (!charge()) {
                     reject(RefusalReason.MEMORY);
                     return;
--- a/core/src/main/java/dev/lavenderline/core/overload/HeadScanner.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/HeadScanner.java
@@ -15,11 +15,15 @@
     private int lineLength;
     private boolean ended;
 
-    /** Measures what follows of the head; bytes behind its end are ignored. */
-    void feed(ByteBuf bytes) {
-        for (int i = bytes.readerIndex(); i < bytes.writerIndex() && !ended; i++) {
+    /** Measures what follows of the head; returns the number of bytes that belong to it. */
+    int feed(ByteBuf bytes) {
+        int start = bytes.readerIndex();
+        int i = start;
+        while (i < bytes.writerIndex() && !ended) {
             feed(bytes.getByte(i));
+            i++;
         }
+        return i - start;
     }
 
     private void feed(byte next) {
--- a/core/src/test/java/dev/lavenderline/core/overload/ConnectionGuardTest.java
+++ b/core/src/test/java/dev/lavenderline/core/overload/ConnectionGuardTest.java
@@ -267,6 +267,29 @@
         assertEquals("200 /a 2000", read(socket));
     }
 
+    @Test
+    void trailersAreChargedAsLines() throws Exception {
+        Socket socket = connect();
+        write(socket, head("/hold", "Transfer-Encoding: chunked\r\n") + "1\r\nx\r\n0\r\n" + "a:\r\n".repeat(200));
+        await(() -> account.heldBytes() > HeldMemory.CONNECTION_BYTES + 200 * 400);
+        write(socket, "\r\n");
+        await(() -> unanswered.size() == 1);
+        assertTrue(account.heldBytes() > HeldMemory.CONNECTION_BYTES + 200 * 400);
+        socket.close();
+        await(() -> account.heldBytes() == 0);
+    }
+
+    @Test
+    void headThatBeginsBehindAnotherRequestIsCharged() throws Exception {
+        Socket socket = connect();
+        write(socket, withBody("/1", 1) + "POST /2 HTTP/1.1\r\n" + "a:\r\n".repeat(150));
+        assertEquals("200 /1 1", read(socket));
+        assertTrue(account.heldBytes() > HeldMemory.CONNECTION_BYTES + 150 * 400);
+        write(socket, "Host: a\r\nContent-Length: 0\r\n\r\n");
+        assertEquals("200 /2 0", read(socket));
+        await(() -> account.heldBytes() == HeldMemory.CONNECTION_BYTES);
+    }
+
     @Test
     void headWithTooManyBytesIsRefused() throws Exception {
         Socket socket = connect();
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -39,10 +39,16 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Nodes on one event loop with an in-memory store. Confined to the thread of the test, but for the event loop. */
 final class NodeHarness {
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 20_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 400));
+
     static final String LOOPBACK = "127.0.0.1";
 
     private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
@@ -162,9 +168,18 @@
         }
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /**
+     * Returns a port that nothing listens on. It lies below those that Linux gives to outgoing connections, one of
+     * which could take it before the node listens.
+     */
+    private static int freePort() {
+        while (true) {
+            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            try (ServerSocket socket = new ServerSocket(port)) {
+                return socket.getLocalPort();
+            } catch (IOException inUse) {
+                // The next one may be free.
+            }
         }
     }
 
