--- a/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
@@ -2,7 +2,6 @@
 
 import dev.lavenderline.core.overload.Holding.Stage;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
@@ -18,15 +17,12 @@
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 /**
  * Charges what one connection of an HTTP server makes the process hold, from accept to the last byte written, and
- * enforces the limits on its head, times and pipeline. One of its handlers stands before the HTTP codec, where
- * bytes are counted before they are parsed, the other one behind it, where requests begin and responses end.
+ * enforces the limits on its head, times and pipeline. One of its handlers stands before the HTTP codec, where bytes
+ * are counted before they are parsed, the other one behind it, where requests begin and responses end.
  *
  * <p>Invariants: a charge precedes what it is for; a request is rejected with 503 only while the program has not got
  * all of it; once a request has been rejected, nothing of the connection reaches the program any more. Not thread-safe;
@@ -47,54 +43,26 @@
     /** Time for which a rejected client may go on to write, so that it reads the response before the close. */
     private static final Duration CLOSE_DELAY = Duration.ofSeconds(2);
 
-    private static final int RETRY_AFTER_SECONDS = 1;
-
     private final ListenerGuard listener;
     private final Channel channel;
-    private final HeadScanner head = new HeadScanner();
-    private final Deque<Request> requests = new ArrayDeque<>();
+    private final ReceivedRequests received = new ReceivedRequests();
     private final PipelineGate gate = new PipelineGate();
     private ChannelHandlerContext bytesContext;
 
-    /** Whether the next byte belongs to a head, as far as the codec has parsed. */
-    private boolean awaitingHead = true;
-
     /** Whether a response has been begun and not completed. */
     private boolean responseBegun;
 
-    /** Whether the body of the newest request is sent in chunks. */
-    private boolean chunked;
-
-    /** Whether a part of a request has been parsed in the read in progress. */
-    private boolean parsed;
-
     private boolean rejected;
     private boolean closed;
 
     /** When the current wait for the peer began, or the peer last did what it is waited for. */
     private long progressNanos;
 
-    /** Bytes of the read in progress that have not turned out to be a part of a request. */
-    private long unassignedBytes;
-
-    /** Bytes since the last parsed part of a request; they may be trailers, or the begin of another head. */
-    private long unparsedBytes;
-
     private long headNanos;
     private long bodyNanos;
     private long unsentBytes;
     private long rejectedNanos;
 
-    /** A request from the end of its head until its response is written. */
-    private static final class Request {
-        private long heldBytes;
-        private boolean received;
-
-        Request(long heldBytes) {
-            this.heldBytes = heldBytes;
-        }
-    }
-
     ConnectionGuard(ListenerGuard listener, Channel channel) {
         this.listener = listener;
         this.channel = channel;
@@ -120,9 +88,7 @@
         server.pipeline().addFirst(new BytesHandler());
         server.pipeline().addBefore(server.name(), null, new MessagesHandler());
         server.pipeline().addBefore(server.name(), null, gate);
-        if (!charge()) {
-            reject(RefusalReason.MEMORY);
-        }
+        chargeOrReject();
     }
 
     private void release() {
@@ -133,12 +99,7 @@
     }
 
     private long heldBytes() {
-        long bytes = HeldMemory.CONNECTION_BYTES + unsentBytes + HeldMemory.ofUnparsed(unparsedBytes);
-        bytes += awaitingHead ? head.heldBytes() : 0;
-        for (Request request : requests) {
-            bytes += request.heldBytes;
-        }
-        return bytes;
+        return HeldMemory.CONNECTION_BYTES + unsentBytes + received.heldBytes();
     }
 
     /** Charges what is held now; returns false if there is no room. */
@@ -146,17 +107,21 @@
         return closed || rejected || listener.account().raise(this, heldBytes());
     }
 
+    private void chargeOrReject() {
+        if (!charge()) {
+            reject(RefusalReason.MEMORY);
+        }
+    }
+
     /** Charges more memory for the request that the program works on; returns false if there is no room. */
     boolean charge(long bytes) {
-        Request request = requests.peek();
-        if (request == null || rejected) {
+        if (rejected || !received.add(bytes)) {
             return false;
         }
-        request.heldBytes += bytes;
         if (charge()) {
             return true;
         }
-        request.heldBytes -= bytes;
+        received.add(-bytes);
         return false;
     }
 
@@ -172,15 +137,10 @@
         if (unsentBytes > 0) {
             return Stage.SENDING;
         }
-        if (requests.isEmpty()) {
-            return head.begun() || !awaitingHead ? Stage.RECEIVING : Stage.IDLE;
+        if (received.isIdle()) {
+            return Stage.IDLE;
         }
-        return requests.size() == 1 && !requests.peek().received ? Stage.RECEIVING : Stage.SERVING;
-    }
-
-    /** Returns whether the program has answered a request that is still being received. */
-    private boolean answeredEarly() {
-        return requests.isEmpty() && !awaitingHead;
+        return received.isReceiving() ? Stage.RECEIVING : Stage.SERVING;
     }
 
     @Override
@@ -197,18 +157,21 @@
             return;
         }
         listener.report(reason, this);
-        boolean respond = stage() == Stage.RECEIVING && !answeredEarly() && reason != RefusalReason.CONNECTIONS;
+        boolean respond = stage() == Stage.RECEIVING
+                && !received.answeredEarly()
+                && !responseBegun
+                && reason != RefusalReason.CONNECTIONS;
         rejected = true;
         rejectedNanos = nanos();
         gate.dropWaiting();
-        requests.clear();
+        received.clear();
         listener.account().set(this, HeldMemory.CONNECTION_BYTES);
         if (!respond) {
             close();
             return;
         }
         // Closing at once would reset the connection, and the client might not read the response.
-        bytesContext.writeAndFlush(response(reason)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        bytesContext.writeAndFlush(listener.response(reason)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /** Closes the connection at once; the server would first wait until all that it has written is sent. */
@@ -216,21 +179,6 @@
         bytesContext.close();
     }
 
-    private static ByteBuf response(RefusalReason reason) {
-        String status = switch (reason) {
-            case HEAD_TOO_LARGE -> "431 Request Header Fields Too Large";
-            case HEAD_TIMEOUT, BODY_TIMEOUT -> "408 Request Timeout";
-            default -> "503 Service Unavailable";
-        };
-        String body = "not run: " + reason.label() + "\n";
-        return Unpooled.copiedBuffer(
-                "HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: "
-                        + body.length()
-                        + (reason == RefusalReason.HEAD_TOO_LARGE ? "" : "\r\nRetry-After: " + RETRY_AFTER_SECONDS)
-                        + "\r\n\r\n" + body,
-                StandardCharsets.ISO_8859_1);
-    }
-
     @Override
     void enforceTimes(long now, ConnectionLimits limits) {
         if (rejected) {
@@ -244,7 +192,7 @@
             case IDLE -> rejectAfter(progressNanos, now, limits.idleTimeout(), RefusalReason.IDLE);
             case SENDING -> rejectAfter(progressNanos, now, limits.idleTimeout(), RefusalReason.UNREAD_RESPONSE);
             case RECEIVING -> {
-                if (awaitingHead) {
+                if (received.isWithinHead()) {
                     rejectAfter(headNanos, now, limits.headerTimeout(), RefusalReason.HEAD_TIMEOUT);
                 } else {
                     rejectAfter(bodyNanos, now, limits.bodyTimeout(), RefusalReason.BODY_TIMEOUT);
@@ -271,14 +219,7 @@
             progressNanos = now;
         }
         unsentBytes = unsent;
-        if (!charge()) {
-            reject(RefusalReason.MEMORY);
-        }
-    }
-
-    private boolean withinHeadLimits() {
-        int limit = listener.limits().headerBytes();
-        return head.firstLineBytes() <= limit && head.headerBytes() <= limit;
+        chargeOrReject();
     }
 
     /** Stands before the codec. */
@@ -290,47 +231,31 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            if (rejected) {
-                ReferenceCountUtil.release(message);
-                return;
-            }
-            long now = nanos();
-            if (message instanceof ByteBuf bytes) {
-                read(bytes, now);
+            if (!rejected && message instanceof ByteBuf bytes) {
+                beginRead(bytes);
             }
             if (rejected) {
                 ReferenceCountUtil.release(message);
                 return;
             }
-            if (stage() != Stage.SENDING) {
-                progressNanos = now;
-            }
-            long before = unparsedBytes;
-            parsed = false;
             context.fireChannelRead(message);
-            unparsedBytes = unassignedBytes + (parsed ? 0 : before);
-            if (unparsedBytes > 0) {
-                checkLimits();
-            }
+            received.endRead();
+            chargeOrReject();
         }
 
-        private void read(ByteBuf bytes, long now) {
-            unassignedBytes = bytes.readableBytes();
-            if (!awaitingHead) {
-                return;
+        private void beginRead(ByteBuf bytes) {
+            long now = nanos();
+            if (stage() != Stage.SENDING) {
+                progressNanos = now;
             }
-            if (!head.begun()) {
+            if (!received.isWithinHead()) {
                 headNanos = now;
             }
-            unassignedBytes -= head.feed(bytes);
-            checkLimits();
-        }
-
-        private void checkLimits() {
-            if (!withinHeadLimits()) {
+            received.beginRead(bytes);
+            if (received.isHeadWithin(listener.limits().headerBytes())) {
+                chargeOrReject();
+            } else {
                 reject(RefusalReason.HEAD_TOO_LARGE);
-            } else if (!charge()) {
-                reject(RefusalReason.MEMORY);
             }
         }
 
@@ -353,7 +278,7 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             behindLast |= lastRequest && message instanceof HttpRequest;
             if (!rejected && !behindLast) {
-                received(message);
+                receive(message);
             }
             if (rejected || behindLast) {
                 ReferenceCountUtil.release(message);
@@ -362,59 +287,26 @@
             }
         }
 
-        private void received(Object message) {
+        private void receive(Object message) {
             if (message instanceof HttpRequest request) {
                 lastRequest = !HttpUtil.isKeepAlive(request);
-                receivedHead(request);
+                receiveHead(request);
             }
             if (message instanceof HttpContent content && !rejected) {
-                receivedContent(content);
+                received.contentParsed(content);
+                chargeOrReject();
+                received.contentCharged(content);
             }
         }
 
-        private void receivedHead(HttpRequest request) {
-            if (requests.size() >= MAX_PIPELINED_REQUESTS) {
+        private void receiveHead(HttpRequest request) {
+            if (received.size() >= MAX_PIPELINED_REQUESTS) {
                 reject(RefusalReason.PIPELINE);
                 return;
             }
-            parsed = true;
-            unparsedBytes = 0;
-            chunked = HttpUtil.isTransferEncodingChunked(request);
-            if (head.begun()) {
-                requests.add(new Request(head.heldBytes()));
-                head.reset();
-            } else {
-                // Its begin stood behind another request.
-                requests.add(new Request(HeldMemory.ofParsedHead(request)));
-                unassignedBytes = Math.max(0, unassignedBytes - HeldMemory.wireBytes(request));
-            }
-            awaitingHead = false;
+            received.headParsed(request);
             bodyNanos = nanos();
-            if (!charge()) {
-                reject(RefusalReason.MEMORY);
-            }
-        }
-
-        private void receivedContent(HttpContent content) {
-            int bytes = content.content().readableBytes();
-            parsed = true;
-            unparsedBytes = 0;
-            int framing = chunked ? HeldMemory.framingBytes(bytes) : 0;
-            unassignedBytes = Math.max(0, unassignedBytes - bytes - framing);
-            Request newest = requests.peekLast();
-            boolean complete = content instanceof LastHttpContent;
-            if (newest != null && !newest.received) {
-                newest.heldBytes += HeldMemory.ofBody(bytes);
-                if (content instanceof LastHttpContent end) {
-                    newest.heldBytes += HeldMemory.ofHeaders(end.trailingHeaders());
-                }
-                if (!charge()) {
-                    reject(RefusalReason.MEMORY);
-                    return;
-                }
-                newest.received = complete;
-            }
-            awaitingHead = complete;
+            chargeOrReject();
         }
 
         @Override
@@ -436,7 +328,7 @@
 
         private void responseEnded() {
             responseBegun = false;
-            requests.poll();
+            received.responseEnded();
             progressNanos = nanos();
             listener.account().set(ConnectionGuard.this, heldBytes());
         }
--- a/core/src/main/java/dev/lavenderline/core/overload/ListenerGuard.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/ListenerGuard.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.core.overload;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.impl.HttpServerConnection;
@@ -27,6 +28,7 @@
     private final int maxConnections;
     private final Supplier<ConnectionLimits> limits;
     private final Set<GuardedConnection> connections = new LinkedHashSet<>();
+    private RefusalResponse response = RefusalResponse.PLAIN_TEXT;
     private long lastEnforcedNanos;
 
     /**
@@ -44,6 +46,12 @@
         this.lastEnforcedNanos = account.nanos();
     }
 
+    /** Sets the response to refused requests; default {@link RefusalResponse#PLAIN_TEXT}. */
+    public ListenerGuard respondWith(RefusalResponse newResponse) {
+        response = newResponse;
+        return this;
+    }
+
     /** Guards a connection that has just been accepted; call it from the server's connection handler. */
     public void accepted(HttpConnection connection) {
         ChannelHandlerContext context = ((HttpServerConnection) connection).channelHandlerContext();
@@ -133,6 +141,10 @@
         return limits.get();
     }
 
+    ByteBuf response(RefusalReason reason) {
+        return response.encode(reason);
+    }
+
     void closed(GuardedConnection guard) {
         connections.remove(guard);
     }
--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -85,7 +85,8 @@
         ConnectionLimits limits =
                 new ConnectionLimits(2 * settings.limits.maxHeaderBytes(), HEADER_TIMEOUT, BODY_TIMEOUT, IDLE_TIMEOUT);
         this.guard = new ListenerGuard(
-                "callers", settings.account, settings.account.limits().connections(), () -> limits);
+                        "callers", settings.account, settings.account.limits().connections(), () -> limits)
+                .respondWith(ErrorBodies.REFUSAL);
     }
 
     /** Starts building a server. */
--- a/http/src/main/java/dev/lavenderline/http/ErrorBodies.java
+++ b/http/src/main/java/dev/lavenderline/http/ErrorBodies.java
@@ -1,14 +1,21 @@
 package dev.lavenderline.http;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.lavenderline.core.overload.RefusalReason;
+import dev.lavenderline.core.overload.RefusalResponse;
 import dev.lavenderline.core.routing.Refusal;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 
 /** Renders error responses for callers. */
 final class ErrorBodies {
+    /** Response to a request that is refused while it is being received. */
+    static final RefusalResponse REFUSAL = new RefusalResponse(
+            "application/json", reason -> json(refusal(reason)).toString());
+
     private static final int MAX_NAME_CHARS = 100;
 
     private ErrorBodies() {}
@@ -22,6 +29,15 @@
         return body;
     }
 
+    private static ApiError refusal(RefusalReason reason) {
+        String code = switch (reason.status()) {
+            case 408 -> "request_timeout";
+            case 431 -> "headers_too_large";
+            default -> "not_run";
+        };
+        return new ApiError(reason.status(), code, "not run: " + reason.label(), Optional.empty());
+    }
+
     static void send(HttpServerResponse response, ApiError error) {
         if (response.ended() || response.closed()) {
             return;
--- a/http/src/test/java/dev/lavenderline/http/ClientCrowdTest.java
+++ b/http/src/test/java/dev/lavenderline/http/ClientCrowdTest.java
@@ -73,6 +73,15 @@
         assertServes();
     }
 
+    @Test
+    void refusalHasTheErrorBodyOfTheInterface() throws IOException {
+        String request = head("/v1/chat/completions", "Content-Length: " + 3 * BODY_BYTES + "\r\n\r\n");
+        connect(request + "x".repeat(2 * BODY_BYTES));
+        String response = new String(crowd.get(0).getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+        assertTrue(response.contains("\"code\":\"not_run\""), response);
+    }
+
     @Test
     void uploadsWithoutTheirLastByte() throws IOException {
         String request = head("/v1/files?filename=a", "Content-Length: " + BODY_BYTES + "\r\n\r\n");
