--- a/serving/src/main/java/dev/lavenderline/serving/logging/FailureGuard.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/FailureGuard.java
@@ -44,8 +44,7 @@
             Object[] event = Arrays.copyOf(fields, fields.length + 2);
             event[fields.length] = "message";
             event[fields.length + 1] = failure;
-            boolean outOfMemory = failure instanceof OutOfMemoryError;
-            log.event(outOfMemory ? ServingEvent.MEMORY_EXHAUSTED : ServingEvent.UNEXPECTED, event);
+            log.event(ServingEvent.UNEXPECTED, event);
         } catch (Throwable ignored) {
             // The log has failed as well, so there is no place left to report either of them.
         }
