Register a connection's handlers before its guard may close it

A connection that was closed at once could have ended before its close handler was set, and its entries would have stayed. Not seen; by reading.

--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -106,9 +106,9 @@
         server = settings.vertx
                 .createHttpServer(options)
                 .connectionHandler(connection -> {
-                    guard.accepted(connection);
                     connection.exceptionHandler(
                             cause -> HttpEvent.CONNECTION_BROKEN.debug(connection.remoteAddress(), cause.getMessage()));
+                    guard.accepted(connection);
                 })
                 .invalidRequestHandler(this::rejectInvalidRequest)
                 .requestHandler(router());
--- a/serving/src/main/java/dev/lavenderline/serving/logging/FailureGuard.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/FailureGuard.java
@@ -8,8 +8,8 @@
  *
  * <p>Errors are handled like exceptions: a {@link StackOverflowError} is usually that of one task whose input is too
  * deep, and once the task has been given up, the stack is as before. An {@link OutOfMemoryError} is that of the whole
- * process: other threads may have met it too, and an event loop that has ended serves nobody. The program therefore ends
- * the process, which the platform replaces; see {@link #endOnMemoryError}.
+ * process: other threads may have met it too, and an event loop that has ended serves nobody. The program therefore
+ * ends the process, which the platform replaces; see {@link #endOnMemoryError}.
  *
  * <p>Thread-safe.
  */
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -112,10 +112,10 @@
                 .setHttp2ClearTextEnabled(false)
                 .setAcceptBacklog(1024));
         server.connectionHandler(connection -> {
-            guard.accepted(connection);
             callsByConnection.put(connection, new HashSet<>());
             openRequests.put(connection, 0);
             connection.closeHandler(closed -> connectionClosed(connection));
+            guard.accepted(connection);
         });
         server.requestHandler(this::handle);
         return server.listen(port, host).map(HttpServer::actualPort);
