Keep connections for ordinary callers on machines smaller than the heap

Cause: the number of connections followed from the memory that the largest heap leaves, which is none on machines smaller than the heap of the deploy file, so that 16 were allowed.

Change: the room follows from the memory beyond the 64 MB of a process without callers, at least a quarter of the machine; half of it may be held, half is for memory outside the heap; at least 12 MB and 256 connections if the descriptors allow them.

--- a/core/src/main/java/dev/lavenderline/core/overload/ProcessLimits.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/ProcessLimits.java
@@ -22,13 +22,20 @@
     /** Half of the sockets are for upstreams, the store and other nodes. */
     private static final int SOCKETS_DIVISOR = 2;
 
-    /** Memory of a process outside its heap: code, classes, stacks, collector. */
-    private static final long FIXED_BYTES = 80L << 20;
+    /** Memory of a process without callers: its own objects, code, classes, stacks, collector. */
+    private static final long FIXED_BYTES = 64L << 20;
+
+    /** Share of a small machine's memory that callers have all the same. */
+    private static final int MIN_SPARE_DIVISOR = 4;
+
+    /** Held memory with which the largest request of the usual limits, 4 MiB of body, is served. */
+    private static final long MIN_HELD_BYTES = 12L << 20;
 
     /** Memory outside the heap of a connection: its part of the direct buffers and bytes that are not read yet. */
     private static final long NATIVE_CONNECTION_BYTES = 2L * ConnectionGuard.MAX_READ_BYTES;
 
-    private static final int MIN_CONNECTIONS = 16;
+    /** Connections for ordinary callers on the smallest machines. */
+    private static final int MIN_CONNECTIONS = 256;
 
     /** Returns the limits of this process, by its heap, the memory of the machine and the descriptors it may open. */
     public static ProcessLimits ofThisProcess() {
@@ -60,13 +67,13 @@
      * @param descriptors descriptors that the process may have open
      */
     public static ProcessLimits of(long heapBytes, long memoryBytes, int descriptors) {
-        long heldBytes = Math.max(1, Math.min(heapBytes, memoryBytes) / 8 * HEAP_EIGHTHS);
-        long nativeBytes = memoryBytes - heapBytes - FIXED_BYTES;
-        long connections = Math.min(
-                (descriptors - FILE_DESCRIPTORS) / SOCKETS_DIVISOR,
-                Math.min(
-                        heldBytes / CONNECTIONS_DIVISOR / HeldMemory.CONNECTION_BYTES,
-                        nativeBytes / NATIVE_CONNECTION_BYTES));
-        return new ProcessLimits(heldBytes, (int) Math.max(MIN_CONNECTIONS, connections));
+        long spareBytes = Math.max(memoryBytes - FIXED_BYTES, memoryBytes / MIN_SPARE_DIVISOR);
+        // Half of it is for memory outside the heap.
+        long heldBytes = Math.max(MIN_HELD_BYTES, Math.min(heapBytes / 8 * HEAP_EIGHTHS, spareBytes / 2));
+        long byMemory = Math.min(
+                heldBytes / CONNECTIONS_DIVISOR / HeldMemory.CONNECTION_BYTES,
+                spareBytes / 2 / NATIVE_CONNECTION_BYTES);
+        int byDescriptors = Math.max(1, (descriptors - FILE_DESCRIPTORS) / SOCKETS_DIVISOR);
+        return new ProcessLimits(heldBytes, (int) Math.min(byDescriptors, Math.max(MIN_CONNECTIONS, byMemory)));
     }
 }
