--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -90,6 +90,10 @@
             Node node = new Node(root, directory, "front-" + i, prefix + (10 + i), store.address());
             nodes.add(node);
             node.start();
+            if (i == 1) {
+                // The node that started first is the scheduler of all.
+                node.awaitReady();
+            }
         }
         nodes.forEach(Node::awaitReady);
         Threads.sleep(SETTLE_MS);
--- a/review/standins-2/Node.java
+++ b/review/standins-2/Node.java
@@ -101,6 +101,14 @@
         process = builder.start();
     }
 
+    /** Kills the process and starts it again, as the platform does. */
+    void killAndRestart() throws IOException {
+        process.destroyForcibly();
+        Threads.sleep(1000);
+        start();
+        awaitReady();
+    }
+
     void awaitReady() {
         long until = System.nanoTime() + READY_TIMEOUT_MS * 1_000_000;
         while (Http.call(new InetSocketAddress(ip, readyPort), "GET", "/v1/readiness", List.of(), new byte[0], 1000)
