End the trial of an ejected upstream with its holder or its time

Cause: an ejection noted that a trial was in flight, not whose it was. Only a result ended the trial, and the results of a lost node are never reported; SlotScheduler.left removed its leases and told UpstreamHealth nothing.

Change: Ejections, a pure class, says for each upstream whether it may be tried, by whom and until when. A trial is a claim of one lease of one node.

--- a/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
@@ -61,7 +61,8 @@
     private long nextLease;
     private int nextEngine;
 
-    private record Grant(String node, String upstream, Optional<ItemRef> item, boolean local) {}
+    private record Grant(
+            String node, String upstream, Optional<ItemRef> item, Optional<LocalPlacement.Placed> placedLocally) {}
 
     /** Receives the decision on an online request. */
     interface SlotWaiter {
@@ -127,7 +128,7 @@
             List<Holding> holdings = new ArrayList<>();
             String name = nodeName(node);
             grants.forEach((lease, grant) -> {
-                if (grant.node().equals(name) && !grant.local()) {
+                if (grant.node().equals(name) && !grant.placedLocally().isPresent()) {
                     holdings.add(new Holding(lease, grant.upstream(), grant.item()));
                 }
             });
@@ -219,21 +220,22 @@
     private void placeLocally(int node, long lease, SlotWaiter waiter) {
         LocalPlacement placement = placements.computeIfAbsent(
                 nodeName(node), name -> new LocalPlacement(time, directory, health, domain(node), () -> 0.5));
-        Optional<Upstream> picked = placement.pick(SERVICE, Set.of(), Optional.empty());
+        Optional<LocalPlacement.Placed> picked = placement.pick(SERVICE, Set.of(), Optional.empty());
         if (picked.isEmpty()) {
             waiter.rejected(options.minRetryAfter());
             return;
         }
-        grants.put(lease, new Grant(nodeName(node), picked.get().id(), Optional.empty(), true));
-        waiter.granted(picked.get().id());
+        String upstream = picked.get().upstream().id();
+        grants.put(lease, new Grant(nodeName(node), upstream, Optional.empty(), picked));
+        waiter.granted(upstream);
     }
 
     /** Releases a slot, or withdraws a request for one. */
     void release(int node, long lease, ReleaseReason reason, int keptEvents) {
         waiters.remove(lease);
         Grant grant = grants.remove(lease);
-        if (grant != null && grant.local()) {
-            placements.get(grant.node()).requestEnded(grant.upstream(), reason);
+        if (grant != null && grant.placedLocally().isPresent()) {
+            placements.get(grant.node()).requestEnded(grant.placedLocally().get(), reason);
             return;
         }
         String name = grant == null ? nodeName(node) : grant.node();
@@ -306,7 +308,7 @@
         time.after(pattern.schedulerDelayMillis(), () -> {
             SlotWaiter waiter = waiters.remove(lease);
             if (waiter != null) {
-                grants.put(lease, new Grant(node, upstream, Optional.empty(), false));
+                grants.put(lease, new Grant(node, upstream, Optional.empty(), Optional.empty()));
                 waiter.granted(upstream);
             }
         });
@@ -322,7 +324,7 @@
     @Override
     public void run(String node, long lease, String upstream, ItemRef item) {
         time.after(pattern.schedulerDelayMillis(), () -> {
-            grants.put(lease, new Grant(node, upstream, Optional.of(item), false));
+            grants.put(lease, new Grant(node, upstream, Optional.of(item), Optional.empty()));
             items.run(lease, upstream, item);
         });
     }
--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -94,8 +94,8 @@
 
     private boolean modelEngines;
 
-    /** Whether {@link LocalPlacement} counts the request at its current upstream. */
-    private boolean countedLocally;
+    /** The placement of the request at its current upstream if this node chose that, else null. */
+    private LocalPlacement.Placed placedLocally;
 
     /** Whether the request has been admitted by the quota of its workspace. */
     private boolean charged;
@@ -204,7 +204,7 @@
      * Returns whether this node chooses the upstream itself. Slots of engines, and requests to upstreams with a limit,
      * are counted by the scheduler, for all nodes.
      */
-    private boolean placedLocally() {
+    private boolean placesLocally() {
         return !modelEngines && !context.directory().limited(service);
     }
 
@@ -212,7 +212,7 @@
         if (remaining().isZero() || rejectedForCrashes() || rejectedForKey()) {
             return;
         }
-        if (placedLocally()) {
+        if (placesLocally()) {
             if (toBeCharged()) {
                 context.slots().admit(caller.workspace(), new QuotaAnswer());
                 return;
@@ -221,12 +221,12 @@
                 context.slots().findVersion(service, origin.get(), this::originFound);
                 return;
             }
-            Optional<Upstream> picked = context.placement().pick(service, excluded, requiredVersion());
+            Optional<LocalPlacement.Placed> picked = context.placement().pick(service, excluded, requiredVersion());
             if (picked.isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
             } else {
-                countedLocally = true;
-                send(picked.get());
+                placedLocally = picked.get();
+                send(placedLocally.upstream());
             }
             return;
         }
@@ -435,7 +435,7 @@
         if (now - lastSuspectNanos >= SILENCE_TIMEOUT.toNanos()) {
             lastSuspectNanos = now;
             context.connections().upstreamSilent(upstream);
-            if (!countedLocally) {
+            if (placedLocally == null) {
                 context.slots().suspect(upstream.id());
             }
         }
@@ -454,10 +454,10 @@
         }
         Set<String> unusable = new HashSet<>(excluded);
         unusable.add(upstream.id());
-        if (placedLocally()) {
+        if (placesLocally()) {
             context.placement()
                     .pick(service, unusable, requiredVersion())
-                    .ifPresent(target -> replaceSilentUpstream(target, -1));
+                    .ifPresent(placed -> replaceSilentUpstream(placed.upstream(), -1, placed));
             return;
         }
         replacementLease = context.slots().newLease();
@@ -488,16 +488,16 @@
         }
         long granted = replacementLease;
         replacementLease = -1;
-        replaceSilentUpstream(found.get(), granted);
+        replaceSilentUpstream(found.get(), granted, null);
     }
 
-    private void replaceSilentUpstream(Upstream target, long targetLease) {
+    private void replaceSilentUpstream(Upstream target, long targetLease, LocalPlacement.Placed placed) {
         exchange.cancel();
         recordFailure(SendFailure.LOST, ReleaseReason.UPSTREAM_UNREACHABLE, "silent");
         possibleRuns++;
         logSentAgain(SendFailure.LOST, "silent");
         lease = targetLease;
-        countedLocally = targetLease < 0;
+        placedLocally = placed;
         send(target);
     }
 
@@ -718,9 +718,10 @@
         exchange = null;
         releaseReplacement(ReleaseReason.CANCELLED);
         releaseSlot(reason);
-        if (countedLocally) {
-            countedLocally = false;
-            context.placement().requestEnded(upstream.id(), reason);
+        if (placedLocally != null) {
+            LocalPlacement.Placed ended = placedLocally;
+            placedLocally = null;
+            context.placement().requestEnded(ended, reason);
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/LocalPlacement.java
@@ -2,6 +2,7 @@
 
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.serving.upstreams.RequestRates;
+import dev.lavenderline.serving.upstreams.TrialHolder;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -34,6 +35,14 @@
     private final RequestRates rates;
     private IntSupplier nodeCount = () -> 1;
     private final Map<String, Integer> inFlight = new HashMap<>();
+    private long lastNumber;
+
+    /**
+     * A request that this node has placed itself; {@link #requestEnded} has to be called with it once.
+     *
+     * @param number unique on this node
+     */
+    public record Placed(Upstream upstream, long number) {}
 
     public LocalPlacement(
             Ticker ticker,
@@ -59,11 +68,11 @@
     }
 
     /**
-     * Returns the upstream for a request and counts the request, or empty if no upstream can take it.
+     * Places a request and counts it at its upstream; empty if no upstream can take it.
      *
      * @param version software version that the upstream must have, empty if any will do
      */
-    public Optional<Upstream> pick(String service, Set<String> excluded, Optional<String> version) {
+    public Optional<Placed> pick(String service, Set<String> excluded, Optional<String> version) {
         Upstream best = null;
         double lowestLoad = Double.POSITIVE_INFINITY;
         List<Upstream> open = directory.open(service);
@@ -86,19 +95,27 @@
             return Optional.empty();
         }
         inFlight.merge(best.id(), 1, Integer::sum);
-        health.sent(best.id());
+        Placed placed = new Placed(best, ++lastNumber);
+        health.sent(best.id(), holder(placed));
         rates.sent(best);
-        return Optional.of(best);
+        return Optional.of(placed);
     }
 
     /** Records the end of a request that {@link #pick} counted. */
-    public void requestEnded(String upstream, ReleaseReason reason) {
+    public void requestEnded(Placed placed, ReleaseReason reason) {
+        String upstream = placed.upstream().id();
         inFlight.computeIfPresent(upstream, (id, count) -> count <= 1 ? null : count - 1);
         switch (reason) {
             case COMPLETED -> health.succeeded(upstream);
-            case ANSWER_LOST, UPSTREAM_FAILED -> health.failed(upstream, directory.openInSameService(upstream));
+            case ANSWER_LOST, UPSTREAM_FAILED ->
+                health.failed(upstream, holder(placed), directory.openInSameService(upstream));
             case UPSTREAM_UNREACHABLE, UPSTREAM_GONE -> health.unreachable(upstream);
-            default -> health.inconclusive(upstream);
+            default -> health.inconclusive(upstream, holder(placed));
         }
     }
+
+    /** Returns the holder of a trial; the requests of other nodes are not known here. */
+    private static TrialHolder holder(Placed placed) {
+        return new TrialHolder("", placed.number());
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -9,7 +9,6 @@
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
-import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import dev.lavenderline.serving.workspaces.QuotaClient;
@@ -84,7 +83,7 @@
     private final NetClient netClient;
     private final Map<Long, Pending> pending = new HashMap<>();
     private final Map<Long, Holding> heldSlots = new HashMap<>();
-    private final Map<Long, String> localPlacements = new HashMap<>();
+    private final Map<Long, LocalPlacement.Placed> localPlacements = new HashMap<>();
 
     private ItemExecutor executor;
     private Connection current;
@@ -522,18 +521,19 @@
         }
         long lease = request.lease();
         pending.remove(lease);
-        Optional<Upstream> upstream = quotas.mayRun(request)
+        Optional<LocalPlacement.Placed> placed = quotas.mayRun(request)
                 ? placement.pick(request.service(), request.excluded(), version)
                 : Optional.empty();
-        if (upstream.isEmpty()) {
+        if (placed.isEmpty()) {
             entry.listener().rejected(Duration.ofSeconds(1));
             return;
         }
         quotas.run(request);
         scheduler.resumptions().continued(request);
-        localPlacements.put(lease, upstream.get().id());
-        heldSlots.put(lease, new Holding(lease, upstream.get().id(), Optional.empty()));
-        entry.listener().granted(upstream.get().id());
+        String upstream = placed.get().upstream().id();
+        localPlacements.put(lease, placed.get());
+        heldSlots.put(lease, new Holding(lease, upstream, Optional.empty()));
+        entry.listener().granted(upstream);
     }
 
     @Override
@@ -550,9 +550,9 @@
     public void release(long lease, ReleaseReason reason, int keptEvents) {
         pending.remove(lease);
         heldSlots.remove(lease);
-        String upstream = localPlacements.remove(lease);
-        if (upstream != null) {
-            placement.requestEnded(upstream, reason);
+        LocalPlacement.Placed placed = localPlacements.remove(lease);
+        if (placed != null) {
+            placement.requestEnded(placed, reason);
         }
         if (current == null) {
             return;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.serving.slots.LeaseTable.NodeState;
 import dev.lavenderline.serving.slots.LeaseTable.Occupancy;
 import dev.lavenderline.serving.upstreams.RequestRates;
+import dev.lavenderline.serving.upstreams.TrialHolder;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -235,6 +236,7 @@
     /** Removes a node that is gone. */
     public void left(String name) {
         if (leases.removeNode(name)) {
+            health.nodeLeft(name);
             waiting.removeIf(request -> request.node().equals(name));
             progress.nodeLeft(name);
             decliningNodes.nodeLeft(name);
@@ -449,7 +451,7 @@
                 occupancy.total() - occupancy.onlineCount(),
                 prefixCached(upstream, request),
                 slowUpstreams.slow(upstream.id()),
-                health.suspected(upstream.id()),
+                health.suspected(upstream.id()) && !health.trialOverdue(upstream.id()),
                 rates.usedUp(upstream));
     }
 
@@ -470,7 +472,7 @@
                 "",
                 0,
                 false));
-        health.sent(upstream.id());
+        health.sent(upstream.id(), new TrialHolder(node.name, request.lease()));
         rates.sent(upstream);
         if (request.prefix() != 0) {
             prefixCache.record(request.prefix(), upstream.id());
@@ -596,21 +598,22 @@
 
     private void recordHealth(Lease lease, ReleaseReason reason) {
         String upstream = lease.upstream();
+        TrialHolder holder = new TrialHolder(lease.node().name, lease.number());
         Optional<Duration> ejection = Optional.empty();
         switch (reason) {
             case COMPLETED -> health.succeeded(upstream);
             case ANSWER_LOST, UPSTREAM_FAILED ->
-                ejection = health.failed(upstream, directory.openInSameService(upstream));
+                ejection = health.failed(upstream, holder, directory.openInSameService(upstream));
             case UPSTREAM_FULL -> {
                 if (hasFreeSlot(upstream) && !limited(upstream)) {
-                    ejection = health.failed(upstream, directory.openInSameService(upstream));
+                    ejection = health.failed(upstream, holder, directory.openInSameService(upstream));
                 } else {
-                    health.inconclusive(upstream);
+                    health.inconclusive(upstream, holder);
                 }
             }
             case UPSTREAM_UNREACHABLE -> ejection = health.unreachable(upstream);
             case UPSTREAM_GONE -> ejection = Optional.of(health.ejectLeaving(upstream));
-            default -> health.inconclusive(upstream);
+            default -> health.inconclusive(upstream, holder);
         }
         ejection.ifPresent(
                 delay -> log.event(ServingEvent.UPSTREAM_EJECTED, "upstream", upstream, "cause", reason, "ms", delay));
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
@@ -8,8 +8,9 @@
 import java.util.Optional;
 
 /**
- * Ejects upstreams whose requests fail and admits one trial request after a delay that doubles with each further
- * failure. Active health checks are not used: each has a cost, and its result may be wrong.
+ * Decides when an upstream whose requests fail is ejected, and for how long: the delay until its first trial doubles
+ * with each further failure. {@link Ejections} decides on the trials. Active health checks are not used: each has a
+ * cost, and its result may be wrong.
  *
  * <p>Ejects an engine that crashed or became unreachable while requests keep arriving, and one that fails many of its
  * requests, which would otherwise attract even more because its slots free up quickly. An engine that loses a few
@@ -41,62 +42,56 @@
 
     private final Ticker ticker;
     private final Map<String, Long> respondedNanos = new HashMap<>();
-    private final Map<String, Ejection> ejections = new HashMap<>();
+    private final Ejections ejections;
     private final Map<String, Double> failureRates = new HashMap<>();
     private final Map<String, Integer> consecutiveUnreachable = new HashMap<>();
 
     /** The last ejection of each upstream, also after it ended: the next delay is based on it. */
-    private final Map<String, Ejection> lastEjections = new HashMap<>();
+    private final Map<String, LastEjection> lastEjections = new HashMap<>();
 
-    /**
-     * A period in which an upstream gets no requests except for a single trial at its end.
-     *
-     * @param untilNanos time from which a trial request is admitted
-     * @param trial whether the trial request is in flight
-     * @param ignoresEarlyResponses whether it lasts until {@code untilNanos} even if requests already in flight succeed
-     */
-    private record Ejection(
-            long untilNanos, long delayNanos, long ejectedNanos, boolean trial, boolean ignoresEarlyResponses) {
-        Ejection withTrial(boolean value) {
-            return new Ejection(untilNanos, delayNanos, ejectedNanos, value, ignoresEarlyResponses);
-        }
-    }
+    private record LastEjection(long ejectedNanos, Duration delay) {}
 
     public UpstreamHealth(Ticker ticker) {
         this.ticker = ticker;
+        this.ejections = new Ejections(ticker);
     }
 
-    /** Returns whether a request may be sent: the upstream is not ejected, or its trial request is due. */
+    /** Returns whether a request may be sent: the upstream is not ejected, or a trial is due. */
     public boolean usable(String upstream) {
-        Ejection ejection = ejections.get(upstream);
-        return ejection == null || (ticker.nanos() - ejection.untilNanos() >= 0 && !ejection.trial());
+        return !suspected(upstream) || ejections.trialDue(upstream);
     }
 
-    /** Returns whether an upstream is ejected and has not passed its trial. */
+    /** Returns whether an upstream is ejected, so that each request is a trial. */
     public boolean suspected(String upstream) {
-        return ejections.containsKey(upstream);
+        return ejections.ejected(upstream);
     }
 
-    /** Records that a request was sent; to an ejected upstream this is the trial, and no other is admitted. */
-    public void sent(String upstream) {
-        ejections.computeIfPresent(upstream, (id, before) -> before.withTrial(true));
+    /** Returns whether a trial is due that no request has made, although it has been possible for some time. */
+    public boolean trialOverdue(String upstream) {
+        return ejections.trialOverdue(upstream);
+    }
+
+    /** Records that a request or an item was sent; to an ejected upstream this is the trial. */
+    public void sent(String upstream, TrialHolder holder) {
+        ejections.tried(upstream, holder);
     }
 
     /** Records a complete response. */
     public void succeeded(String upstream) {
-        long now = ticker.nanos();
-        Ejection ejection = ejections.get(upstream);
-        if (ejection != null && (!ejection.ignoresEarlyResponses() || now - ejection.untilNanos() >= 0)) {
-            ejections.remove(upstream);
-        }
+        ejections.succeeded(upstream);
         failureRates.computeIfPresent(upstream, (id, rate) -> rate * (1 - NEWEST_WEIGHT));
         consecutiveUnreachable.remove(upstream);
-        respondedNanos.put(upstream, now);
+        respondedNanos.put(upstream, ticker.nanos());
     }
 
-    /** Records that a request ended in a way that says nothing about the upstream; a new trial is admitted. */
-    public void inconclusive(String upstream) {
-        ejections.computeIfPresent(upstream, (id, before) -> before.withTrial(false));
+    /** Records that a request ended in a way that says nothing about the upstream; if a trial, another is admitted. */
+    public void inconclusive(String upstream, TrialHolder holder) {
+        ejections.ended(upstream, holder);
+    }
+
+    /** Records that a node is gone, or reports to another scheduler now, and with it the results of its trials. */
+    public void nodeLeft(String node) {
+        ejections.nodeLeft(node);
     }
 
     /**
@@ -106,12 +101,12 @@
      *
      * @param service the upstreams of the same service
      */
-    public Optional<Duration> failed(String upstream, Collection<Upstream> service) {
+    public Optional<Duration> failed(String upstream, TrialHolder holder, Collection<Upstream> service) {
         long othersEjected = service.stream()
                 .filter(other -> !other.id().equals(upstream) && suspected(other.id()))
                 .count();
         if (2 * (othersEjected + 1) > service.size()) {
-            inconclusive(upstream);
+            inconclusive(upstream, holder);
             return Optional.empty();
         }
         double rate = failureRates.getOrDefault(upstream, 0.0) * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
@@ -139,31 +134,36 @@
 
     /** Ejects an upstream that is leaving although its entry does not say so yet; returns the delay. */
     public Duration ejectLeaving(String upstream) {
-        long now = ticker.nanos();
-        long delay = MAX_DELAY.toNanos();
-        ejections.put(upstream, new Ejection(now + delay, delay, now, false, false));
+        ejections.eject(upstream, MAX_DELAY, false);
         return MAX_DELAY;
     }
 
     private Duration eject(String upstream, boolean ignoresEarlyResponses) {
         long now = ticker.nanos();
-        Ejection last = lastEjections.get(upstream);
-        long delay = BASE_DELAY.toNanos();
-        if (last != null && now - last.untilNanos() < 0) {
-            delay = last.delayNanos();
-        } else if (last != null && now - last.ejectedNanos() < BACKOFF_RESET.toNanos()) {
-            delay = Math.min(last.delayNanos() * 2, MAX_DELAY.toNanos());
-        }
-        Ejection ejection = new Ejection(now + delay, delay, now, false, ignoresEarlyResponses);
+        Duration delay = delay(Optional.ofNullable(lastEjections.get(upstream)), now);
         consecutiveUnreachable.remove(upstream);
-        ejections.put(upstream, ejection);
-        lastEjections.put(upstream, ejection);
-        return Duration.ofNanos(delay);
+        ejections.eject(upstream, delay, ignoresEarlyResponses);
+        lastEjections.put(upstream, new LastEjection(now, delay));
+        return delay;
+    }
+
+    private static Duration delay(Optional<LastEjection> last, long now) {
+        Duration since = last.map(ejection -> Duration.ofNanos(now - ejection.ejectedNanos()))
+                .orElse(BACKOFF_RESET);
+        if (since.compareTo(BACKOFF_RESET) >= 0) {
+            return BASE_DELAY;
+        }
+        Duration previous = last.orElseThrow().delay();
+        Duration doubled = previous.multipliedBy(2);
+        if (since.compareTo(previous) < 0) {
+            return previous;
+        }
+        return doubled.compareTo(MAX_DELAY) < 0 ? doubled : MAX_DELAY;
     }
 
     /** Discards the state of all upstreams except the given ones. */
     public void retain(Collection<String> upstreams) {
-        ejections.keySet().retainAll(upstreams);
+        ejections.retain(upstreams);
         failureRates.keySet().retainAll(upstreams);
         consecutiveUnreachable.keySet().retainAll(upstreams);
         lastEjections.keySet().retainAll(upstreams);
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamHealthTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamHealthTest.java
@@ -18,6 +18,8 @@
     private static final List<Upstream> LARGE_SERVICE =
             IntStream.range(0, 20).mapToObj(i -> upstream("e" + i)).toList();
 
+    private static final TrialHolder HOLDER = new TrialHolder("n", 1);
+
     private final ManualTime time = new ManualTime();
     private final UpstreamHealth health = new UpstreamHealth(time);
 
@@ -27,7 +29,7 @@
         assertFalse(health.usable("e"));
         time.advance(UpstreamHealth.BASE_DELAY);
         assertTrue(health.usable("e"));
-        health.sent("e");
+        health.sent("e", HOLDER);
         assertFalse(health.usable("e"), "only one trial request at a time");
         health.succeeded("e");
         assertTrue(health.usable("e"));
@@ -38,7 +40,7 @@
         Duration delay = health.unreachable("e").orElseThrow();
         for (int i = 0; i < 6; i++) {
             time.advance(delay);
-            health.sent("e");
+            health.sent("e", HOLDER);
             delay = health.unreachable("e").orElseThrow();
         }
         assertEquals(UpstreamHealth.MAX_DELAY, delay);
@@ -82,7 +84,7 @@
         for (int i = 0; i < 20_000; i++) {
             if (random.nextDouble() >= 0.05) {
                 health.succeeded("e");
-            } else if (health.failed("e", LARGE_SERVICE).isPresent()) {
+            } else if (health.failed("e", HOLDER, LARGE_SERVICE).isPresent()) {
                 ejections++;
                 time.advance(UpstreamHealth.MAX_DELAY);
                 health.succeeded("e");
@@ -95,7 +97,7 @@
     void everyTenthResponseLostDoesNotEject() {
         for (int i = 0; i < 200; i++) {
             if (i % 10 == 0) {
-                assertTrue(health.failed("e", LARGE_SERVICE).isEmpty());
+                assertTrue(health.failed("e", HOLDER, LARGE_SERVICE).isEmpty());
             } else {
                 health.succeeded("e");
             }
@@ -105,9 +107,9 @@
 
     @Test
     void consecutiveLostResponsesEject() {
-        health.failed("e", LARGE_SERVICE);
-        health.failed("e", LARGE_SERVICE);
-        assertTrue(health.failed("e", LARGE_SERVICE).isPresent());
+        health.failed("e", HOLDER, LARGE_SERVICE);
+        health.failed("e", HOLDER, LARGE_SERVICE);
+        assertTrue(health.failed("e", HOLDER, LARGE_SERVICE).isPresent());
         assertFalse(health.usable("e"));
     }
 
@@ -124,10 +126,10 @@
                 if (!tracker.usable("e")) {
                     continue;
                 }
-                tracker.sent("e");
+                tracker.sent("e", HOLDER);
                 sent++;
                 if (random.nextDouble() < 0.4) {
-                    tracker.failed("e", LARGE_SERVICE);
+                    tracker.failed("e", HOLDER, LARGE_SERVICE);
                 } else {
                     tracker.succeeded("e");
                 }
@@ -140,7 +142,7 @@
     @Test
     void successOfARequestInFlightDoesNotEndTheEjectionOfAFailingEngine() {
         for (int i = 0; i < 3; i++) {
-            health.failed("e", LARGE_SERVICE);
+            health.failed("e", HOLDER, LARGE_SERVICE);
         }
         health.succeeded("e");
         assertFalse(health.usable("e"));
@@ -153,7 +155,7 @@
         List<Upstream> service = List.of(upstream("a"), upstream("b"), upstream("c"), upstream("d"));
         for (Upstream upstream : service) {
             for (int i = 0; i < 10; i++) {
-                health.failed(upstream.id(), service);
+                health.failed(upstream.id(), HOLDER, service);
             }
         }
         assertEquals(
@@ -166,11 +168,11 @@
     void failedTrialEjectsAgainAlthoughTheServiceIsSmall() {
         List<Upstream> service = List.of(upstream("a"), upstream("b"));
         for (int i = 0; i < 3; i++) {
-            health.failed("a", service);
+            health.failed("a", HOLDER, service);
         }
         time.advance(UpstreamHealth.BASE_DELAY);
-        health.sent("a");
-        assertTrue(health.failed("a", service).isPresent());
+        health.sent("a", HOLDER);
+        assertTrue(health.failed("a", HOLDER, service).isPresent());
         assertFalse(health.usable("a"));
     }
 
