Let batch items try ejected upstreams

Cause: SlotScheduler.mayRunItems excluded each ejected upstream, so that only an online request could be the trial that ends an ejection.

Change: an item is the trial of an ejected upstream if no online request has tried it within a second after that was possible. Online requests come first, since their results are known sooner. The trial counts beside the slots that items leave free for online requests, so that full engines do not prevent it.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -756,13 +756,16 @@
     private int itemCapacity(String service) {
         int free = 0;
         int slots = 0;
+        int trials = 0;
         for (Upstream upstream : directory.open(service)) {
-            if (mayRunItems(upstream)) {
+            if (mayTryWithItem(upstream)) {
+                trials += Math.min(1, Math.max(0, itemCapacity(upstream)));
+            } else if (mayRunItems(upstream)) {
                 slots += upstream.slots();
                 free += Math.max(0, itemCapacity(upstream));
             }
         }
-        return free - slots * options.reservePercent() / 100;
+        return Math.max(0, free - slots * options.reservePercent() / 100) + trials;
     }
 
     private int freeForItems(Upstream upstream) {
@@ -775,23 +778,38 @@
     }
 
     private boolean mayRunItems(Upstream upstream) {
-        return health.usable(upstream.id()) && !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
+        return !health.suspected(upstream.id()) && !slowUpstreams.slow(upstream.id());
     }
 
-    /** Returns the upstream of a service with the most free slots for items of a size, empty if none is free. */
+    /**
+     * Returns whether an item may be the trial of an ejected upstream. Online requests come first, as their results are
+     * known sooner, but there may be none.
+     */
+    private boolean mayTryWithItem(Upstream upstream) {
+        return health.trialOverdue(upstream.id());
+    }
+
+    /**
+     * Returns an ejected upstream of a service that an item has to try, else the one with the most free slots; empty if
+     * none is free for an item of the size.
+     */
     private Optional<Upstream> freestForItems(String service, int tokens, Predicate<Upstream> condition) {
         Upstream best = null;
         int bestFree = 0;
         for (Upstream upstream : directory.open(service)) {
+            boolean trial = mayTryWithItem(upstream);
             int free = freeForItems(upstream);
-            if (free > bestFree
+            if (free > (trial ? 0 : bestFree)
                     && rates.itemsThatMayStart(upstream) > 0
                     && EngineMemory.fits(
                             memoryTokens.applyAsLong(service),
                             leases.occupancy(upstream.id()).tokens(),
                             tokens)
-                    && mayRunItems(upstream)
+                    && (trial || mayRunItems(upstream))
                     && condition.test(upstream)) {
+                if (trial) {
+                    return Optional.of(upstream);
+                }
                 best = upstream;
                 bestFree = free;
             }
@@ -830,6 +848,7 @@
                     .orElse(Duration.ZERO);
             itemOrder.charge(item.workspace(), itemTimes.tokensLeft(service, item.tokens(), ran));
         }
+        health.sent(best.id(), new TrialHolder(node.name, lease.number()));
         rates.sent(best);
         decisions.run(node.name, lease.number(), best.id(), item.item());
         return true;
--- a/serving/src/test/java/dev/lavenderline/serving/slots/EjectedUpstreamTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/EjectedUpstreamTest.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.slots;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.logging.EventLog;
@@ -12,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -84,6 +86,18 @@
                 Optional.empty()));
     }
 
+    private void addItems(int count) {
+        int first = backlog.size();
+        for (int i = first; i < first + count; i++) {
+            backlog.add(new BacklogItem(
+                    new ItemRef("job", i),
+                    Map.of("s", 1),
+                    Duration.ofSeconds(18).toNanos(),
+                    "",
+                    0));
+        }
+    }
+
     private void release(Order order, ReleaseReason reason) {
         scheduler.released(order.node(), order.lease(), reason, 0);
     }
@@ -101,6 +115,23 @@
         throw new AssertionError("no order within " + RETURN_TIME);
     }
 
+    /** Review case 6: without online requests, nothing ended the ejection of an engine that items had found silent. */
+    @Test
+    void itemsTryTheEnginesOfABatchOnlyService() {
+        start(2);
+        addItems(20);
+        for (int i = 0; i < 8; i++) {
+            Order order = awaitOrder(() -> {});
+            release(order, ReleaseReason.UPSTREAM_UNREACHABLE);
+        }
+        int completed = 0;
+        while (completed < 20) {
+            release(awaitOrder(() -> {}), ReleaseReason.COMPLETED);
+            scheduler.resultRecorded(backlog.remove(0).item());
+            completed++;
+        }
+    }
+
     /** Review case 7: the loss of the node that tried the engine left it in a trial for good. */
     @Test
     void engineIsTriedAgainIfTheNodeOfItsTrialIsLost() {
@@ -132,4 +163,29 @@
         awaitOrder(() -> acquire("n2"));
         assertEquals("n1", awaitOrder(() -> acquire("n1")).node());
     }
+
+    /** The same for an item, whose node declines it or has it preempted. */
+    @Test
+    void engineIsTriedAgainIfTheItemOfATrialIsNotRun() {
+        start(1);
+        addItems(3);
+        release(awaitOrder(() -> {}), ReleaseReason.UPSTREAM_UNREACHABLE);
+        for (ReleaseReason reason : List.of(ReleaseReason.NODE_DECLINED, ReleaseReason.CANCELLED)) {
+            release(awaitOrder(() -> {}), reason);
+        }
+        awaitOrder(() -> {});
+    }
+
+    /** An item that tries an engine does not keep the slots of the others from online requests. */
+    @Test
+    void ejectedEngineGetsOneItem() {
+        start(1);
+        addItems(10);
+        scheduler.schedule();
+        List.copyOf(orders).forEach(order -> release(order, ReleaseReason.UPSTREAM_UNREACHABLE));
+        orders.clear();
+        awaitOrder(() -> {});
+        scheduler.schedule();
+        assertTrue(orders.isEmpty(), "only one trial at a time");
+    }
 }
