--- a/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
+++ b/emulator/src/main/java/dev/lavenderline/emulator/Fleet.java
@@ -128,7 +128,7 @@
             List<Holding> holdings = new ArrayList<>();
             String name = nodeName(node);
             grants.forEach((lease, grant) -> {
-                if (grant.node().equals(name) && !grant.placedLocally().isPresent()) {
+                if (grant.node().equals(name) && grant.placedLocally().isEmpty()) {
                     holdings.add(new Holding(lease, grant.upstream(), grant.item()));
                 }
             });
