Release the slot of an item whose start or request throws

Cause: an order to run an item was carried out without a guard, and the failure of a run's send was only logged. The run, its lease and its slot at the engine then stayed until the node or the scheduler was replaced, and the item was not run elsewhere. Found by reading for states that wait for an event; not seen in a deployment.

Change: SchedulerClient declines an item whose start throws, and ItemRunner ends a run whose request can't be built.

DeclinedItemsTest and SchedulerClientTest, one new test each: fail without the change (no release), pass with it. DeclinedItemsTest logs fields without a value as well now.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -3,6 +3,7 @@
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.jobs.ItemResult;
 import dev.lavenderline.proto.jobs.JobItem;
+import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.online.CallContext;
 import dev.lavenderline.serving.online.ContinuationEnd;
@@ -234,7 +235,7 @@
         void start() {
             idleTimer = context.timers().after(CONTENT_TIMEOUT, () -> contentNotRead("no response yet"));
             store.item(job, ref.index())
-                    .onSuccess(this::send)
+                    .onSuccess(this::sendUnlessItFails)
                     .onFailure(failure -> contentNotRead(failure.getMessage()));
         }
 
@@ -242,6 +243,13 @@
             finish(ReleaseReason.CONTENT_UNREADABLE, true, cause);
         }
 
+        /** Sends the item; ends the run if that throws, as nothing else would release its slot. */
+        private void sendUnlessItFails(JobItem content) {
+            if (!FailureGuard.run(context.log(), () -> send(content), "job", ref.job(), "index", ref.index())) {
+                stop(ReleaseReason.CONTENT_UNREADABLE, true);
+            }
+        }
+
         private void send(JobItem content) {
             if (runs.get(lease) != this) {
                 return;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -735,7 +735,10 @@
             return;
         }
         heldSlots.put(lease, new Holding(lease, upstream, Optional.of(item)));
-        executor.run(lease, upstream, item);
+        Runnable start = () -> executor.run(lease, upstream, item);
+        if (!FailureGuard.run(log, start, "job", item.job(), "index", item.index())) {
+            release(lease, ReleaseReason.NODE_DECLINED, 0);
+        }
     }
 
     @Override
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -25,6 +25,7 @@
 import dev.lavenderline.serving.workspaces.QuotaClient;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -62,7 +63,7 @@
                     null,
                     time,
                     time,
-                    (event, fields) -> logged.add(event + " " + List.of(fields)),
+                    (event, fields) -> logged.add(event + " " + Arrays.asList(fields)),
                     metrics,
                     null,
                     bound -> 0),
@@ -191,4 +192,15 @@
         time.advance(Duration.ofMillis(500));
         assertDeclined("e1", ReleaseReason.CANCELLED, "item is already settled");
     }
+
+    /** Guards against a run, and so a slot of the scheduler, that never ends because its request can't be built. */
+    @Test
+    void itemWhoseRequestCannotBeBuiltReleasesItsSlot() {
+        acceptJob();
+        // This context has no wire format, so that sending the item throws.
+        runner.run(1, "e1", ITEM);
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of(ReleaseReason.CONTENT_UNREADABLE), releases);
+        assertEquals(0, runner.running());
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SchedulerClientTest.java
@@ -184,6 +184,46 @@
         assertTrue(received.stream().noneMatch(frame -> frame.hasAcquire() || frame.hasRelease()), received::toString);
     }
 
+    /** Guards against a slot that is held for good because the start of its item throws. */
+    @Test
+    void itemWhoseStartThrowsReleasesItsSlot() throws Exception {
+        NodeEntry self = new NodeEntry("self", LOOPBACK, 1, "a", 0, 1);
+        List<SlotFrame> received = new CopyOnWriteArrayList<>();
+        int port = vertx.createNetServer()
+                .connectHandler(socket -> socket.handler(new SlotFrames.Decoder(
+                        frame -> {
+                            received.add(frame);
+                            if (frame.hasPing()) {
+                                socket.write(SlotFrames.pong(1, Duration.ZERO, ConfigStatement.NONE, 0));
+                            } else if (frame.hasHello()) {
+                                socket.write(SlotFrames.run(7, "e1", new ItemRef("job", 0)));
+                            }
+                        },
+                        problem -> {})))
+                .listen(0, LOOPBACK)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join()
+                .actualPort();
+        context.runOnContext(now -> {
+            SchedulerClient client = newClient(self);
+            client.start(new ItemExecutor() {
+                @Override
+                public void run(long lease, String upstream, ItemRef item) {
+                    throw new IllegalStateException("start failed");
+                }
+
+                @Override
+                public void preempt(long lease) {}
+            });
+            client.replaceNodes(List.of(self, new NodeEntry("n", LOOPBACK, port, "a", 0, 2)));
+        });
+        await().atMost(Duration.ofSeconds(20)).until(() -> received.stream().anyMatch(SlotFrame::hasRelease));
+        SlotFrame release =
+                received.stream().filter(SlotFrame::hasRelease).findFirst().orElseThrow();
+        assertEquals(7, release.getRelease().getLease());
+    }
+
     private static SlotRequest request(long lease) {
         return new SlotRequest(
                 "self", lease, "s", Duration.ofMillis(300), DEADLINE, Set.of(), 0, false, Optional.empty());
