Limit the time for which an upstream counts as leaving

Cause: an upstream that had said in a response that it is leaving got no further requests until it started again under its id. One that cancels its shutdown, or says so by mistake, stayed out for good, since only a response could show that. Found by reading; not seen in a deployment.

Change: what an upstream has said counts for 30 s, from its last statement to this node. What other nodes report again does not extend it.

UpstreamDirectoryTest: two new tests; without the limit, the upstream stays out in both.

--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamDirectory.java
@@ -31,6 +31,12 @@
     /** Time without a response after which the store counts as down; long polls return at least every second. */
     static final Duration OUTAGE_THRESHOLD = Duration.ofMillis(2000);
 
+    /**
+     * Time for which an upstream that has said that it is leaving gets no requests although it is listed as ready; far
+     * above the time within which it exits. After it, a request has to show whether it stays.
+     */
+    static final Duration LEAVING_PERIOD = Duration.ofSeconds(30);
+
     /** Number of ids of removed upstreams, and of notices, that are kept, the latest ones. */
     private static final int MAX_KEPT_IDS = 1000;
 
@@ -63,8 +69,14 @@
     private boolean outageSeen;
     private boolean loaded;
 
-    /** A notice, and since when this node has known that the upstream has a limit if the notice names one. */
-    private record Known(UpstreamNotice notice, long limitedSinceNanos) {}
+    /**
+     * A notice.
+     *
+     * @param limitedSinceNanos since when this node has known that the upstream has a limit, if the notice names one
+     * @param leavingSaidNanos when the upstream last said to this node that it is leaving, or when another node
+     *     reported that first, if the notice says so
+     */
+    private record Known(UpstreamNotice notice, long limitedSinceNanos, long leavingSaidNanos) {}
 
     public UpstreamDirectory(Ticker ticker) {
         this.ticker = ticker;
@@ -103,8 +115,8 @@
 
     /**
      * Records what an upstream has said of itself, to this node or another one. An upstream that is leaving gets no
-     * further requests, until it starts again under its id; a node that does not know that yet may still report its
-     * limit.
+     * further requests, until it starts again under its id or {@link #LEAVING_PERIOD} is over; a node that does not
+     * know that yet may still report its limit.
      *
      * @return whether that was not known
      */
@@ -121,7 +133,12 @@
             return false;
         }
         boolean limited = known != null && known.notice().limit().isPresent();
-        notices.put(merged.upstream(), new Known(merged, limited ? known.limitedSinceNanos() : ticker.nanos()));
+        notices.put(
+                merged.upstream(),
+                new Known(
+                        merged,
+                        limited ? known.limitedSinceNanos() : ticker.nanos(),
+                        leaving ? known.leavingSaidNanos() : ticker.nanos()));
         notifyListeners();
         return true;
     }
@@ -144,6 +161,11 @@
                 .filter(earlier -> sentNanos - earlier.limitedSinceNanos() < 0)
                 .map(earlier -> earlier.notice().limit())
                 .orElse(limit);
+        if (leaving) {
+            notices.computeIfPresent(
+                    upstream.id(),
+                    (id, earlier) -> new Known(earlier.notice(), earlier.limitedSinceNanos(), ticker.nanos()));
+        }
         UpstreamNotice notice = new UpstreamNotice(upstream.id(), upstream.startedMillis(), leaving, limitInForce);
         return note(notice) ? Optional.of(notice) : Optional.empty();
     }
@@ -177,8 +199,11 @@
     }
 
     private boolean draining(Upstream upstream) {
-        return upstream.draining()
-                || notice(upstream).map(UpstreamNotice::leaving).orElse(false);
+        return upstream.draining() || known(upstream).filter(this::leaving).isPresent();
+    }
+
+    private boolean leaving(Known known) {
+        return known.notice().leaving() && ticker.nanos() - known.leavingSaidNanos() < LEAVING_PERIOD.toNanos();
     }
 
     /** Handles the removal of an entry; ignores unknown ids. */
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/UpstreamDirectoryTest.java
@@ -174,4 +174,39 @@
         assertTrue(directory.find("old").isEmpty());
         assertTrue(directory.find("new").isPresent());
     }
+
+    /** An upstream may cancel its shutdown; nothing else would say that it takes requests again. */
+    @Test
+    void upstreamThatSaidThatItLeavesIsTriedAgainIfItStays() {
+        directory.put(upstream("e"));
+        directory.noteResponse(upstream("e"), true, OptionalDouble.empty(), time.nanos());
+        assertEquals(List.of(), directory.open("s"));
+        time.advance(UpstreamDirectory.LEAVING_PERIOD.minusMillis(1));
+        assertTrue(directory.drainingOrRemoved("e"));
+        time.advance(Duration.ofMillis(1));
+        assertFalse(directory.drainingOrRemoved("e"));
+        assertEquals(1, directory.open("s").size());
+        assertFalse(
+                directory
+                        .noteResponse(upstream("e"), true, OptionalDouble.empty(), time.nanos())
+                        .isPresent(),
+                "no news for others");
+        assertTrue(directory.drainingOrRemoved("e"), "it has said so again");
+    }
+
+    /** Nodes tell each other what they know, again with each change of the scheduler. */
+    @Test
+    void noticeOfAnotherNodeDoesNotKeepAnUpstreamOut() {
+        directory.put(upstream("e"));
+        UpstreamNotice notice = new UpstreamNotice("e", 0, true, OptionalDouble.empty());
+        assertTrue(directory.note(notice));
+        for (int i = 0; i < 4; i++) {
+            assertTrue(directory.drainingOrRemoved("e"));
+            time.advance(UpstreamDirectory.LEAVING_PERIOD.dividedBy(4));
+            assertFalse(directory.note(notice));
+        }
+        assertFalse(directory.drainingOrRemoved("e"));
+        assertFalse(directory.note(new UpstreamNotice("e", 0, false, OptionalDouble.empty())));
+        assertFalse(directory.drainingOrRemoved("e"));
+    }
 }
