Remove the registrations of nodes that are gone

Cause: a node removes its registration when it leaves in order, with one call to the store. Nobody removed that of a node that is killed for good, or that leaves while the store is down. Such registrations come first in the order of schedulers, as they are the oldest: with more of them than the backoff of 16 s covers, nodes would find no scheduler. They also count as nodes wherever shares and intervals depend on the number of nodes.

Change: the node whose scheduler is in use removes the registration of each node that has not used it for a minute; one that lives registers again. A node that leaves repeats the removal until the store confirms it.

The second interface's members expire by time already.

--- a/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
+++ b/serving/src/main/java/dev/lavenderline/serving/logging/ServingEvent.java
@@ -30,6 +30,7 @@
     STREAM_NOT_CONTINUED("LL-1435", "no upstream may continue a stream"),
     RESUMPTIONS_COUNTED("LL-1436", "resumed streams continued and refused"),
     VERSION_CONCLUDED("LL-1437", "resumed stream of unknown origin continues on the only version"),
+    REGISTRATION_REMOVED("LL-1438", "registration of a node that is gone removed"),
     UPSTREAM_EJECTED("LL-1440", "upstream ejected temporarily"),
     UPSTREAM_SLOW("LL-1441", "slow upstream temporarily limited to few requests"),
     PROMPT_REJECTED("LL-1442", "requests that crash upstreams are rejected from now on"),
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -380,6 +380,9 @@
             cleaner.run();
             promptRejections.deleteExpired();
             versionRecords.update();
+            registry.removeAbsent(slots.scheduler().nodeNames());
+        } else {
+            registry.forgetAbsences();
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/NodeRegistry.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -32,15 +33,26 @@
     private static final Duration POLL_PAUSE = Duration.ofMillis(500);
     private static final Duration REGISTER_RETRY_DELAY = Duration.ofMillis(500);
 
+    /**
+     * Time for which a node must have been missing from the scheduler before its registration is removed; far above the
+     * times of a restart, a suspension and a partition. A node that is removed and lives registers again.
+     */
+    static final Duration ABSENCE_PERIOD = Duration.ofMinutes(1);
+
+    private static final int MAX_PORT = 65_535;
+
     private final MetadataStore store;
     private final NodeEntry self;
+    private final Ticker ticker;
     private final Timers timers;
     private final EventLog log;
     private final Consumer<Collection<NodeEntry>> listener;
     private final PartitionFollower follower;
-    private static final int MAX_PORT = 65_535;
-
     private final Map<String, NodeEntry> nodes = new HashMap<>();
+
+    /** Since when registered nodes have been missing, by name. */
+    private final Map<String, Long> absentSinceNanos = new HashMap<>();
+
     private boolean stopped;
 
     public NodeRegistry(
@@ -52,6 +64,7 @@
             Consumer<Collection<NodeEntry>> listener) {
         this.store = store;
         this.self = self;
+        this.ticker = ticker;
         this.timers = timers;
         this.log = log;
         this.listener = listener;
@@ -82,11 +95,48 @@
                 .onFailure(failure -> timers.after(REGISTER_RETRY_DELAY, this::register));
     }
 
-    /** Stops watching and removes this node's registration. */
-    public Future<Long> deregister() {
+    /** Stops watching and removes this node's registration; repeats that until the store confirms it. */
+    public void deregister() {
         stopped = true;
         follower.stop();
-        return store.append(PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(self.name(), new byte[0])));
+        removeOwn();
+    }
+
+    private void removeOwn() {
+        remove(self.name()).onFailure(failure -> timers.after(REGISTER_RETRY_DELAY, this::removeOwn));
+    }
+
+    private Future<Long> remove(String node) {
+        return store.append(PARTITION, MetadataStore.ANY_END, List.of(new KeyedRecord(node, new byte[0])));
+    }
+
+    /**
+     * Removes the registrations of nodes that are gone without having removed theirs; call it every few seconds on the
+     * node whose scheduler is in use, and {@link #forgetAbsences} on the others.
+     *
+     * @param present names of the nodes that use this node's scheduler
+     */
+    public void removeAbsent(Set<String> present) {
+        long now = ticker.nanos();
+        absentSinceNanos.keySet().retainAll(nodes.keySet());
+        absentSinceNanos.keySet().removeAll(present);
+        for (String node : List.copyOf(nodes.keySet())) {
+            if (node.equals(self.name()) || present.contains(node)) {
+                continue;
+            }
+            long since = absentSinceNanos.computeIfAbsent(node, name -> now);
+            if (now - since >= ABSENCE_PERIOD.toNanos()) {
+                // Counts anew, so that a removal that the store does not confirm is repeated.
+                absentSinceNanos.put(node, now);
+                log.event(ServingEvent.REGISTRATION_REMOVED, "peer", node);
+                remove(node);
+            }
+        }
+    }
+
+    /** Forgets which nodes were missing, because another node's scheduler is in use. */
+    public void forgetAbsences() {
+        absentSinceNanos.clear();
     }
 
     @Override
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -18,10 +18,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 
 /**
  * Places online requests and batch items on the slots of engines.
@@ -249,6 +251,11 @@
         return leases.nodes().size();
     }
 
+    /** Returns the names of the nodes that use this scheduler. */
+    public Set<String> nodeNames() {
+        return leases.nodes().stream().map(node -> node.name).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Returns the number of online requests that wait for a slot. */
     public int waitingCount() {
         return waiting.size();
