Start items of idle services beside a backlog of late ones

Cause: without workspaces, a round kept 200 late items whatever their service, and ended once the services that it had offered items to were full. The late items of the busy service came first and were all that it saw.

Change: a round passes over items whose services are full, keeps late and urgent items for each set of services, and ends early only if all services of the backlog are full, which a visit of the whole backlog finds out every 300 ms.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/ItemOrder.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ItemOrder.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -46,7 +45,10 @@
     /** Growth of the unit in which tokens are stored, after which they are divided by it. */
     private static final double MAX_GROWTH = 1e9;
 
-    /** Number of late items, and of urgent ones, kept without workspaces; far more than slots are freed in a round. */
+    /**
+     * Number of late items, and of urgent ones, of the same services that are kept without workspaces; far more than
+     * slots are freed in a round.
+     */
     private static final int MAX_RANKED_ITEMS = 200;
 
     /** Items with a result that are remembered while no round visits the backlog. */
@@ -64,7 +66,7 @@
     /** Items that got a result since the last visit. */
     private final Set<ItemRef> done = new HashSet<>();
 
-    /** The sets of services of the kept items. */
+    /** The sets of services of the items that the last visit of the whole backlog has found. */
     private Set<Set<String>> services = Set.of();
 
     private long unitNanos;
@@ -149,15 +151,15 @@
      * Starts items in their order.
      *
      * @param hasCapacity returns whether one of the services can run an item
-     * @param full returns whether all services that items were offered to in this round are full
      */
-    void start(Predicate<Collection<String>> hasCapacity, BooleanSupplier full, Starter starter) {
+    void start(Predicate<Collection<String>> hasCapacity, Starter starter) {
         if (!backlog.shared()) {
-            forgetKept();
-            startByDueTime(full, starter);
+            groups.clear();
+            done.clear();
+            startByDueTime(hasCapacity, starter);
             return;
         }
-        if (outdated || ticker.nanos() - visitedNanos >= MAX_AGE.toNanos()) {
+        if (visitDue()) {
             visit();
         }
         while (startKept(hasCapacity, starter) && outdated) {
@@ -166,29 +168,63 @@
         outdated |= groups.isEmpty();
     }
 
-    /** Starts items in time in order of due times, then urgent ones, least urgent first, then late ones. */
-    private void startByDueTime(BooleanSupplier full, Starter starter) {
-        Deque<BacklogItem> urgent = new ArrayDeque<>();
-        List<BacklogItem> late = new ArrayList<>();
+    private boolean visitDue() {
+        return outdated || ticker.nanos() - visitedNanos >= MAX_AGE.toNanos();
+    }
+
+    /**
+     * Starts items in time in order of due times, then urgent ones, least urgent first, then late ones. Passes over
+     * items whose services are full. A round ends early if that holds for all services that items may run on, which a
+     * visit of the whole backlog collects from time to time.
+     */
+    private void startByDueTime(Predicate<Collection<String>> hasCapacity, Starter starter) {
+        boolean whole = visitDue();
+        Set<Set<String>> visited = new HashSet<>();
+        Map<Set<String>, RankedItems> ranked = new HashMap<>();
         backlog.visit(item -> {
+            Set<String> itemServices = item.services().keySet();
+            if (whole) {
+                visited.add(itemServices);
+            }
+            if (!hasCapacity.test(itemServices)) {
+                return whole || services.stream().anyMatch(hasCapacity::test);
+            }
             ItemRanking.Rank rank = ranking.apply(item);
-            if ((rank == ItemRanking.Rank.LATE && late.size() == MAX_RANKED_ITEMS) || !startable.test(item)) {
+            RankedItems sameServices = ranked.computeIfAbsent(itemServices, key -> new RankedItems());
+            if ((rank == ItemRanking.Rank.LATE && sameServices.late.size() == MAX_RANKED_ITEMS)
+                    || !startable.test(item)) {
                 return true;
             }
             switch (rank) {
-                case LATE -> late.add(item);
-                case URGENT -> {
-                    urgent.addFirst(item);
-                    if (urgent.size() > MAX_RANKED_ITEMS) {
-                        urgent.removeLast();
-                    }
-                }
+                case LATE -> sameServices.late.add(item);
+                case URGENT -> sameServices.addUrgent(item);
                 case IN_TIME -> starter.start(item);
             }
-            return !full.getAsBoolean();
+            return true;
         });
-        urgent.forEach(starter::start);
-        late.forEach(starter::start);
+        ranked.values().forEach(items -> items.urgent.forEach(starter::start));
+        ranked.values().forEach(items -> items.late.forEach(starter::start));
+        if (whole) {
+            services = visited;
+            visitedNanos = ticker.nanos();
+            outdated = false;
+        }
+    }
+
+    /** Items of the same services that start after those in time. */
+    private static final class RankedItems {
+        /** Least urgent first. */
+        final Deque<BacklogItem> urgent = new ArrayDeque<>();
+
+        /** In order of due times. */
+        final List<BacklogItem> late = new ArrayList<>();
+
+        void addUrgent(BacklogItem item) {
+            urgent.addFirst(item);
+            if (urgent.size() > MAX_RANKED_ITEMS) {
+                urgent.removeLast();
+            }
+        }
     }
 
     private void visit() {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -740,7 +740,6 @@
         itemOrder.start(
                 services -> services.stream()
                         .anyMatch(service -> capacities.computeIfAbsent(service, this::itemCapacity) > 0),
-                () -> !capacities.isEmpty() && capacities.values().stream().noneMatch(left -> left > 0),
                 item -> startOnAvailableService(item, capacities));
     }
 
