Close no caller's connection while its request is served

Cause: the HTTP server had an idle timeout of 60 s of its own. It counts the time without bytes, whatever is in progress, and follows no configuration.

Change: the server has none. ListenerGuard already closes connections after the configured idle time, and only those without a request.

--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -36,9 +36,6 @@
  * <p>Not thread-safe; confined to the event loop.
  */
 public final class CallerServer {
-    /** Above the idle timeout of every known configuration, so no connection is closed while its caller may use it. */
-    private static final Duration CONNECTION_IDLE_TIMEOUT = Duration.ofSeconds(60);
-
     private static final Duration NOT_READY_RETRY_DELAY = Duration.ofMillis(500);
 
     /** Retry delay for callers that are rejected while this node stops; short because another node serves them. */
@@ -103,14 +100,7 @@
 
     /** Starts listening; returns the bound port. */
     public Future<Integer> listen(String host, int port) {
-        server = vertx.createHttpServer(new HttpServerOptions()
-                .setTcpNoDelay(true)
-                .setMaxHeaderSize(MAX_HEADER_BYTES)
-                .setMaxInitialLineLength(MAX_HEADER_BYTES)
-                .setHandle100ContinueAutomatically(true)
-                .setIdleTimeout((int) CONNECTION_IDLE_TIMEOUT.toSeconds())
-                .setHttp2ClearTextEnabled(false)
-                .setAcceptBacklog(1024));
+        server = vertx.createHttpServer(serverOptions());
         server.connectionHandler(connection -> {
             callsByConnection.put(connection, new HashSet<>());
             openRequests.put(connection, 0);
@@ -121,6 +111,20 @@
         return server.listen(port, host).map(HttpServer::actualPort);
     }
 
+    /**
+     * Returns the options of the server. It has no idle timeout of its own: that would count bytes only, and end
+     * connections whose request is in progress. {@link ListenerGuard} closes idle ones.
+     */
+    static HttpServerOptions serverOptions() {
+        return new HttpServerOptions()
+                .setTcpNoDelay(true)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                .setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false)
+                .setAcceptBacklog(1024);
+    }
+
     private CallerLimits limits() {
         return config.get().map(FleetConfig::limits).orElseGet(CallerLimits::defaults);
     }
