Take the time-outs of routes for the age of resumed streams

Cause: a resumed stream was taken to be at most 15 s old, whatever its route's time-out. After that, the version that it began on was forgotten, and the one in service counted as the only one on which it can have begun.

Change: the age is the longest time-out of the routes whose streams may be resumed, 15 s at least; a shorter one applies once the streams that began under the longer one are over. The origins of streams, the versions that were in service and their records are kept for it.

--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -214,6 +214,10 @@
                 SlotScheduler.Options.defaults());
         ListReads listReads = new ListReads(this::readList, slots::listRead, ticker, timers);
         directory.servedVersions().requestReadsWith(listReads::request);
+        directory
+                .servedVersions()
+                .streamsLast(() ->
+                        config.current().map(FleetConfig::longestStreamTimeout).orElse(Duration.ZERO));
         slots.exchangeConfig(new ConfigExchange(configAge, config, ticker));
         slots.scheduler()
                 .plainServices(service -> !config.current()
--- a/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/VersionRecords.java
@@ -133,7 +133,7 @@
 
     /** A record that was read recently may be of a version that is not in this node's list yet. */
     private boolean expired(Entry entry) {
-        return ticker.nanos() - entry.readNanos() > ServedVersions.PERIOD.toNanos();
+        return ticker.nanos() - entry.readNanos() > versions.period().toNanos();
     }
 
     private byte[] value(ServiceVersion version, boolean settled) {
--- a/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -23,6 +23,7 @@
     private final Map<String, ServiceInfo> services = new HashMap<>();
     private final CallerLimits limits;
     private final Duration longestTimeout;
+    private final Duration longestStreamTimeout;
     private final Workspaces workspaces;
 
     /** Creates a configuration without workspaces. */
@@ -41,6 +42,11 @@
         this.workspaces = workspaces;
         this.longestTimeout =
                 routes.stream().map(Route::timeout).max(Duration::compareTo).orElse(Duration.ZERO);
+        this.longestStreamTimeout = routes.stream()
+                .filter(route -> route.kind() == RouteKind.STREAMING && route.resumable())
+                .map(Route::timeout)
+                .max(Duration::compareTo)
+                .orElse(Duration.ZERO);
         services.forEach(service -> this.services.put(service.name(), service));
         for (Route route : routes) {
             routesByName.put(route.name(), route);
@@ -73,6 +79,11 @@
         return longestTimeout;
     }
 
+    /** Returns the longest timeout of the routes whose streams may be resumed; zero without such routes. */
+    public Duration longestStreamTimeout() {
+        return longestStreamTimeout;
+    }
+
     /** Returns the number of routes. */
     public int routeCount() {
         return routesByName.size();
--- a/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
@@ -1,7 +1,6 @@
 package dev.lavenderline.serving.slots;
 
 import dev.lavenderline.core.Ticker;
-import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
 import dev.lavenderline.serving.upstreams.ServedVersions.Conclusion;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -20,9 +19,6 @@
  * <p>Invariant: entries are in the order of their times. Not thread-safe; confined to the event loop.
  */
 public final class StreamVersions {
-    /** Time for which an entry is kept; a caller resumes a stream before the deadline of its first attempt. */
-    static final Duration RETENTION = ServedVersions.MAX_STREAM_AGE;
-
     /** Largest number of entries, about 150 bytes each; twice the streams that one scheduler places in that time. */
     static final int MAX_ENTRIES = 15_000;
 
@@ -53,9 +49,10 @@
 
     private void expire() {
         long now = ticker.nanos();
+        long retentionNanos = directory.servedVersions().maxStreamAge().toNanos();
         Iterator<Entry> oldest = entries.values().iterator();
         while (oldest.hasNext()) {
-            boolean expired = now - oldest.next().beganNanos() > RETENTION.toNanos();
+            boolean expired = now - oldest.next().beganNanos() > retentionNanos;
             if (!expired && entries.size() < MAX_ENTRIES) {
                 return;
             }
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
@@ -15,21 +15,21 @@
  * known completely.
  *
  * <p>Invariant: a version counts as the only one on which a stream can have begun only if no other one is listed, was
- * listed in the {@link #PERIOD} before the resumption or is recorded in the store, and if that period is covered. Its
+ * listed in the {@link #period} before the resumption or is recorded in the store, and if that period is covered. Its
  * beginning: this node, or one that it hears from, has followed the list of upstreams since then, or a record proves
  * what was in service before. Its end: the list was read by a read that was sent after the resumption had arrived. What
  * a response shows is as old as the read, however late the response is handled, and reads of the store are
  * linearizable. Not thread-safe; confined to the event loop.
  */
 public final class ServedVersions {
-    /** Largest age of a stream that is resumed; its caller does so before the deadline of its first attempt. */
-    public static final Duration MAX_STREAM_AGE = Duration.ofSeconds(15);
+    /** Age up to which streams may be resumed, whatever the time-outs of their routes. */
+    static final Duration LEAST_STREAM_AGE = Duration.ofSeconds(15);
 
     /** Time by which the list of a node that follows the store may be out of date. */
     static final Duration LIST_LAG = Duration.ofSeconds(3);
 
-    /** Period that has to be known; another node may use an upstream for the lag after this one saw it removed. */
-    public static final Duration PERIOD = MAX_STREAM_AGE.plus(LIST_LAG);
+    /** Lower bound of {@link #period}. */
+    public static final Duration LEAST_PERIOD = LEAST_STREAM_AGE.plus(LIST_LAG);
 
     /** Age of the list up to which this node states it to others; polls are sent up to 2.4 s apart. */
     static final Duration MAX_LIST_AGE = LIST_LAG;
@@ -40,9 +40,6 @@
      */
     static final Duration MAX_READ_WAIT = Duration.ofSeconds(1);
 
-    /** Time for which removed versions are kept: the period before a resumption, and the time for which that waits. */
-    private static final Duration RETENTION = PERIOD.plus(MAX_STREAM_AGE);
-
     /**
      * Time after a start within which the records may complete the proof: the lag, the poll that ends after it, and the
      * pause before that poll.
@@ -62,6 +59,12 @@
     private Optional<Followed> records = Optional.empty();
     private long completeSinceNanos;
     private Runnable readRequest = () -> {};
+    private Supplier<Duration> longestTimeout = () -> Duration.ZERO;
+
+    /** The largest age of streams so far, and until when it applies although the longest time-out is shorter now. */
+    private Duration heldStreamAge = LEAST_STREAM_AGE;
+
+    private long heldUntilNanos;
 
     /** How the version on which a stream has to continue was found, or why it was not. */
     public enum Cause {
@@ -100,6 +103,7 @@
     ServedVersions(Ticker ticker, Supplier<Set<ServiceVersion>> listed) {
         this.ticker = ticker;
         this.listed = listed;
+        this.heldUntilNanos = ticker.nanos();
     }
 
     /** Sets what requests a read of the list, and of the records while the period is not observed. */
@@ -107,6 +111,33 @@
         readRequest = request;
     }
 
+    /** Sets the longest time-out of the routes whose streams may be resumed. */
+    public void streamsLast(Supplier<Duration> timeout) {
+        longestTimeout = timeout;
+    }
+
+    /**
+     * Returns the largest age of a stream that is resumed, as its caller does so before the deadline of its first
+     * attempt. A shorter time-out applies once the streams are over that began under a longer one.
+     */
+    public Duration maxStreamAge() {
+        long now = ticker.nanos();
+        Duration timeout = longestTimeout.get();
+        if (timeout.compareTo(heldStreamAge) >= 0 || now - heldUntilNanos >= 0) {
+            heldStreamAge = timeout.compareTo(LEAST_STREAM_AGE) > 0 ? timeout : LEAST_STREAM_AGE;
+            heldUntilNanos = now + heldStreamAge.toNanos();
+        }
+        return heldStreamAge;
+    }
+
+    /**
+     * Returns the period before a resumption that has to be known; another node may use an upstream for the lag after
+     * this one saw it removed.
+     */
+    public Duration period() {
+        return maxStreamAge().plus(LIST_LAG);
+    }
+
     private Followed loaded() {
         return new Followed(ticker.nanos(), Optional.empty());
     }
@@ -166,12 +197,14 @@
         completeSinceNanos = Math.min(completeSinceNanos, now - complete.toNanos());
     }
 
-    /** Returns the versions that were listed in the last {@link #PERIOD}, with the time since then. */
+    /** Returns the versions that were listed in the last {@link #period}, with the time since then. */
     public Map<ServiceVersion, Duration> ages() {
         long now = ticker.nanos();
-        lastListed.values().removeIf(listedNanos -> now - listedNanos > RETENTION.toNanos());
+        // A resumption waits for a while, and looks at the period before its arrival.
+        long retentionNanos = period().plus(maxStreamAge()).toNanos();
+        lastListed.values().removeIf(listedNanos -> now - listedNanos > retentionNanos);
         Map<ServiceVersion, Duration> ages = new HashMap<>();
-        listedSince(now - PERIOD.toNanos())
+        listedSince(now - period().toNanos())
                 .forEach(version -> ages.put(version, Duration.ofNanos(now - lastListed.get(version))));
         listed.get().forEach(version -> ages.put(version, Duration.ZERO));
         return ages;
@@ -204,7 +237,7 @@
 
     /** Returns whether the whole period is covered without the records. */
     public boolean observed() {
-        return complete().compareTo(PERIOD) >= 0;
+        return complete().compareTo(period()) >= 0;
     }
 
     /**
@@ -213,7 +246,7 @@
      * @param beganBeforeNanos monotonic time at which the request to resume the stream had arrived
      */
     public Conclusion only(String service, long beganBeforeNanos) {
-        long periodStart = beganBeforeNanos - PERIOD.toNanos();
+        long periodStart = beganBeforeNanos - period().toNanos();
         Set<ServiceVersion> versions = listedSince(periodStart);
         versions.addAll(listed.get());
         versions.addAll(recorded.keySet());
--- a/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
@@ -128,7 +128,7 @@
                         Duration.ofSeconds(1),
                         () -> Duration.ofMillis(400))
                 .start();
-        time.advance(ServedVersions.PERIOD.plusSeconds(1));
+        time.advance(ServedVersions.LEAST_PERIOD.plusSeconds(1));
         long arrivedInStep = time.nanos();
         time.advance(Duration.ofSeconds(3));
         assertEquals(ServedVersions.Cause.OBSERVED, cause(arrivedInStep));
@@ -154,7 +154,7 @@
     void versionIsNotConcludedWhileTheListIsReloaded() {
         follower.reset(List.of(entry("e", "v11"), entry("f", "v11")));
         for (Duration passed = Duration.ZERO;
-                passed.compareTo(ServedVersions.PERIOD) < 0;
+                passed.compareTo(ServedVersions.LEAST_PERIOD) < 0;
                 passed = passed.plusSeconds(1)) {
             time.advance(Duration.ofSeconds(1));
             follower.caughtUp();
--- a/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
@@ -81,7 +81,7 @@
     }
 
     private void settle() {
-        run(ServedVersions.PERIOD.plusSeconds(2));
+        run(ServedVersions.LEAST_PERIOD.plusSeconds(2));
     }
 
     @Test
@@ -96,7 +96,7 @@
         run(Duration.ofSeconds(2));
         assertEquals(3, store.appends("versions"), "second version");
         process.directory.remove("e-v1");
-        run(ServedVersions.PERIOD);
+        run(ServedVersions.LEAST_PERIOD);
         assertEquals(3, store.appends("versions"), "first version may still be resumed");
         settle();
         assertEquals(4, store.appends("versions"), "first version is over");
--- a/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
@@ -190,7 +190,7 @@
         Node scheduler = node("n0", 2);
         Node other = node("n1", 1);
         other.run(() -> other.start(upstream("e1", "v1"), upstream("e2", "v2")));
-        other.follow(ServedVersions.PERIOD);
+        other.follow(ServedVersions.LEAST_PERIOD);
         other.run(() -> other.directory.remove("e1"));
         other.follow(Duration.ofSeconds(10));
         scheduler.run(() -> scheduler.start(upstream("e2", "v2")));
@@ -205,7 +205,7 @@
         Node scheduler = node("n0", 2);
         Node other = node("n1", 1);
         other.run(() -> other.start(upstream("e2", "v2")));
-        other.follow(ServedVersions.PERIOD);
+        other.follow(ServedVersions.LEAST_PERIOD);
         scheduler.run(() -> scheduler.start(upstream("e2", "v2")));
         join(scheduler);
         assertEquals("e2", other.resume());
@@ -218,7 +218,7 @@
         Node scheduler = node("n0", 2);
         Node starting = node("n1", 1);
         scheduler.run(() -> scheduler.start(upstream("e2", "v2")));
-        scheduler.follow(ServedVersions.PERIOD);
+        scheduler.follow(ServedVersions.LEAST_PERIOD);
         starting.run(() -> starting.start(upstream("e2", "v2")));
         join(scheduler);
         await().atMost(TIMEOUT).until(() -> starting.concluded().equals(Optional.of("v2")));
@@ -231,7 +231,7 @@
         Node other = node("n1", 1);
         scheduler.run(() -> scheduler.start(upstream("e2", "v2")));
         other.run(() -> other.start(upstream("e2", "v2")));
-        other.follow(ServedVersions.PERIOD.minusSeconds(10));
+        other.follow(ServedVersions.LEAST_PERIOD.minusSeconds(10));
         join(scheduler);
         assertEquals("rejected", other.resume());
         assertEquals("rejected", scheduler.resume());
@@ -262,7 +262,7 @@
         Node other = node("n1", 1);
         scheduler.run(() -> scheduler.start(upstream("e1", "v1")));
         other.run(() -> other.start(upstream("e1", "v1")));
-        scheduler.follow(ServedVersions.PERIOD);
+        scheduler.follow(ServedVersions.LEAST_PERIOD);
         join(scheduler);
         assertEquals("e1", other.resume());
         scheduler.run(() -> scheduler.inStep = false);
@@ -279,7 +279,7 @@
     void nodeThatIsOutOfStepDoesNotConclude() throws Exception {
         Node alone = node("n0", 1);
         alone.run(() -> alone.start(upstream("e1", "v1")));
-        alone.follow(ServedVersions.PERIOD);
+        alone.follow(ServedVersions.LEAST_PERIOD);
         assertEquals(Optional.of("v1"), alone.concluded());
         alone.run(() -> alone.inStep = false);
         assertEquals(Optional.empty(), alone.concluded());
--- a/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
@@ -62,7 +62,7 @@
     @Test
     void conclusionsAreLoggedWithTheAgeOfTheList() {
         directory.replaceAll(List.of(new Upstream("e1", "s", "10.0.0.1", 80, "a", 8, false, "v1")));
-        directory.servedVersions().heard(Map.of(), ServedVersions.PERIOD);
+        directory.servedVersions().heard(Map.of(), ServedVersions.LEAST_PERIOD);
         StreamOrigin first = attempt("r");
         StreamOrigin second = attempt("r2");
         time.advance(Duration.ofMillis(1));
--- a/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/StreamVersionsTest.java
@@ -56,7 +56,7 @@
         directory.replaceAll(List.of());
         upstream("e1", "v1");
         upstream("e2", "v1");
-        follow(ServedVersions.PERIOD.minusSeconds(1));
+        follow(ServedVersions.LEAST_PERIOD.minusSeconds(1));
         assertEquals(Optional.empty(), streams.resolve("s", attempt("r")));
         follow(Duration.ofSeconds(1));
         assertEquals(Optional.of("v1"), streams.resolve("s", attempt("r")));
@@ -70,9 +70,9 @@
         directory.replaceAll(List.of());
         upstream("e1", "v1");
         upstream("e2", "v2");
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         directory.remove("e1");
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         assertEquals(Optional.empty(), streams.resolve("s", attempt("r")));
         follow(Duration.ofSeconds(1));
         assertEquals(Optional.of("v2"), streams.resolve("s", attempt("r")));
@@ -81,7 +81,7 @@
     @Test
     void entriesExpireAndAreLimited() {
         streams.record("old", "v1");
-        time.advance(StreamVersions.RETENTION.plusSeconds(1));
+        time.advance(directory.servedVersions().maxStreamAge().plusSeconds(1));
         for (int i = 0; i <= StreamVersions.MAX_ENTRIES; i++) {
             streams.record("r" + i, "v1");
         }
@@ -90,4 +90,14 @@
         assertEquals(1, groups.size());
         assertEquals(StreamVersions.MAX_ENTRIES - 1, groups.get(0).attempts().size(), 1);
     }
+
+    /** Review case 9: the origin of a stream is kept as long as its caller may resume it. */
+    @Test
+    void entriesAreKeptForTheLongestTimeout() {
+        directory.servedVersions().streamsLast(() -> Duration.ofSeconds(60));
+        streams.record("long", "v1");
+        time.advance(Duration.ofSeconds(59));
+        streams.record("other", "v2");
+        assertEquals(Optional.of("v1"), streams.resolve("s", attempt("long")));
+    }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -87,7 +88,7 @@
     @Test
     void versionIsTheOnlyOneOnceTheListWasFollowedForThePeriod() {
         assertEquals(Cause.NOT_OBSERVED, cause());
-        follow(ServedVersions.PERIOD.minus(SECOND));
+        follow(ServedVersions.LEAST_PERIOD.minus(SECOND));
         assertEquals(Cause.NOT_OBSERVED, cause());
         follow(SECOND);
         assertEquals(Cause.OBSERVED, cause());
@@ -97,7 +98,7 @@
     /** Guards against a conclusion from an old list by a node that is cut off, and right after it is back. */
     @Test
     void nodeThatWasCutOffDuringAReleaseDoesNotConclude() {
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         clocks.advance(ServedVersions.MAX_LIST_AGE.plusMillis(1));
         assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
         assertEquals(Duration.ZERO, versions.complete());
@@ -111,7 +112,7 @@
      */
     @Test
     void nodeDoesNotConcludeFromReadsBeforeTheResumptionArrived() {
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
         long arrived = clocks.nanos();
         clocks.advance(Duration.ofMillis(1));
@@ -124,7 +125,7 @@
     /** Guards against taking a response that waited while the node stood still for a new one. */
     @Test
     void responseThatIsHandledLateShowsTheListOfTheTimeOfItsRead() {
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         ClockReading asked = ClockReading.now(clocks);
         clocks.advance(Duration.ofSeconds(10));
         long arrived = clocks.nanos();
@@ -139,7 +140,7 @@
     void periodEndsAtTheArrivalOfTheResumption() {
         directory.put(upstream("e2", "v2"));
         directory.remove("e2");
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         long arrived = clocks.nanos();
         follow(Duration.ofSeconds(5));
         assertEquals(Cause.SEVERAL_VERSIONS, versions.only("s", arrived).cause());
@@ -153,7 +154,7 @@
         versions.requestReadsWith(() -> requests[0]++);
         follow(ServedVersions.PROOF_TIME);
         assertFalse(versions.seek("s", clocks.nanos()), "not observed");
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         long arrived = clocks.nanos();
         assertTrue(versions.seek("s", arrived));
         assertEquals(1, requests[0]);
@@ -167,7 +168,7 @@
     /** Guards against a conclusion after a suspension, which the monotonic clock does not count. */
     @Test
     void hostThatWasSuspendedDoesNotConcludeBeforeItHasReadTheList() {
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         clocks.suspend(Duration.ofSeconds(20));
         assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
         assertEquals(Duration.ZERO, versions.complete());
@@ -177,23 +178,23 @@
     /** Guards against missing what happened while history expired. */
     @Test
     void reloadOfTheListBeginsTheObservationAnew() {
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         directory.replaceAll(List.of(upstream("e1", "v1")));
         assertEquals(Cause.NOT_OBSERVED, cause());
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         assertEquals(Cause.OBSERVED, cause());
     }
 
     /** Guards against forgetting the version between a release and its rollback. */
     @Test
     void versionThatWasRolledBackCountsForThePeriod() {
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         directory.put(upstream("e2", "v2"));
         directory.remove("e1");
         follow(SECOND);
         directory.put(upstream("e1", "v1"));
         directory.remove("e2");
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
         follow(SECOND);
         assertEquals(Cause.OBSERVED, cause());
@@ -203,7 +204,7 @@
     /** Guards against forgetting the version that an upstream had before it came back under its id. */
     @Test
     void upstreamThatChangesItsVersionLeavesTheOldOne() {
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         directory.put(upstream("e1", "v2"));
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
     }
@@ -211,13 +212,13 @@
     /** Guards against refusing for the whole period after a restart of one node. */
     @Test
     void observationOfAnotherNodeCounts() {
-        versions.heard(Map.of(V1, Duration.ZERO), ServedVersions.PERIOD);
+        versions.heard(Map.of(V1, Duration.ZERO), ServedVersions.LEAST_PERIOD);
         assertEquals(Cause.OBSERVED, cause());
     }
 
     @Test
     void versionThatOnlyAnotherNodeSawRemovedCounts() {
-        versions.heard(Map.of(V1, Duration.ZERO, V2, Duration.ofSeconds(10)), ServedVersions.PERIOD);
+        versions.heard(Map.of(V1, Duration.ZERO, V2, Duration.ofSeconds(10)), ServedVersions.LEAST_PERIOD);
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
         follow(Duration.ofSeconds(9));
         assertEquals(Cause.OBSERVED, cause());
@@ -227,7 +228,7 @@
     @Test
     void observationOfAnotherNodeDoesNotCountBeforeTheListIsLoaded() {
         UpstreamDirectory starting = new UpstreamDirectory(clocks);
-        starting.servedVersions().heard(Map.of(V1, Duration.ZERO), ServedVersions.PERIOD);
+        starting.servedVersions().heard(Map.of(V1, Duration.ZERO), ServedVersions.LEAST_PERIOD);
         starting.servedVersions().listConfirmed(ClockReading.now(clocks));
         starting.replaceAll(List.of(upstream("e1", "v1")));
         long arrived = clocks.nanos();
@@ -267,9 +268,39 @@
     void recordedVersionThatIsNotListedCounts() {
         versions.recordsLoaded();
         versions.replaceRecorded(Map.of(V1, true, V2, true));
-        follow(ServedVersions.PERIOD);
+        follow(ServedVersions.LEAST_PERIOD);
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
         versions.replaceRecorded(Map.of(V1, true));
         assertEquals(Cause.OBSERVED, cause());
     }
+
+    /** Review case 9: streams of long time-outs are resumed long after the upstreams of their version are gone. */
+    @Test
+    void removedVersionCountsForTheLongestTimeout() {
+        Duration timeout = Duration.ofSeconds(60);
+        versions.streamsLast(() -> timeout);
+        follow(versions.period());
+        assertEquals(Cause.OBSERVED, cause());
+        directory.put(upstream("e2", "v2"));
+        directory.remove("e1");
+        follow(timeout);
+        assertEquals(Cause.SEVERAL_VERSIONS, cause());
+        follow(ServedVersions.LIST_LAG.plus(SECOND));
+        assertEquals(Cause.OBSERVED, cause());
+    }
+
+    /** A configuration with shorter time-outs does not end the streams that began under the earlier one. */
+    @Test
+    void shorterTimeoutAppliesOnceEarlierStreamsAreOver() {
+        AtomicReference<Duration> timeout = new AtomicReference<>(Duration.ofSeconds(60));
+        versions.streamsLast(timeout::get);
+        assertEquals(Duration.ofSeconds(60), versions.maxStreamAge());
+        timeout.set(Duration.ofSeconds(5));
+        clocks.advance(Duration.ofSeconds(59));
+        assertEquals(Duration.ofSeconds(60), versions.maxStreamAge());
+        clocks.advance(SECOND);
+        assertEquals(ServedVersions.LEAST_STREAM_AGE, versions.maxStreamAge());
+        timeout.set(Duration.ofSeconds(90));
+        assertEquals(Duration.ofSeconds(90), versions.maxStreamAge());
+    }
 }
