Start items beside online requests that wait for another service

Cause: a round started no item of any service while an online request of some service waited for a slot, so that load on one service left another one's slots idle. The review suspected it by reading.

Change: only the services for which a request waits get no items.

IdleServiceItemsTest.itemsStartWhileRequestsWaitForAnotherService fails on (0 of 4 items) and passes.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -674,7 +674,7 @@
         }
         if (mustStopItems.getAsBoolean()) {
             leases.activeItemLeases().forEach(this::preempt);
-        } else if (waiting.isEmpty() && mayStartItems.getAsBoolean()) {
+        } else if (mayStartItems.getAsBoolean()) {
             startItems();
         }
     }
@@ -758,8 +758,11 @@
         return false;
     }
 
-    /** Returns the number of further items that a service can run. */
+    /** Returns the number of further items that a service can run; online requests that wait for it come first. */
     private int itemCapacity(String service) {
+        if (waiting.waitFor(service)) {
+            return 0;
+        }
         int free = 0;
         int slots = 0;
         int trials = 0;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/WaitingRequests.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/WaitingRequests.java
@@ -133,6 +133,11 @@
         return byLease.size();
     }
 
+    /** Returns whether a request waits for a slot of a service. */
+    boolean waitFor(String service) {
+        return waiting(service) > 0;
+    }
+
     boolean isEmpty() {
         return byLease.isEmpty();
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/IdleServiceItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/IdleServiceItemsTest.java
@@ -12,6 +12,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -113,4 +115,19 @@
         rounds(100);
         assertTrue(visits.stream().filter(visited -> visited > SLOTS + 1).count() <= 10, visits::toString);
     }
+
+    /** Online requests that wait for one service are no reason to leave the slots of another one idle. */
+    @Test
+    void itemsStartWhileRequestsWaitForAnotherService() {
+        for (int i = 0; i < 3 * SLOTS; i++) {
+            scheduler.acquire(new SlotRequest(
+                    "n1", i, "s", Duration.ofSeconds(20), Duration.ofSeconds(20), Set.of(), 0, true, Optional.empty()));
+        }
+        assertTrue(scheduler.waitingCount() > 0);
+        items("s", SLOTS, Duration.ofSeconds(30));
+        items("t", SLOTS, Duration.ofSeconds(30));
+        rounds(2);
+        assertEquals(0, started("busy"));
+        assertEquals(SLOTS, started("idle"));
+    }
 }
