Delete only the payloads of the job that is deleted

Cause: the payloads of a deleted job were found by "/ID/" anywhere in their keys. A job whose id is a short number would have taken the payload of the item with that number of another job in the same partition; the review suspected it by reading.

Change: a key belongs to a job if it begins with the prefix of its records and only the number of a part or an item and the nonce follow.

PayloadTest.payloadsOfOtherJobsAreNotDeletedWithAJob (new); the former check takes "job/j/7/..." and "result/j/7/..." for payloads of job 7.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobRecords.java
@@ -16,6 +16,7 @@
 /** Builds the keyed records of the job topic. Stateless and thread-safe. */
 final class JobRecords {
     private static final String PART_PREFIX = "job/";
+    private static final String RESULT_PREFIX = "result/";
 
     private static final String END_PREFIX = "end/";
 
@@ -117,7 +118,12 @@
     }
 
     static String resultKey(String job, int item) {
-        return "result/" + job + "/" + item;
+        return RESULT_PREFIX + job + "/" + item;
+    }
+
+    /** Returns what the keys of the records of a job begin with that may refer to payloads; a number follows. */
+    static List<String> payloadPrefixes(String job) {
+        return List.of(PART_PREFIX + job + "/", RESULT_PREFIX + job + "/");
     }
 
     static KeyedRecord part(JobPart part) {
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
@@ -26,6 +26,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.regex.Pattern;
 
 /**
  * Reads and writes the contents of batch jobs: items and outputs. Every node reads the whole job topic, which only
@@ -43,6 +44,9 @@
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
+    /** What follows the job in the key of a payload. */
+    private static final Pattern NUMBER_AND_NONCE = Pattern.compile("\\d+/[0-9a-f]{16}");
+
     /** Total size of the payloads kept in memory. */
     private static final int CACHE_BYTES = 4_000_000;
 
@@ -294,22 +298,30 @@
 
     /** Deletes the payloads of a job, those to which no record refers included. */
     void deleteAll(String job) {
-        Partition partition = partition(partitionNumber(job));
-        deleteAfter(partition, "/" + job + "/", "");
+        deleteAfter(partition(partitionNumber(job)), job, "");
+    }
+
+    /** Returns whether a key is that of a payload of a job; ids may contain slashes, or be the number of an item. */
+    static boolean ofJob(String key, String job) {
+        return JobRecords.payloadPrefixes(job).stream()
+                .anyMatch(prefix -> key.startsWith(prefix)
+                        && NUMBER_AND_NONCE
+                                .matcher(key.substring(prefix.length()))
+                                .matches());
     }
 
-    private void deleteAfter(Partition partition, String jobInKey, String after) {
+    private void deleteAfter(Partition partition, String job, String after) {
         store.newest(partition, after)
                 .onSuccess(page -> {
                     List<String> keys = page.records().stream()
                             .map(KeyedRecord::key)
-                            .filter(key -> key.contains(jobInKey))
+                            .filter(key -> ofJob(key, job))
                             .toList();
                     delete(partition, keys);
                     if (page.hasMore() && !page.records().isEmpty()) {
                         deleteAfter(
                                 partition,
-                                jobInKey,
+                                job,
                                 page.records().get(page.records().size() - 1).key());
                     }
                 })
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.protobuf.ByteString;
@@ -240,4 +241,16 @@
         assertTrue(first.jobs.delete("j").result());
         assertEquals(0, payloadKeys());
     }
+
+    /** Guards against the deletion of another job's payloads whose item has the number that is the job's id. */
+    @Test
+    void payloadsOfOtherJobsAreNotDeletedWithAJob() {
+        String nonce = "/0123456789abcdef";
+        assertTrue(PayloadStore.ofJob(JobRecords.resultKey("7", 3) + nonce, "7"));
+        assertTrue(PayloadStore.ofJob("job/7/0" + nonce, "7"));
+        assertTrue(PayloadStore.ofJob("job/a/7/0" + nonce, "a/7"));
+        for (String key : List.of("job/j/7" + nonce, "result/j/7" + nonce, "job/7/1/0" + nonce, "job/77/0" + nonce)) {
+            assertFalse(PayloadStore.ofJob(key, "7"), key);
+        }
+    }
 }
