Refuse interim responses that hold the head of another one

Cause: a 100 or 103 whose head stopped short took the head of the final response for its own fields. Nobody checked interim heads, so a later response on the connection counted as that of the request.

Change: ResponseCodec fails an interim response whose reason phrase or a value holds a status line, and decodes nothing after a failure.

--- a/core/src/main/java/dev/lavenderline/core/response/ResponseCodec.java
+++ b/core/src/main/java/dev/lavenderline/core/response/ResponseCodec.java
@@ -39,7 +39,8 @@
  *
  * <p>Invariants: a response has a status from 100 to 599 and field names that are tokens with a colon right behind them
  * (RFC 9112, sections 4 and 5); its body is framed in one way (section 6); a body that the end of the connection ends
- * is complete only if the peer has closed the connection in order. Any other response fails and ends its connection.
+ * is complete only if the peer has closed the connection in order; an interim response holds no status line of another
+ * one. Any other response fails and ends its connection.
  * Not thread-safe; confined to the event loop of the connection.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
@@ -127,6 +128,9 @@
 
         private boolean withinBody;
 
+        /** Whether a response has failed; what follows it belongs to no request. */
+        private boolean failed;
+
         Decoder(HttpDecoderConfig config) {
             super(config);
         }
@@ -157,7 +161,12 @@
 
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+            if (failed) {
+                in.skipBytes(in.readableBytes());
+                return;
+            }
             if (!withinBody && hasFoldedLine(in)) {
+                failed = true;
                 throw new IllegalArgumentException("field name after a blank, or folded line");
             }
             int decoded = out.size();
@@ -167,14 +176,20 @@
                     withinHead = false;
                     withinBody = true;
                     if (undecoded(response.headers())) {
-                        response.setDecoderResult(
-                                DecoderResult.failure(new IllegalArgumentException("unknown transfer coding")));
+                        fail(response, "unknown transfer coding");
+                    } else if (interim(response) && hidesResponse(response)) {
+                        fail(response, "interim response with a part of another one");
                     }
                 }
                 withinBody &= !(message instanceof LastHttpContent);
             }
         }
 
+        private void fail(HttpResponse response, String cause) {
+            failed = true;
+            response.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(cause)));
+        }
+
         /**
          * Returns whether a line of the head begins with a blank. A gateway may refuse such responses (RFC 9112,
          * section 5.2); the library joins the line with the one before. The bytes begin with a line, as the library
@@ -200,8 +215,7 @@
 
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            boolean interim = ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
-            boolean head = !interim && HttpMethod.HEAD.equals(methods.poll());
+            boolean head = !interim((HttpResponse) message) && HttpMethod.HEAD.equals(methods.poll());
             return head || super.isContentAlwaysEmpty(message);
         }
 
@@ -225,6 +239,20 @@
         }
     }
 
+    private static boolean interim(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    /**
+     * Returns whether the head of an interim response holds a status line, so that it may have swallowed the head of
+     * the final one. {@link ResponseIntegrity} checks final heads, which callers of the client see.
+     */
+    private static boolean hidesResponse(HttpResponse response) {
+        return ResponseIntegrity.containsStatusLine(response.status().reasonPhrase())
+                || response.headers().entries().stream()
+                        .anyMatch(field -> ResponseIntegrity.containsStatusLine(field.getValue()));
+    }
+
     /** Returns whether a response has another transfer coding than chunked, so that the end of its body is unknown. */
     private static boolean undecoded(HttpHeaders headers) {
         return headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
--- a/serving/src/test/java/dev/lavenderline/serving/online/WholeResponseTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/online/WholeResponseTest.java
@@ -243,4 +243,25 @@
             assertFalse(outcome.startsWith("200"), outcome);
         }
     }
+
+    /** An interim head that stops short takes the next head for its own, so that a later response counts instead. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 100 ContiHTTP/1.1 500 Failed\r\n",
+                "HTTP/1.1 103 Early Hints\r\nLink: </sHTTP/1.1 500 Failed\r\n",
+                "HTTP/1.1 103 Early HintsHTTP/1.1 503 Full\r\n"
+            })
+    void interimResponseThatHidesAFinalOneFails(String joined) {
+        String hidden = joined + FIELDS + "Content-Length: 0\r\n\r\n";
+        String later = "HTTP/1.1 200 OK\r\n" + FIELDS + "Content-Length: 4\r\n\r\ntext";
+        assertEquals("LOST", send(hidden + later, 50));
+    }
+
+    @Test
+    void interimResponsesAreSkipped() {
+        String later = "HTTP/1.1 200 OK\r\n" + FIELDS + "Content-Length: 4\r\n\r\ntext";
+        assertEquals("200 text", send("HTTP/1.1 103 Early Hints\r\nVia: HTTP/1.1 front\r\n\r\n" + later, 50));
+        assertEquals("200 text", send("HTTP/1.1 100 Continue\r\n\r\n" + later, 50));
+    }
 }
