Split payloads that are longer than a record of the store

Cause: a payload was one record. The store refuses one above its limit, which looked like any refusal, and the write was repeated until its time limit.

Change: a longer payload is appended as chunks, in one call, and read back in as many calls as the store needs, from the log or from the newest records. They are deleted together.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -118,7 +118,7 @@
         this.log = log;
         this.ledger = ledger;
         this.maxRecordBytes = maxRecordBytes;
-        this.payloads = new PayloadStore(store, timers, log, payloadPartitions, nonces);
+        this.payloads = new PayloadStore(store, timers, log, payloadPartitions, maxRecordBytes, nonces);
         for (int i = 0; i < partitions; i++) {
             Partition partition = new Partition(TOPIC, i);
             PartitionFollower follower =
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
@@ -3,6 +3,7 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import com.google.common.hash.Hashing;
+import com.google.common.primitives.Bytes;
 import dev.lavenderline.core.Timers;
 import dev.lavenderline.proto.jobs.PayloadRef;
 import dev.lavenderline.serving.logging.EventLog;
@@ -19,6 +20,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -27,12 +29,14 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 
 /**
  * Reads and writes the contents of batch jobs: items and outputs. Every node reads the whole job topic, which only
  * refers to the contents; a content is read by the nodes that need it.
  *
- * <p>Invariants: a payload is written before the record that refers to it, under a key of its own, and never changes.
+ * <p>Invariants: a payload is written before the record that refers to it, under a key of its own, and never changes. One
+ * above the size of a record is split into chunks, which are appended together, in order, each under a key of its own.
  * Not thread-safe; confined to the event loop.
  */
 final class PayloadStore {
@@ -44,8 +48,11 @@
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
-    /** What follows the job in the key of a payload. */
-    private static final Pattern NUMBER_AND_NONCE = Pattern.compile("\\d+/[0-9a-f]{16}");
+    /** What follows the job in the key of a payload or chunk. */
+    private static final Pattern NUMBER_AND_NONCE = Pattern.compile("\\d+/[0-9a-f]{16}(/\\d{4})?");
+
+    /** Bytes of a record besides its value: the length of its key, and the key. */
+    private static final int RECORD_OVERHEAD_BYTES = 1 + KeyedRecord.MAX_KEY_BYTES;
 
     /** Total size of the payloads kept in memory. */
     private static final int CACHE_BYTES = 4_000_000;
@@ -54,6 +61,7 @@
     private final Timers timers;
     private final EventLog log;
     private final int partitions;
+    private final int chunkBytes;
     private final LongSupplier nonces;
     private final Cache<String, byte[]> cache = CacheBuilder.newBuilder()
             .concurrencyLevel(1)
@@ -76,13 +84,16 @@
      * Creates a payload store.
      *
      * @param partitions number of partitions of each payload topic
+     * @param maxRecordBytes size limit of a record; must be the same on all nodes
      * @param nonces numbers that no other node or process draws
      */
-    PayloadStore(MetadataStore store, Timers timers, EventLog log, int partitions, LongSupplier nonces) {
+    PayloadStore(
+            MetadataStore store, Timers timers, EventLog log, int partitions, int maxRecordBytes, LongSupplier nonces) {
         this.store = store;
         this.timers = timers;
         this.log = log;
         this.partitions = partitions;
+        this.chunkBytes = maxRecordBytes - RECORD_OVERHEAD_BYTES;
         this.nonces = nonces;
     }
 
@@ -100,6 +111,30 @@
         return name + "/" + HexFormat.of().toHexDigits(nonce);
     }
 
+    /** Returns the keys of the records of a payload: its own, or those of its chunks in order. */
+    private List<String> recordKeys(String key, int bytes) {
+        if (bytes <= chunkBytes) {
+            return List.of(key);
+        }
+        int chunks = (bytes + chunkBytes - 1) / chunkBytes;
+        return IntStream.range(0, chunks)
+                .mapToObj(chunk -> String.format("%s/%04d", key, chunk))
+                .toList();
+    }
+
+    private List<KeyedRecord> records(String key, byte[] content) {
+        List<String> keys = recordKeys(key, content.length);
+        if (keys.size() == 1) {
+            return List.of(new KeyedRecord(key, content));
+        }
+        List<KeyedRecord> chunks = new ArrayList<>();
+        for (int i = 0; i < keys.size(); i++) {
+            int end = Math.min(content.length, (i + 1) * chunkBytes);
+            chunks.add(new KeyedRecord(keys.get(i), Arrays.copyOfRange(content, i * chunkBytes, end)));
+        }
+        return chunks;
+    }
+
     /** Returns the number of the partition, counted over all payload topics, that holds the payloads of a job. */
     private int partitionNumber(String job) {
         int hash = Hashing.murmur3_32_fixed()
@@ -141,15 +176,15 @@
 
     private void append(Write write) {
         appending++;
-        KeyedRecord record = new KeyedRecord(key(write.name, write.nonce), write.content);
-        store.append(partition(write.partition), MetadataStore.ANY_END, List.of(record))
+        String key = key(write.name, write.nonce);
+        store.append(partition(write.partition), MetadataStore.ANY_END, records(key, write.content))
                 .onComplete(response -> {
                     lastFailure = Optional.ofNullable(response.cause()).map(Throwable::getMessage);
                     if (response.succeeded()) {
                         appending--;
-                        cache.put(record.key(), write.content);
+                        cache.put(key, write.content);
                         if (!write.appended(response.result())) {
-                            delete(partition(write.partition), List.of(record.key()));
+                            delete(partition(write.partition), recordKeys(key, write.content.length));
                         }
                         appendNext();
                         return;
@@ -212,13 +247,14 @@
             return current;
         }
         Partition partition = partition(ref.getPartition());
-        Future<byte[]> read = store.readAt(partition, ref.getOffset(), ref.getBytes())
-                .map(slice -> find(slice.records(), key))
+        List<String> keys = recordKeys(key, ref.getBytes());
+        Future<byte[]> read = readRecords(partition, ref.getOffset(), ref.getBytes(), keys)
                 .recover(failure -> StoreException.reasonOf(failure) == StoreException.Reason.EXPIRED
                         ? Future.succeededFuture(Optional.empty())
                         : Future.failedFuture(failure))
                 // The log forgets records, the list of newest records does not.
-                .compose(found -> found.isPresent() ? Future.succeededFuture(found.get()) : readNewest(partition, key));
+                .compose(
+                        found -> found.isPresent() ? Future.succeededFuture(found.get()) : readNewest(partition, keys));
         reads.put(key, read);
         return read.onSuccess(content -> cache.put(key, content))
                 .onFailure(failure ->
@@ -226,6 +262,45 @@
                 .onComplete(done -> reads.remove(key, read));
     }
 
+    /**
+     * Reads the records of a payload from the log, as many at a time as the store returns; empty if they are not there.
+     *
+     * @param bytes size of the values that are left to read
+     * @param keys keys of the records that are left to read
+     */
+    private Future<Optional<byte[]>> readRecords(Partition partition, long offset, int bytes, List<String> keys) {
+        int overhead = keys.size() * RECORD_OVERHEAD_BYTES;
+        return store.readAt(partition, offset, bytes + overhead).compose(slice -> {
+            List<byte[]> values = new ArrayList<>();
+            int read = 0;
+            while (values.size() < keys.size()) {
+                Optional<byte[]> value = find(slice.records(), keys.get(values.size()));
+                if (value.isEmpty()) {
+                    break;
+                }
+                values.add(value.get());
+                read += value.get().length;
+            }
+            if (values.isEmpty()) {
+                return Future.succeededFuture(Optional.empty());
+            }
+            byte[] content = Bytes.concat(values.toArray(byte[][]::new));
+            if (values.size() == keys.size()) {
+                return Future.succeededFuture(Optional.of(content));
+            }
+            List<String> left = keys.subList(values.size(), keys.size());
+            return readRecords(partition, offset + values.size(), bytes - read, left)
+                    .map(rest -> rest.map(following -> Bytes.concat(content, following)));
+        });
+    }
+
+    private Future<byte[]> readNewest(Partition partition, List<String> keys) {
+        List<Future<byte[]>> chunks =
+                keys.stream().map(key -> readNewest(partition, key)).toList();
+        return Future.all(chunks)
+                .map(all -> Bytes.concat(chunks.stream().map(Future::result).toArray(byte[][]::new)));
+    }
+
     /** A read of a payload that waits for a page of its partition. */
     private record PageRead(String key, Promise<byte[]> promise) {}
 
@@ -293,7 +368,7 @@
 
     /** Deletes a payload; one that stays because the store does not answer takes space until its job is deleted. */
     void delete(String name, PayloadRef ref) {
-        delete(partition(ref.getPartition()), List.of(key(name, ref.getNonce())));
+        delete(partition(ref.getPartition()), recordKeys(key(name, ref.getNonce()), ref.getBytes()));
     }
 
     /** Deletes the payloads of a job, those to which no record refers included. */
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadPagesTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadPagesTest.java
@@ -32,7 +32,7 @@
     private static final int ITEMS = 200;
 
     private final PagedStore store = new PagedStore();
-    private final PayloadStore payloads = new PayloadStore(store, new ManualTime(), EventLog.NONE, 1, () -> 0);
+    private final PayloadStore payloads = new PayloadStore(store, new ManualTime(), EventLog.NONE, 1, 262_144, () -> 0);
 
     /** A store without history, whose pages of newest records are answered later. */
     private static final class PagedStore implements MetadataStore {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/PayloadTest.java
@@ -23,6 +23,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against contents of jobs that can't be read back, change, or stay in the store when nothing refers to them.
@@ -242,14 +244,65 @@
         assertEquals(0, payloadKeys());
     }
 
+    /** A text that is longer than a record of the store. */
+    private static String longOutput(int bytes) {
+        StringBuilder text = new StringBuilder();
+        while (text.length() < bytes) {
+            text.append(text.length()).append(' ');
+        }
+        return text.substring(0, bytes);
+    }
+
+    /** Review case 5: outputs above the store's limit on records were never listed. */
+    @ParameterizedTest
+    @ValueSource(ints = {99_743, 99_744, 99_745, 100_000, 199_488, 250_000, 1_000_000})
+    void outputsAboveTheSizeOfARecordAreListed(int bytes) {
+        store.maxRecordBytes(100_000);
+        String output = longOutput(bytes);
+        first.accept(2, 0);
+        first.jobs.addResult(new ItemRef("j", 0), true, output);
+        first.jobs.addResult(new ItemRef("j", 1), true, OUTPUT);
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(0, first.jobs.pendingWrites());
+        Node restarted = new Node();
+        assertEquals(
+                output,
+                restarted.jobs.results(restarted.job(), 0).result().get(0).getOutput());
+        store.expireHistory();
+        Node later = new Node();
+        assertEquals(output, later.jobs.results(later.job(), 0).result().get(0).getOutput());
+        assertTrue(first.jobs.delete("j").result());
+        assertEquals(0, payloadKeys());
+    }
+
+    /** The store returns at most a megabyte at a time, and may return less than asked for. */
+    @Test
+    void chunksAreReadInSeveralCalls() {
+        store.maxRecordBytes(100_000);
+        store.sliceSize(2);
+        String output = longOutput(900_000);
+        first.accept(1, 0);
+        first.jobs.addResult(new ItemRef("j", 0), true, output);
+        time.advance(Duration.ofSeconds(1));
+        Node restarted = new Node();
+        time.advance(Duration.ofSeconds(1));
+        assertEquals(List.of(output), restarted.outputs());
+    }
+
     /** Guards against the deletion of another job's payloads whose item has the number that is the job's id. */
     @Test
     void payloadsOfOtherJobsAreNotDeletedWithAJob() {
         String nonce = "/0123456789abcdef";
         assertTrue(PayloadStore.ofJob(JobRecords.resultKey("7", 3) + nonce, "7"));
         assertTrue(PayloadStore.ofJob("job/7/0" + nonce, "7"));
+        assertTrue(PayloadStore.ofJob("job/7/0" + nonce + "/0012", "7"));
         assertTrue(PayloadStore.ofJob("job/a/7/0" + nonce, "a/7"));
-        for (String key : List.of("job/j/7" + nonce, "result/j/7" + nonce, "job/7/1/0" + nonce, "job/77/0" + nonce)) {
+        for (String key : List.of(
+                "job/j/7" + nonce,
+                "result/j/7" + nonce,
+                "job/7/1/0" + nonce,
+                "job/77/0" + nonce,
+                "job/7/0" + nonce + "/1")) {
             assertFalse(PayloadStore.ofJob(key, "7"), key);
         }
     }
--- a/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
+++ b/serving/src/test/java/dev/lavenderline/serving/store/FakeStore.java
@@ -51,6 +51,7 @@
     private boolean expired;
     private int pageSize = Integer.MAX_VALUE;
     private int sliceSize = Integer.MAX_VALUE;
+    private int maxRecordBytes = Integer.MAX_VALUE;
     private final Map<Partition, Integer> firstOffsets = new HashMap<>();
     private final Set<Integer> failedPageReads = new HashSet<>();
 
@@ -102,6 +103,11 @@
         pageSize = records;
     }
 
+    /** Sets the size of a record, with its key, above which an append is rejected. */
+    public void maxRecordBytes(int bytes) {
+        maxRecordBytes = bytes;
+    }
+
     /** Sets the largest number of records in the response to a read. */
     public void sliceSize(int records) {
         sliceSize = records;
@@ -174,7 +180,15 @@
             return Future.failedFuture(new StoreException(StoreException.Reason.EXPIRED, "expired"));
         }
         List<KeyedRecord> log = log(partition);
-        return Future.succeededFuture(new LogSlice(offset, List.of(log.get((int) offset)), log.size()));
+        int end = (int) offset + 1;
+        int size = log.get((int) offset).value().length;
+        while (end < log.size()
+                && end - offset < sliceSize
+                && size + log.get(end).value().length <= bytes) {
+            size += log.get(end).value().length;
+            end++;
+        }
+        return Future.succeededFuture(new LogSlice(offset, log.subList((int) offset, end), log.size()));
     }
 
     /** Lets the records of a partition expire; the newest record of each key is kept. */
@@ -229,7 +243,9 @@
         }
         Deque<AppendOutcome> outcomes = nextOutcomesByTopic.getOrDefault(partition.topic(), nextOutcomes);
         AppendOutcome outcome = outcomes.isEmpty() ? AppendOutcome.NORMAL : outcomes.poll();
-        if (outcome == AppendOutcome.REJECTED) {
+        boolean tooLong =
+                records.stream().anyMatch(record -> 1 + record.key().length() + record.value().length > maxRecordBytes);
+        if (outcome == AppendOutcome.REJECTED || tooLong) {
             return Future.failedFuture(new StoreException(StoreException.Reason.REJECTED, "busy"));
         }
         if (outcome == AppendOutcome.HANGING) {
