Keep the jobs of removed routes readable, and give up their open items

Cause: calls about jobs were taken for such only on hosts with a route, and nothing ended the wait of an item whose route is gone.

Change: a job that the node has read is readable on any host. The node whose scheduler is in use gives up the open items of a route that has been missing for 5 s from a configuration that was confirmed within 2 s all the while.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -18,6 +18,7 @@
 import dev.lavenderline.serving.slots.ItemRef;
 import dev.lavenderline.serving.slots.ReleaseReason;
 import dev.lavenderline.serving.slots.RequestTraits;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.workspaces.Caller;
 import io.vertx.core.MultiMap;
@@ -37,7 +38,7 @@
  * Runs the batch items assigned by the scheduler. Keeps the partial output of interrupted runs, from which a
  * later run continues.
  *
- * <p>Invariants: a partial output consists of events with consecutive ids, each from a run on the same software version
+ * <p>Invariants: a partial output consists of events with consecutive ids, each from a run on the same service and version
  * that was asked to continue after the previous event; an item has at most one run on this node, and so has the number
  * of a lease. Not thread-safe; confined to the event loop.
  */
@@ -76,15 +77,15 @@
     private final Map<Long, Run> runs = new HashMap<>();
     private final Map<ItemRef, PartialOutput> partialOutputs = new HashMap<>();
 
-    /** The events that an item has generated so far, all on upstreams of the same software version. */
+    /** The events that an item has generated so far, all on upstreams of the same service and software version. */
     private static final class PartialOutput {
-        final String version;
+        final ServiceVersion version;
         final List<String> events = new ArrayList<>();
         final ContinuationEnd continuationEnd = new ContinuationEnd();
         OptionalLong lastEventId = OptionalLong.empty();
         long bytes;
 
-        PartialOutput(String version) {
+        PartialOutput(ServiceVersion version) {
             this.version = version;
         }
     }
@@ -225,9 +226,9 @@
             this.upstream = upstream;
             this.output = partialOutputs.compute(
                     ref,
-                    (key, kept) -> kept != null && kept.version.equals(upstream.version())
+                    (key, kept) -> kept != null && kept.version.equals(ServiceVersion.of(upstream))
                             ? kept
-                            : new PartialOutput(upstream.version()));
+                            : new PartialOutput(ServiceVersion.of(upstream)));
             this.sequence = new EventSequence(output.lastEventId);
             this.resumedEvents = output.events.size();
         }
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
@@ -4,12 +4,17 @@
 import dev.lavenderline.serving.jobs.Job;
 import dev.lavenderline.serving.jobs.JobLedger;
 import dev.lavenderline.serving.jobs.JobStore;
+import dev.lavenderline.serving.routes.FleetConfig;
 import dev.lavenderline.serving.slots.ItemRef;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Abandons items whose retention has passed, deletes closed jobs whose results no longer have to be readable, and
@@ -21,10 +26,21 @@
     /** Added to each retention time, since the clocks of hosts differ and may jump by seconds. */
     private static final Duration CLOCK_MARGIN = Duration.ofSeconds(6);
 
+    /** Time for which a route must be missing before the items of its jobs are given up; nodes may lag as long. */
+    static final Duration ROUTE_REMOVAL_MARGIN = Duration.ofSeconds(5);
+
+    /** Age of the configuration up to which a missing route counts as removed. */
+    static final Duration MAX_CONFIG_AGE = Duration.ofSeconds(2);
+
     private final JobLedger ledger;
     private final JobStore store;
     private final Ticker ticker;
     private final Duration resultRetention;
+    private final Supplier<Optional<FleetConfig>> config;
+    private final Supplier<Duration> configAge;
+
+    /** Since when the routes of open jobs have been missing from a confirmed configuration, by name. */
+    private final Map<String, Long> missingSinceNanos = new HashMap<>();
 
     /** Items for which a failure result is being written. */
     private final Set<ItemRef> abandoning = new HashSet<>();
@@ -36,8 +52,17 @@
      * Creates a cleaner.
      *
      * @param resultRetention time after its submission for which a closed job stays readable
+     * @param configAge returns the time since the configuration was confirmed to be the newest one
      */
-    JobCleaner(JobLedger ledger, JobStore store, Ticker ticker, Duration resultRetention) {
+    JobCleaner(
+            JobLedger ledger,
+            JobStore store,
+            Ticker ticker,
+            Duration resultRetention,
+            Supplier<Optional<FleetConfig>> config,
+            Supplier<Duration> configAge) {
+        this.config = config;
+        this.configAge = configAge;
         this.resultRetention = resultRetention;
         this.ledger = ledger;
         this.store = store;
@@ -74,16 +99,41 @@
 
     private void abandonItems() {
         long now = ticker.nanos();
+        updateMissingRoutes(now);
         for (Job job : List.copyOf(ledger.openByDueTime())) {
-            if (now - job.abandonNanos() < CLOCK_MARGIN.toNanos()) {
-                continue;
+            if (now - job.abandonNanos() >= CLOCK_MARGIN.toNanos() || routeRemoved(job, now)) {
+                abandonItems(job);
             }
-            for (int i = 0; i < job.itemCount(); i++) {
-                ItemRef item = new ItemRef(job.id(), i);
-                if (!job.hasResult(i) && abandoning.add(item)) {
-                    store.addResult(item, false, "").onComplete(done -> abandoning.remove(item));
-                }
+        }
+    }
+
+    private void abandonItems(Job job) {
+        for (int i = 0; i < job.itemCount(); i++) {
+            ItemRef item = new ItemRef(job.id(), i);
+            if (!job.hasResult(i) && abandoning.add(item)) {
+                store.addResult(item, false, "").onComplete(done -> abandoning.remove(item));
             }
         }
     }
+
+    /** Notes which routes of open jobs are missing; a configuration that may be out of date says nothing. */
+    private void updateMissingRoutes(long now) {
+        Optional<FleetConfig> current = config.get();
+        if (current.isEmpty() || configAge.get().compareTo(MAX_CONFIG_AGE) > 0) {
+            missingSinceNanos.clear();
+            return;
+        }
+        Set<String> missing = ledger.openByDueTime().stream()
+                .map(Job::route)
+                .filter(route -> current.get().routeNamed(route).isEmpty())
+                .collect(Collectors.toSet());
+        missingSinceNanos.keySet().retainAll(missing);
+        missing.forEach(route -> missingSinceNanos.putIfAbsent(route, now));
+    }
+
+    /** Returns whether the route of a job has been removed, so that nothing runs its items any more. */
+    private boolean routeRemoved(Job job, long now) {
+        Long since = missingSinceNanos.get(job.route());
+        return since != null && now - since >= ROUTE_REMOVAL_MARGIN.toNanos();
+    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/ServingNode.java
@@ -271,7 +271,8 @@
         this.callers =
                 new CallerServer(vertx, context, config::current, this::configAge, ledger, jobs, timers, account);
         this.registry = new NodeRegistry(store, settings.self(), ticker, timers, log, schedulerClient::replaceNodes);
-        this.cleaner = new JobCleaner(ledger, jobs, ticker, settings.resultRetention());
+        this.cleaner =
+                new JobCleaner(ledger, jobs, ticker, settings.resultRetention(), config::current, this::configAge);
         this.status = new StatusServer(vertx, account, this::ready, metrics::text);
         directory.onChange(() -> {
             if (slots.scheduler().nodeCount() > 0) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -141,6 +141,11 @@
         response.sendText(status, message, retryAfter);
     }
 
+    /** Returns whether a request is about a job without a workspace that this node has read. */
+    boolean knows(BatchCall call) {
+        return ledger.find(call.job()).isPresent();
+    }
+
     /** Handles a request about an accepted job. */
     void handle(BatchCall call, Caller caller, RequestInfo info, CallerResponse response) {
         if (call instanceof BatchCall.Cancel cancel) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -278,9 +278,10 @@
     }
 
     private Optional<BatchCall> batchCall(HttpServerRequest request, FleetConfig current) {
-        return current.hasHost(host(request))
-                ? context.wire().parseBatchCall(request.method(), request.uri())
-                : Optional.empty();
+        // The jobs of a removed route stay readable, also if its host has no route any more.
+        return context.wire()
+                .parseBatchCall(request.method(), request.uri())
+                .filter(call -> current.hasHost(host(request)) || batch.knows(call));
     }
 
     /** A job without a workspace could not be read, so a submission needs a key also on a public route. */
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ServiceVersion.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ServiceVersion.java
@@ -2,7 +2,8 @@
 
 /** A software version of the upstreams of a service. Immutable. */
 public record ServiceVersion(String service, String version) {
-    static ServiceVersion of(Upstream upstream) {
+    /** Returns the version that an upstream serves. */
+    public static ServiceVersion of(Upstream upstream) {
         return new ServiceVersion(upstream.service(), upstream.version());
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -65,7 +65,7 @@
     final List<Integer> ports = new ArrayList<>();
 
     /**
-     * Decodes text. A configuration is its version, followed by "workspaces" and an entry "name=key+key" for each if
+     * Decodes text. A configuration is its version, followed by "no-routes" if it has none, or by "workspaces" and an entry "name=key+key" for each if
      * there are any, with a priority after a slash if it has one, or by keys, each of a workspace of its own, with its
      * rate and burst after colons if it has a quota; an upstream its service, its port, and optionally its version,
      * "started" with a number, and "draining".
@@ -80,6 +80,9 @@
         public Either<String, FleetConfig> config(byte[] value) {
             List<String> words = List.of(new String(value, StandardCharsets.UTF_8).split(" "));
             long version = Long.parseLong(words.get(0));
+            if (words.contains("no-routes")) {
+                return Either.right(new FleetConfig(version, List.of(), List.of(), CallerLimits.defaults()));
+            }
             return Either.right(new FleetConfig(
                     version,
                     List.of(
