Resume a stream at its engine up to three times before the next token

What callers saw (KNOWN-RED, CompleteResponseTest.streamsCut): outcome_unknown, "the retry budget is used up", when all connections were cut twice in a row.

Cause: a stream that broke again before a token had come was not resumed at its engine, which still had it, but retried, for which a node with little traffic has too small a budget.

Change: a resumption is no further run and needs no budget, so that it is made up to three times while connections break; after silence, which costs a timeout each time, once as before. The budget is unchanged.

--- a/core/src/main/java/dev/lavenderline/core/response/ResponseCodec.java
+++ b/core/src/main/java/dev/lavenderline/core/response/ResponseCodec.java
@@ -40,8 +40,7 @@
  * <p>Invariants: a response has a status from 100 to 599 and field names that are tokens with a colon right behind them
  * (RFC 9112, sections 4 and 5); its body is framed in one way (section 6); a body that the end of the connection ends
  * is complete only if the peer has closed the connection in order; an interim response holds no status line of another
- * one. Any other response fails and ends its connection.
- * Not thread-safe; confined to the event loop of the connection.
+ * one. Any other response fails and ends its connection. Not thread-safe; confined to the event loop of the connection.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
     /** Name of the codec in the pipelines of the library's client connections. */
--- a/http/src/main/java/dev/lavenderline/http/OnlineRequest.java
+++ b/http/src/main/java/dev/lavenderline/http/OnlineRequest.java
@@ -25,6 +25,9 @@
     /** Limits how many engines one request can crash, whatever the retry budget allows. */
     private static final int MAX_ATTEMPTS = 4;
 
+    /** Limits how often a stream is resumed from the same engine until a token arrives. */
+    private static final int MAX_RESUMES = 3;
+
     private final ServerContext server;
     private final Caller caller;
     private final ModelRequest model;
@@ -250,8 +253,8 @@
         private UpstreamClient.Exchange exchange;
         private int received;
         private boolean accepted;
-        /** Whether the stream was resumed after the last token. */
-        private boolean resumedSinceToken;
+        /** Number of times that the stream was resumed after the last token. */
+        private int resumesSinceToken;
 
         private boolean resent;
         private boolean ended;
@@ -317,7 +320,7 @@
                 server.metrics().tokenInterval.update(now - lastTokenNanos, TimeUnit.NANOSECONDS);
             }
             received++;
-            resumedSinceToken = false;
+            resumesSinceToken = 0;
             lastTokenNanos = now;
             lastWriteNanos = now;
             attempt.tokens(1);
@@ -387,24 +390,23 @@
         }
 
         /**
-         * Returns whether to resume the stream from the same engine on a new connection, which is done only once until
-         * a token arrives. A failure before the first token may be caused by a pooled connection that lost its state
-         * while the engine is healthy; a new connection rules that out.
+         * Returns whether to resume the stream from the same engine on a new connection. That is no further run, so
+         * that it needs no retry budget. Until a token arrives, it is done once if the engine is silent, as each time
+         * costs a timeout, and {@link #MAX_RESUMES} times if connections break. A failure before the first token may be
+         * caused by a pooled connection that lost its state while the engine is healthy; a new connection rules that
+         * out.
          */
         private boolean resumable(UpstreamFailure failure) {
-            if (resumedSinceToken) {
-                return false;
-            }
             boolean pooled = !request.newConnection();
             return switch (failure.kind()) {
-                case BROKEN -> accepted || pooled;
-                case SILENT -> received > 0 || pooled;
+                case BROKEN -> resumesSinceToken < MAX_RESUMES && (accepted || pooled);
+                case SILENT -> resumesSinceToken == 0 && (received > 0 || pooled);
                 default -> false;
             };
         }
 
         private void resumeStream() {
-            resumedSinceToken = true;
+            resumesSinceToken++;
             server.metrics().resumes.inc();
             HttpEvent.STREAM_RESUMED.info(request.requestId(), upstream.name(), received);
             exchange = server.client().resume(upstream, request, received, this);
