Leave trials of ejected upstreams to online requests for longer

Cause, by reading: an item made a trial 1 s after it was due, and again at once after each trial's time. Its result takes about 5 s, that of a request 0.7 s, and the trial keeps all others out, so that engines came back later.

Change: an item makes a trial only if no request has for 3 s, counted anew after each trial. A trial of an item that lasts for its time is passed, since its node would have released a run without bytes before.

EjectionsTest: three new tests; EjectedUpstreamTest passes unchanged.

--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -795,7 +795,7 @@
      * known sooner, but there may be none.
      */
     private boolean mayTryWithItem(Upstream upstream) {
-        return health.trialOverdue(upstream.id());
+        return health.itemTrialOverdue(upstream.id());
     }
 
     /**
@@ -857,7 +857,7 @@
                     .orElse(Duration.ZERO);
             itemOrder.charge(item.workspace(), itemTimes.tokensLeft(service, item.tokens(), ran));
         }
-        health.sent(best.id(), new TrialHolder(node.name, lease.number()));
+        health.itemSent(best.id(), new TrialHolder(node.name, lease.number()));
         rates.sent(best);
         decisions.run(node.name, lease.number(), best.id(), item.item());
         return true;
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/Ejections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/Ejections.java
@@ -11,8 +11,8 @@
  * Decides for each ejected upstream whether it may be tried, by whom and until when.
  *
  * <p>Invariants: an ejected upstream has at most one trial at a time. A trial ends with its result, with its holder or
- * after {@link #TRIAL_TIMEOUT}, whichever comes first; an ejection ends with a success or {@link #MAX_EJECTION} after
- * the last failure. So no upstream stays out of use because an event is never reported. Holds no timers; all limits
+ * after {@link #TRIAL_TIMEOUT}, whichever comes first; an ejection ends with a success, with an item that has received
+ * bytes for the time of a trial, or {@link #MAX_EJECTION} after the last failure. So no upstream stays out of use because an event is never reported. Holds no timers; all limits
  * apply when the state is read. Not thread-safe; confined to the event loop.
  */
 final class Ejections {
@@ -25,6 +25,9 @@
     /** Time for which a trial is due before it is no longer left to the requests that have nowhere better to go. */
     static final Duration TRIAL_OVERDUE = Duration.ofSeconds(1);
 
+    /** Time for which a trial is due before an item makes it; a request has its result sooner. */
+    static final Duration ITEM_TRIAL_OVERDUE = Duration.ofSeconds(3);
+
     private final Ticker ticker;
     private final Map<String, Ejection> ejections = new HashMap<>();
 
@@ -39,9 +42,19 @@
         Ejection withTrial(Optional<Trial> value) {
             return new Ejection(failedNanos, untilNanos, ignoresEarlyResponses, value);
         }
+
+        /** Returns since when a trial is due if none is running: the end of the delay, or of the last trial's time. */
+        long trialDueNanos() {
+            return trial.map(Trial::untilNanos).orElse(untilNanos);
+        }
     }
 
-    private record Trial(TrialHolder holder, long untilNanos) {}
+    /**
+     * A trial.
+     *
+     * @param passesInTime whether it would have failed before its time is over if the upstream sent nothing
+     */
+    private record Trial(TrialHolder holder, long untilNanos, boolean passesInTime) {}
 
     Ejections(Ticker ticker) {
         this.ticker = ticker;
@@ -67,10 +80,15 @@
         return trialDueFor(upstream, TRIAL_OVERDUE);
     }
 
+    /** Returns whether an item has to try an upstream, as no request has, although it has been possible for long. */
+    boolean itemTrialOverdue(String upstream) {
+        return trialDueFor(upstream, ITEM_TRIAL_OVERDUE);
+    }
+
     private boolean trialDueFor(String upstream, Duration time) {
         return find(upstream)
-                .filter(ejection -> ticker.nanos() - ejection.untilNanos() >= time.toNanos())
                 .filter(ejection -> ejection.trial().filter(this::running).isEmpty())
+                .filter(ejection -> ticker.nanos() - ejection.trialDueNanos() >= time.toNanos())
                 .isPresent();
     }
 
@@ -78,10 +96,15 @@
         return ticker.nanos() - trial.untilNanos() < 0;
     }
 
-    /** Records that a holder tries an upstream; no other may until the trial ends. */
-    void tried(String upstream, TrialHolder holder) {
+    /**
+     * Records that a holder tries an upstream; no other may until the trial ends.
+     *
+     * @param passesInTime whether the trial fails before its time is over if the upstream sends nothing, so that one
+     *     that lasts for longer is passed
+     */
+    void tried(String upstream, TrialHolder holder, boolean passesInTime) {
         if (trialDue(upstream)) {
-            Trial trial = new Trial(holder, ticker.nanos() + TRIAL_TIMEOUT.toNanos());
+            Trial trial = new Trial(holder, ticker.nanos() + TRIAL_TIMEOUT.toNanos(), passesInTime);
             ejections.computeIfPresent(upstream, (id, ejection) -> ejection.withTrial(Optional.of(trial)));
         }
     }
@@ -113,6 +136,11 @@
 
     private Optional<Ejection> find(String upstream) {
         return Optional.ofNullable(ejections.get(upstream))
-                .filter(ejection -> ticker.nanos() - ejection.failedNanos() < MAX_EJECTION.toNanos());
+                .filter(ejection -> ticker.nanos() - ejection.failedNanos() < MAX_EJECTION.toNanos())
+                .filter(ejection -> ejection.trial().filter(this::passed).isEmpty());
+    }
+
+    private boolean passed(Trial trial) {
+        return trial.passesInTime() && !running(trial);
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/UpstreamHealth.java
@@ -71,9 +71,22 @@
         return ejections.trialOverdue(upstream);
     }
 
-    /** Records that a request or an item was sent; to an ejected upstream this is the trial. */
+    /** Returns whether an item has to make the trial that is due, as no request has for long. */
+    public boolean itemTrialOverdue(String upstream) {
+        return ejections.itemTrialOverdue(upstream);
+    }
+
+    /** Records that a request was sent; to an ejected upstream this is the trial. */
     public void sent(String upstream, TrialHolder holder) {
-        ejections.tried(upstream, holder);
+        ejections.tried(upstream, holder, false);
+    }
+
+    /**
+     * Records that an item was sent; to an ejected upstream this is the trial. Its run is released as unreachable
+     * before the trial's time is over unless it receives bytes.
+     */
+    public void itemSent(String upstream, TrialHolder holder) {
+        ejections.tried(upstream, holder, true);
     }
 
     /** Records a complete response. */
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/EjectionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/EjectionsTest.java
@@ -28,7 +28,7 @@
     private void startTrial(TrialHolder holder) {
         time.advance(DELAY);
         assertTrue(ejections.trialDue("e"));
-        ejections.tried("e", holder);
+        ejections.tried("e", holder, false);
     }
 
     @Test
@@ -65,7 +65,7 @@
         startTrial(HOLDER);
         time.advance(Ejections.TRIAL_TIMEOUT);
         assertTrue(ejections.trialDue("e"));
-        ejections.tried("e", OTHER);
+        ejections.tried("e", OTHER, false);
         ejections.ended("e", HOLDER);
         assertFalse(ejections.trialDue("e"), "the result of the first trial does not end the second");
     }
@@ -81,7 +81,7 @@
         startTrial(HOLDER);
         for (int i = 0; i < 4; i++) {
             time.advance(Ejections.TRIAL_TIMEOUT);
-            ejections.tried("e", HOLDER);
+            ejections.tried("e", HOLDER, false);
         }
         assertFalse(ejections.ejected("e"));
     }
@@ -102,10 +102,44 @@
         assertFalse(ejections.trialOverdue("e"));
         time.advance(Ejections.TRIAL_OVERDUE);
         assertTrue(ejections.trialOverdue("e"));
-        ejections.tried("e", HOLDER);
+        ejections.tried("e", HOLDER, false);
         assertFalse(ejections.trialOverdue("e"));
     }
 
+    /** Guards against an engine that stays out of use while an item runs there, which takes seconds. */
+    @Test
+    void trialOfAnItemThatLastsIsPassed() {
+        time.advance(DELAY);
+        ejections.tried("e", HOLDER, true);
+        time.advance(Ejections.TRIAL_TIMEOUT.minusMillis(1));
+        assertTrue(ejections.ejected("e"));
+        time.advance(Duration.ofMillis(1));
+        assertFalse(ejections.ejected("e"));
+    }
+
+    @Test
+    void trialOfAnItemThatEndsEarlyIsNotPassed() {
+        time.advance(DELAY);
+        ejections.tried("e", HOLDER, true);
+        ejections.nodeLeft(HOLDER.node());
+        time.advance(Ejections.TRIAL_TIMEOUT);
+        assertTrue(ejections.ejected("e"));
+    }
+
+    /** Guards against items that take each trial, although requests, whose results come sooner, would make it. */
+    @Test
+    void requestsComeBeforeItemsAfterEachTrial() {
+        time.advance(DELAY.plus(Ejections.TRIAL_OVERDUE));
+        assertTrue(ejections.trialOverdue("e"));
+        assertFalse(ejections.itemTrialOverdue("e"));
+        time.advance(Ejections.ITEM_TRIAL_OVERDUE.minus(Ejections.TRIAL_OVERDUE));
+        assertTrue(ejections.itemTrialOverdue("e"));
+        ejections.tried("e", HOLDER, false);
+        time.advance(Ejections.TRIAL_TIMEOUT);
+        assertTrue(ejections.trialDue("e"));
+        assertFalse(ejections.itemTrialOverdue("e"));
+    }
+
     /** Events in any order, with any of them missing: the upstream is in use again once the failures stop. */
     @Test
     void noOrderOfEventsKeepsAnUpstreamOut() {
@@ -115,7 +149,7 @@
                 TrialHolder holder = new TrialHolder("n" + random.nextInt(3), random.nextInt(3));
                 switch (random.nextInt(7)) {
                     case 0 -> ejections.eject("e", DELAY.multipliedBy(1 + random.nextInt(8)), random.nextBoolean());
-                    case 1, 2 -> ejections.tried("e", holder);
+                    case 1, 2 -> ejections.tried("e", holder, random.nextBoolean());
                     case 3 -> ejections.ended("e", holder);
                     case 4 -> ejections.nodeLeft(holder.node());
                     case 5 -> ejections.succeeded("e");
