--- a/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/ItemRunner.java
@@ -38,9 +38,9 @@
  * Runs the batch items assigned by the scheduler. Keeps the partial output of interrupted runs, from which a
  * later run continues.
  *
- * <p>Invariants: a partial output consists of events with consecutive ids, each from a run on the same service and version
- * that was asked to continue after the previous event; an item has at most one run on this node, and so has the number
- * of a lease. Not thread-safe; confined to the event loop.
+ * <p>Invariants: a partial output consists of events with consecutive ids, each from a run on the same service and
+ * version that was asked to continue after the previous event; an item has at most one run on this node, and so has the
+ * number of a lease. Not thread-safe; confined to the event loop.
  */
 public final class ItemRunner implements ItemExecutor {
     private static final int UNPROCESSABLE_CONTENT = 422;
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/PayloadStore.java
@@ -35,9 +35,9 @@
  * Reads and writes the contents of batch jobs: items and outputs. Every node reads the whole job topic, which only
  * refers to the contents; a content is read by the nodes that need it.
  *
- * <p>Invariants: a payload is written before the record that refers to it, under a key of its own, and never changes. One
- * above the size of a record is split into chunks, which are appended together, in order, each under a key of its own.
- * Not thread-safe; confined to the event loop.
+ * <p>Invariants: a payload is written before the record that refers to it, under a key of its own, and never changes.
+ * One above the size of a record is split into chunks, which are appended together, in order, each under a key of its
+ * own. Not thread-safe; confined to the event loop.
  */
 final class PayloadStore {
     /** Number of payload topics: a page of newest records, up to 1 MB, is to hold the payloads of few jobs. */
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/Ejections.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/Ejections.java
@@ -12,8 +12,9 @@
  *
  * <p>Invariants: an ejected upstream has at most one trial at a time. A trial ends with its result, with its holder or
  * after {@link #TRIAL_TIMEOUT}, whichever comes first; an ejection ends with a success, with an item that has received
- * bytes for the time of a trial, or {@link #MAX_EJECTION} after the last failure. So no upstream stays out of use because an event is never reported. Holds no timers; all limits
- * apply when the state is read. Not thread-safe; confined to the event loop.
+ * bytes for the time of a trial, or {@link #MAX_EJECTION} after the last failure. So no upstream stays out of use
+ * because an event is never reported. Holds no timers; all limits apply when the state is read. Not thread-safe;
+ * confined to the event loop.
  */
 final class Ejections {
     /** Time for which a trial keeps others out; longer than it takes to notice that an upstream sends nothing. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -65,10 +65,10 @@
     final List<Integer> ports = new ArrayList<>();
 
     /**
-     * Decodes text. A configuration is its version, followed by "no-routes" if it has none, or by "workspaces" and an entry "name=key+key" for each if
-     * there are any, with a priority after a slash if it has one, or by keys, each of a workspace of its own, with its
-     * rate and burst after colons if it has a quota; an upstream its service, its port, and optionally its version,
-     * "started" with a number, and "draining".
+     * Decodes text. A configuration is its version, followed by "no-routes" if it has none, or by "workspaces" and an
+     * entry "name=key+key" for each if there are any, with a priority after a slash if it has one, or by keys, each of
+     * a workspace of its own, with its rate and burst after colons if it has a quota; an upstream its service, its
+     * port, and optionally its version, "started" with a number, and "draining".
      */
     static final class TextRecordDecoder implements ControlRecordDecoder {
         @Override
