Judge calls about jobs by their acceptance, not by the present configuration

Cause: routes and hosts were asked before the job. The one exception, for hosts without a route, looked a job up by its caller's id, under which the jobs of workspaces are not kept, and only among those that the node had read. Repeats of a submission had no exception at all: 404 without the route, 413 under a smaller limit, and a stream's answer on a route of another kind.

JobLookup decides whose a job is, by its owner when it was accepted, and EarlierWork asks it before any route, limit or host is looked at, reading the store first if the node has not read the job. Reads that such requests cause are shared, at most five a second and partition. Items no longer run on a route that has taken the name of theirs for another kind of request. A job of a workspace is refused with 503, neither served nor denied, while no workspaces are configured; one without a workspace is found by callers of all workspaces.

--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobIds.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobIds.java
@@ -6,6 +6,7 @@
 /** Ids under which the jobs of callers are kept. Stateless and thread-safe. */
 public final class JobIds {
     private static final int HASH_DIGITS = 16;
+    private static final char TAG_MARK = '~';
 
     private JobIds() {}
 
@@ -22,6 +23,19 @@
         }
         String hash =
                 Hashing.sha256().hashString(workspace, StandardCharsets.UTF_8).toString();
-        return callerId + "~" + hash.substring(0, HASH_DIGITS);
+        return callerId + TAG_MARK + hash.substring(0, HASH_DIGITS);
+    }
+
+    /** Returns whether the id is that under which a job of some workspace is kept whose caller chose the other id. */
+    static boolean isInternalOf(String id, String callerId) {
+        return id.length() == callerId.length() + 1 + HASH_DIGITS
+                && id.startsWith(callerId)
+                && id.charAt(callerId.length()) == TAG_MARK;
+    }
+
+    /** Returns what the ids of all jobs of a workspace end with, empty if the id is that of a job without one. */
+    static String workspaceTag(String id) {
+        int mark = id.length() - 1 - HASH_DIGITS;
+        return mark >= 0 && id.charAt(mark) == TAG_MARK ? id.substring(mark) : "";
     }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobLedger.java
@@ -10,11 +10,9 @@
 import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.store.KeyedRecord;
-import dev.lavenderline.serving.workspaces.Caller;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -36,9 +34,7 @@
     private final EventLog log;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, List<JobRecord>> recordsBeforeJob = new HashMap<>();
-
-    /** Times at which callers ended jobs of which no part has been read, by the ticker's clock. */
-    private final Map<String, Long> endsBeforeJob = new HashMap<>();
+    private final EarlyEnds earlyEnds = new EarlyEnds();
 
     private List<Job> openJobs = List.of();
     private boolean openJobsStale;
@@ -99,14 +95,14 @@
         jobs.keySet().removeIf(deleted);
         // All records that exist are in the list.
         recordsBeforeJob.keySet().removeIf(inPartition);
-        endsBeforeJob.keySet().removeIf(inPartition);
+        earlyEnds.removeIf(inPartition);
         openJobsStale = true;
         missed.forEach(job -> cancelListeners.forEach(listener -> listener.accept(job)));
         current.forEach(record -> FailureGuard.run(log, () -> apply(record), "key", record.key()));
     }
 
     private void delete(String key) {
-        JobRecords.jobOfEnd(key).ifPresent(endsBeforeJob::remove);
+        JobRecords.jobOfEnd(key).ifPresent(earlyEnds::remove);
         JobRecords.jobOfPart(key).ifPresent(id -> {
             jobs.remove(id);
             recordsBeforeJob.remove(id);
@@ -127,8 +123,7 @@
         };
         Job job = jobs.get(id);
         if (job == null && record.getBodyCase() == JobRecord.BodyCase.ENDED) {
-            endsBeforeJob.putIfAbsent(
-                    id, ticker.nanos() - age(record.getEnded()).toNanos());
+            earlyEnds.add(id, ticker.nanos() - age(record.getEnded()).toNanos());
             return;
         }
         if (job == null) {
@@ -170,7 +165,7 @@
         if (records != null) {
             records.forEach(record -> apply(job, record));
         }
-        if (endsBeforeJob.remove(part.getJob()) != null) {
+        if (earlyEnds.remove(part.getJob())) {
             cancel(job);
         }
     }
@@ -210,12 +205,17 @@
 
     /** Returns whether a caller ended a job of which no part has been read. */
     boolean endedBeforeJob(String id) {
-        return endsBeforeJob.containsKey(id);
+        return earlyEnds.contains(id);
+    }
+
+    /** Returns whether the end of a job may be recorded of which no part has been read. */
+    boolean hasRoomForEnd(String id) {
+        return earlyEnds.hasRoomFor(id);
     }
 
     /** Returns the jobs that were ended before any of their parts was read, by the time of the end (ticker's clock). */
     public Map<String, Long> endsBeforeJob() {
-        return Collections.unmodifiableMap(endsBeforeJob);
+        return earlyEnds.times();
     }
 
     /** Returns all jobs, including those of which some parts have not been read. */
@@ -235,12 +235,6 @@
         return openJobs;
     }
 
-    /** Returns the job of a caller by the id that the caller chose; empty like {@link #find}. */
-    public Optional<Job> find(String callerId, Caller caller) {
-        return find(JobIds.internal(callerId, caller.workspace()))
-                .filter(job -> job.workspace().equals(caller.workspace()));
-    }
-
     /**
      * Returns the tokens of a route's items that have no result, excluding cancelled jobs.
      *
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobStore.java
@@ -21,6 +21,7 @@
 import dev.lavenderline.serving.store.MetadataStore;
 import dev.lavenderline.serving.store.Partition;
 import dev.lavenderline.serving.store.PartitionFollower;
+import dev.lavenderline.serving.store.SharedReads;
 import dev.lavenderline.serving.store.StoreException;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -48,6 +49,12 @@
     /** Maximum wait of a long poll, and so the time within which an idle partition is confirmed to be unchanged. */
     private static final Duration POLL_WAIT = Duration.ofSeconds(1);
 
+    /** Shortest time between two reads of a partition for requests about unknown jobs. */
+    private static final Duration SHARED_READ_PERIOD = Duration.ofMillis(200);
+
+    /** Time after which requests about unknown jobs do not wait for a read in progress any more. */
+    private static final Duration SHARED_READ_TIMEOUT = Duration.ofSeconds(1);
+
     /** Time limit of writes while the store is down; an item runs again if the node that ran it is lost meanwhile. */
     private static final Duration WRITE_TIMEOUT = Duration.ofMinutes(2);
 
@@ -60,9 +67,6 @@
     /** Time after which a result that the store has not confirmed is logged. */
     static final Duration RESULT_DELAY = Duration.ofSeconds(5);
 
-    /** Bounds the memory that cancellations of unknown jobs take on all nodes, about 200 bytes each. */
-    static final int MAX_ENDS_BEFORE_JOB = 20_000;
-
     private final String node;
     private final Ticker ticker;
     private final Timers timers;
@@ -72,6 +76,7 @@
     private final PayloadStore payloads;
     private final List<PartitionFollower> followers = new ArrayList<>();
     private final List<ConditionalWriter> writers = new ArrayList<>();
+    private final List<SharedReads> sharedReads = new ArrayList<>();
 
     /** Failure counts of this node's runs, which the ledger may lack while the store does not respond. */
     private final Map<ItemRef, Integer> submittedFailures = new HashMap<>();
@@ -125,6 +130,8 @@
                     new PartitionFollower(store, partition, listener(partition), ticker, timers, log, POLL_WAIT, pause);
             followers.add(follower);
             writers.add(new ConditionalWriter(store, partition, follower, ticker, timers, log));
+            sharedReads.add(new SharedReads(
+                    () -> withLimit(follower.refresh(), SHARED_READ_TIMEOUT), SHARED_READ_PERIOD, ticker, timers));
         }
         ledger.onResult(result -> submittedFailures.remove(new ItemRef(result.getJob(), result.getItem())));
         ledger.onCancelled(
@@ -155,6 +162,11 @@
         return followers.get(partition(job)).nextOffset() >= 0;
     }
 
+    /** Returns the time since the store's last response about the partition of a job. */
+    public Duration age(String job) {
+        return followers.get(partition(job)).age();
+    }
+
     /** Returns the longest time since the store's last response over all partitions. */
     public Duration age() {
         return followers.stream()
@@ -241,13 +253,26 @@
         });
     }
 
-    /** Reads the partition of a job up to its current end; fails with a {@link StoreException} after a limit. */
+    /**
+     * Reads the partition of a job up to its current end for a request about a job that may not exist. Such requests
+     * share reads, so that they can't use up the calls that the store allows.
+     *
+     * @return a future that fails with a {@link StoreException} if the store does not answer within the limit
+     */
+    public Future<Void> refreshForUnknown(String job, Duration limit) {
+        return withLimit(sharedReads.get(partition(job)).read(), limit);
+    }
+
     private Future<Void> refresh(String job, Duration limit) {
+        return withLimit(refresh(job), limit);
+    }
+
+    private Future<Void> withLimit(Future<Void> read, Duration limit) {
         Promise<Void> promise = Promise.promise();
         Timers.Timer timer = timers.after(
                 limit,
                 () -> promise.tryFail(new StoreException(StoreException.Reason.UNKNOWN, "not read within " + limit)));
-        refresh(job).onSuccess(promise::tryComplete).onFailure(promise::tryFail);
+        read.onSuccess(promise::tryComplete).onFailure(promise::tryFail);
         return promise.future().onComplete(done -> timer.cancel());
     }
 
@@ -394,7 +419,8 @@
      * Cancels a job. The cancellation of an unknown job is recorded as well, because a submission that is still on its
      * way, such as one in the socket of a suspended node, must find it.
      *
-     * @return false if it was not confirmed in time, or if too many unknown jobs have been cancelled lately
+     * @return false if it was not confirmed in time, or if too many unknown jobs have been cancelled lately, by all
+     *     callers or by those of the job's workspace
      */
     public Future<Boolean> cancel(String job, Duration timeout) {
         ConditionalWriter.Change change = new ConditionalWriter.Change() {
@@ -412,9 +438,7 @@
 
             @Override
             public boolean refused() {
-                return ledger.find(job).isEmpty()
-                        && !ledger.endedBeforeJob(job)
-                        && ledger.endsBeforeJob().size() >= MAX_ENDS_BEFORE_JOB;
+                return ledger.find(job).isEmpty() && !ledger.endedBeforeJob(job) && !ledger.hasRoomForEnd(job);
             }
         };
         return writer(job).submit("end/" + job, change, timeout).map(result -> result == ConditionalWriter.Result.DONE);
--- a/serving/src/main/java/dev/lavenderline/serving/jobs/JobSubmission.java
+++ b/serving/src/main/java/dev/lavenderline/serving/jobs/JobSubmission.java
@@ -26,6 +26,20 @@
         return new JobSubmission(JobIds.internal(id, caller.workspace()), caller.workspace(), items);
     }
 
+    /** Returns whether a job has the items of this submission, in the same order. */
+    public boolean hasItemsOf(Job job) {
+        if (job.itemCount() != items.size()) {
+            return false;
+        }
+        for (int i = 0; i < items.size(); i++) {
+            String id = items.get(i).getId();
+            if (job.item(i).filter(item -> item.getId().equals(id)).isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns the sum of prompt tokens and maximum output tokens over all items. */
     public long tokens() {
         return items.stream().mapToLong(JobItem::getTokens).sum();
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobBacklog.java
@@ -36,7 +36,7 @@
             return;
         }
         for (Job job : ledger.openByDueTime()) {
-            Optional<Route> route = current.get().routeNamed(job.route());
+            Optional<Route> route = current.get().batchRouteNamed(job.route());
             if (route.isEmpty()) {
                 continue;
             }
--- a/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
+++ b/serving/src/main/java/dev/lavenderline/serving/node/JobCleaner.java
@@ -125,7 +125,7 @@
         }
         Set<String> missing = ledger.openByDueTime().stream()
                 .map(Job::route)
-                .filter(route -> current.get().routeNamed(route).isEmpty())
+                .filter(route -> current.get().batchRouteNamed(route).isEmpty())
                 .collect(Collectors.toSet());
         missingSinceNanos.keySet().retainAll(missing);
         missing.forEach(route -> missingSinceNanos.putIfAbsent(route, now));
--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.serving.jobs.Job;
 import dev.lavenderline.serving.jobs.JobIds;
 import dev.lavenderline.serving.jobs.JobLedger;
+import dev.lavenderline.serving.jobs.JobLookup;
 import dev.lavenderline.serving.jobs.JobStore;
 import dev.lavenderline.serving.jobs.JobSubmission;
 import dev.lavenderline.serving.logging.EventLog;
@@ -44,17 +45,19 @@
 
     private final WireFormat wire;
     private final JobLedger ledger;
+    private final JobLookup lookup;
     private final JobStore store;
     private final Timers timers;
     private final EventLog log;
     private final WorkspaceMetrics metrics;
     private final Map<String, List<Runnable>> waitingReaders = new HashMap<>();
 
-    BatchCallHandler(CallContext context, JobLedger ledger, JobStore store, Timers timers) {
+    BatchCallHandler(CallContext context, JobLedger ledger, JobLookup lookup, JobStore store, Timers timers) {
         this.wire = context.wire();
         this.log = context.log();
         this.metrics = context.metrics().workspaces();
         this.ledger = ledger;
+        this.lookup = lookup;
         this.store = store;
         this.timers = timers;
         ledger.onResult(this::notifyWaiting);
@@ -81,6 +84,15 @@
             reject(submission, response, 503, "not run: jobs have not been read yet", RETRY_DELAY);
             return;
         }
+        JobLookup.Finding earlier = lookup.find(info.id(), caller);
+        if (earlier.ownerUncertain()) {
+            reject(submission, response, 503, "not run: the owner of the job can't be checked", RETRY_DELAY);
+            return;
+        }
+        if (earlier.job().filter(submission::hasItemsOf).isPresent()) {
+            sendAccepted(response);
+            return;
+        }
         Duration timeout = info.timeout()
                 .map(callerTimeout -> callerTimeout.multipliedBy(6).dividedBy(10))
                 .filter(acceptTimeout -> acceptTimeout.compareTo(ACCEPT_TIMEOUT) < 0)
@@ -104,7 +116,7 @@
                             submission.items().size(),
                             "tokens",
                             submission.tokens());
-                    response.sendText(202, "accepted");
+                    sendAccepted(response);
                 }
                 case OVER_LIMIT -> {
                     metrics.rejected(caller, WorkspaceMetrics.Rejection.QUOTA);
@@ -141,42 +153,39 @@
         response.sendText(status, message, retryAfter);
     }
 
-    /** Returns whether a request is about a job without a workspace that this node has read. */
-    boolean knows(BatchCall call) {
-        return ledger.find(call.job()).isPresent();
+    /** Responds to the submission of a job that is accepted. */
+    void sendAccepted(CallerResponse response) {
+        response.sendText(202, "accepted");
     }
 
-    /** Handles a request about an accepted job. */
-    void handle(BatchCall call, Caller caller, RequestInfo info, CallerResponse response) {
-        if (call instanceof BatchCall.Cancel cancel) {
-            cancel(cancel, caller, response);
-            return;
+    /** Handles a request about a job of its caller. */
+    void handle(Job job, BatchCall call, RequestInfo info, CallerResponse response) {
+        if (call instanceof BatchCall.Cancel) {
+            cancel(job.id(), response);
+        } else if (call instanceof BatchCall.ReadBody read) {
+            sendBody(job, read, response);
+        } else if (call instanceof BatchCall.ReadResults read) {
+            sendResults(job, read.after(), info.maxWait(), response);
         }
-        Optional<Job> known = ledger.find(call.job(), caller);
-        if (known.isPresent()) {
-            handleKnownJob(known.get(), call, info, response);
-            return;
+    }
+
+    /**
+     * Handles a request about a job that does not exist for its caller. Its end is recorded, whether it exists for
+     * others or not, because the submission may be on its way, for example in the socket of a suspended node.
+     */
+    void handleUnknown(BatchCall call, Caller caller, CallerResponse response) {
+        String id = JobIds.internal(call.job(), caller.workspace());
+        if (call instanceof BatchCall.Cancel && !caller.hasWorkspace() && !belongsToAnother(id, caller)) {
+            cancel(id, response);
+        } else {
+            notFound(call, response);
         }
-        // Another node may have accepted the job since this node last read the partition.
-        store.refresh(JobIds.internal(call.job(), caller.workspace()))
-                .onSuccess(read -> ledger.find(call.job(), caller)
-                        .ifPresentOrElse(
-                                job -> handleKnownJob(job, call, info, response), () -> notFound(call, response)))
-                .onFailure(failure -> response.sendText(503, "not run: the store does not answer", RETRY_DELAY));
     }
 
     private static void notFound(BatchCall call, CallerResponse response) {
         response.sendText(404, "no job " + call.job());
     }
 
-    private void handleKnownJob(Job job, BatchCall call, RequestInfo info, CallerResponse response) {
-        if (call instanceof BatchCall.ReadBody read) {
-            sendBody(job, read, response);
-        } else if (call instanceof BatchCall.ReadResults read) {
-            sendResults(job, read.after(), info.maxWait(), response);
-        }
-    }
-
     private void sendBody(Job job, BatchCall.ReadBody call, CallerResponse response) {
         int index = job.indexOf(call.item());
         if (index < 0) {
@@ -219,17 +228,11 @@
                 .onFailure(failure -> response.sendText(503, "not run: the store does not answer", RETRY_DELAY));
     }
 
-    private void cancel(BatchCall.Cancel call, Caller caller, CallerResponse response) {
-        String id = JobIds.internal(call.job(), caller.workspace());
-        store.refresh(id)
-                .compose(read -> deniesCancel(call, caller)
-                        ? Future.succeededFuture(404)
-                        : store.cancel(id, CANCEL_TIMEOUT).map(cancelled -> cancelled ? 200 : 503))
-                .recover(failure -> Future.succeededFuture(503))
-                .onSuccess(status -> {
-                    if (status == 404) {
-                        notFound(call, response);
-                    } else if (status == 200) {
+    private void cancel(String id, CallerResponse response) {
+        store.cancel(id, CANCEL_TIMEOUT)
+                .recover(failure -> Future.succeededFuture(false))
+                .onSuccess(cancelled -> {
+                    if (cancelled) {
                         log.event(ServingEvent.JOB_ENDED, "job", id);
                         response.sendText(200, "ended");
                     } else {
@@ -237,13 +240,4 @@
                     }
                 });
     }
-
-    /**
-     * Returns whether the job of a cancellation does not exist for its caller. A caller without a workspace can also
-     * cancel a job whose submission is still on its way, so that an unknown one is not denied.
-     */
-    private boolean deniesCancel(BatchCall.Cancel call, Caller caller) {
-        return ledger.find(call.job(), caller).isEmpty()
-                && (caller.hasWorkspace() || ledger.find(call.job()).isPresent());
-    }
 }
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerAdmission.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerAdmission.java
@@ -73,6 +73,12 @@
         return Optional.empty();
     }
 
+    /** Returns the caller of a request that needs a key, empty if it has no valid one. Answers nothing. */
+    Optional<Caller> identify(FleetConfig config, RequestInfo info) {
+        return CallerCheck.identify(config.workspaces(), info.apiKey(), false, () -> false)
+                .toJavaOptional();
+    }
+
     /** Answers a request whose key does not name a caller; the arguments are those of {@link #admit}. */
     void rejectUnknownCaller(
             FleetConfig config, RequestInfo info, String route, boolean publicAccess, CallerResponse response) {
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.core.overload.HoldingAccount;
 import dev.lavenderline.core.overload.ListenerGuard;
 import dev.lavenderline.serving.jobs.JobLedger;
+import dev.lavenderline.serving.jobs.JobLookup;
 import dev.lavenderline.serving.jobs.JobStore;
 import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
@@ -61,6 +62,7 @@
     private final Supplier<Optional<FleetConfig>> config;
     private final CallerAdmission admission;
     private final BatchCallHandler batch;
+    private final EarlierWork earlierWork;
     private final StartupQueue startupQueue;
     private final Map<HttpConnection, Set<OnlineCall>> callsByConnection = new HashMap<>();
     private HttpServer server;
@@ -95,7 +97,9 @@
         this.startupQueue = new StartupQueue(
                 () -> config.get().isPresent() && context.directory().loaded(), context.ticker(), timers);
         this.admission = new CallerAdmission(context, configAge, MAX_CONFIG_AGE, NOT_READY_RETRY_DELAY);
-        this.batch = new BatchCallHandler(context, ledger, jobs, timers);
+        JobLookup lookup = new JobLookup(ledger);
+        this.batch = new BatchCallHandler(context, ledger, lookup, jobs, timers);
+        this.earlierWork = new EarlierWork(context, admission, batch, lookup, jobs);
     }
 
     /** Starts listening; returns the bound port. */
@@ -198,24 +202,21 @@
         openRequests.computeIfPresent(request.connection(), (connection, count) -> count + 1);
         CallerResponse response = new CallerResponse(request, context.wire());
         int maxBodyBytes = limits().bodyBytes();
-        Buffer body = Buffer.buffer();
+        RequestBody body = new RequestBody(maxBodyBytes);
         request.exceptionHandler(failure -> {});
         trackResponse(request, response);
-        if (hasBody(request)) {
-            rejectBeforeBody(request, response, maxBodyBytes);
+        if (hasBody(request) && decideBeforeBody(request, response, maxBodyBytes)) {
+            body.drop();
         }
         request.handler(chunk -> {
             if (response.ended()) {
-                return;
-            }
-            if (body.length() + chunk.length() > maxBodyBytes) {
-                rejectTooLarge(response, maxBodyBytes);
-            } else {
-                body.appendBuffer(chunk);
+                body.drop();
+            } else if (body.append(chunk)) {
+                rejectTooLarge(request, response, maxBodyBytes);
             }
         });
         request.endHandler(end -> {
-            if (response.ended()) {
+            if (response.ended() || body.dropped()) {
                 return;
             }
             if (draining.isPresent()) {
@@ -227,7 +228,7 @@
             }
             startupQueue.submit(
                     maxStartupWait(request),
-                    () -> dispatchSafely(request, body, response, arrivalNanos),
+                    () -> dispatchSafely(request, body.bytes(), response, arrivalNanos),
                     () -> response.sendText(503, "not run: this node is starting", NOT_READY_RETRY_DELAY));
         });
     }
@@ -246,27 +247,41 @@
         }
     }
 
-    private static void rejectTooLarge(CallerResponse response, int maxBodyBytes) {
-        response.sendText(413, "the body has more than " + maxBodyBytes + " bytes");
+    private void rejectTooLarge(HttpServerRequest request, CallerResponse response, int maxBodyBytes) {
+        Runnable reject = () -> response.sendText(413, "the body has more than " + maxBodyBytes + " bytes");
+        config.get()
+                .ifPresentOrElse(current -> earlierWork.answerRepeat(call(request, response, current), reject), reject);
     }
 
-    /** Rejects a request whose head alone shows that it can't be served; the rest of its body is dropped. */
-    private void rejectBeforeBody(HttpServerRequest request, CallerResponse response, int maxBodyBytes) {
+    private EarlierWork.Call call(HttpServerRequest request, CallerResponse response, FleetConfig current) {
+        RequestInfo info = context.wire().parseRequest(request.headers());
+        return new EarlierWork.Call(request.method(), host(request), info, current, response);
+    }
+
+    /** Answers a request if its head alone shows how; returns whether the body is not needed. */
+    private boolean decideBeforeBody(HttpServerRequest request, CallerResponse response, int maxBodyBytes) {
         if (contentLength(request) > maxBodyBytes) {
-            rejectTooLarge(response, maxBodyBytes);
-        } else if (context.directory().loaded()) {
-            config.get().ifPresent(current -> rejectBeforeBody(request, response, current));
+            rejectTooLarge(request, response, maxBodyBytes);
+            return true;
         }
+        Optional<FleetConfig> current =
+                config.get().filter(known -> context.directory().loaded());
+        return current.isPresent() && decideBeforeBody(request, response, current.get());
     }
 
-    private void rejectBeforeBody(HttpServerRequest request, CallerResponse response, FleetConfig current) {
-        RequestInfo info = context.wire().parseRequest(request.headers());
-        Optional<Route> route = current.route(host(request), path(request));
+    private boolean decideBeforeBody(HttpServerRequest request, CallerResponse response, FleetConfig current) {
+        EarlierWork.Call call = call(request, response, current);
+        Optional<Route> route = current.route(call.host(), path(request));
         if (route.isPresent()) {
-            admission.rejectUnknownCaller(current, info, route.get().name(), publicAccess(route.get()), response);
-        } else if (batchCall(request, current).isEmpty()) {
-            rejectUnknownRoute(request, host(request), info, current, response);
+            admission.rejectUnknownCaller(
+                    current, call.info(), route.get().name(), publicAccess(route.get()), response);
+            return response.ended();
         }
+        if (batchCall(request).isPresent()) {
+            return false;
+        }
+        earlierWork.answerRepeat(call, () -> rejectUnknownRoute(request, call));
+        return true;
     }
 
     private static String host(HttpServerRequest request) {
@@ -277,11 +292,8 @@
         return request.path() == null ? "" : request.path();
     }
 
-    private Optional<BatchCall> batchCall(HttpServerRequest request, FleetConfig current) {
-        // The jobs of a removed route stay readable, also if its host has no route any more.
-        return context.wire()
-                .parseBatchCall(request.method(), request.uri())
-                .filter(call -> current.hasHost(host(request)) || batch.knows(call));
+    private Optional<BatchCall> batchCall(HttpServerRequest request) {
+        return context.wire().parseBatchCall(request.method(), request.uri());
     }
 
     /** A job without a workspace could not be read, so a submission needs a key also on a public route. */
@@ -330,63 +342,63 @@
     }
 
     private void dispatch(HttpServerRequest request, Buffer body, CallerResponse response, long arrivalNanos) {
-        FleetConfig current = config.get().orElseThrow();
-        String host = host(request);
-        RequestInfo info = context.wire().parseRequest(request.headers());
-        Optional<Route> route = current.route(host, path(request));
-        if (!endsBeforeExit(route, info, arrivalNanos)) {
+        EarlierWork.Call call = call(request, response, config.get().orElseThrow());
+        Optional<Route> route = call.config().route(call.host(), path(request));
+        if (!endsBeforeExit(route, call.info(), arrivalNanos)) {
             rejectLeaving(response);
             return;
         }
-        if (route.isEmpty()) {
-            Optional<BatchCall> call = batchCall(request, current);
-            if (call.isPresent()) {
-                admission
-                        .admit(current, info, "", false, response)
-                        .ifPresent(caller -> batch.handle(call.get(), caller, info, response));
-            } else {
-                rejectUnknownRoute(request, host, info, current, response);
-            }
-            return;
+        Runnable byRoute = () -> route.ifPresentOrElse(
+                known -> dispatch(request, body, call, arrivalNanos, known), () -> rejectUnknownRoute(request, call));
+        Optional<BatchCall> batchCall = batchCall(request);
+        if (batchCall.isPresent()) {
+            earlierWork.answerJobCall(batchCall.get(), call, route.isPresent(), byRoute);
+        } else if (route.isEmpty()) {
+            earlierWork.answerRepeat(call, byRoute);
+        } else if (route.get().kind() != RouteKind.BATCH) {
+            earlierWork.answerRepeatOnOtherRoute(call, body, byRoute);
+        } else {
+            earlierWork.afterReading(call, byRoute);
         }
-        boolean batchRoute = route.get().kind() == RouteKind.BATCH;
-        Optional<Caller> caller =
-                admission.admit(current, info, route.get().name(), publicAccess(route.get()), response);
+    }
+
+    private void dispatch(
+            HttpServerRequest request, Buffer body, EarlierWork.Call call, long arrivalNanos, Route route) {
+        RequestInfo info = call.info();
+        CallerResponse response = call.response();
+        Optional<Caller> caller = admission.admit(call.config(), info, route.name(), publicAccess(route), response);
         if (caller.isEmpty()) {
             return;
         }
-        if (batchRoute) {
-            if (guard.charge(request.connection(), context.wire().submissionBytes(body))) {
-                batch.submit(route.get(), host, caller.get(), info, body, response);
-            } else {
-                response.sendText(503, "not run: no memory for the job", NO_MEMORY_RETRY_DELAY);
-            }
-            return;
+        if (route.kind() != RouteKind.BATCH) {
+            handleOnline(request, body, response, arrivalNanos, info, route, caller.get(), call.config());
+        } else if (guard.charge(request.connection(), context.wire().submissionBytes(body))) {
+            batch.submit(route, call.host(), caller.get(), info, body, response);
+        } else {
+            response.sendText(503, "not run: no memory for the job", NO_MEMORY_RETRY_DELAY);
         }
-        handleOnline(request, body, response, arrivalNanos, info, route.get(), caller.get(), current);
     }
 
     /** Rejects a request without a route. Only a node with the newest configuration may deny the route. */
-    private void rejectUnknownRoute(
-            HttpServerRequest request, String host, RequestInfo info, FleetConfig current, CallerResponse response) {
+    private void rejectUnknownRoute(HttpServerRequest request, EarlierWork.Call call) {
         boolean outdated = admission.configOutdated();
         context.log()
                 .event(
                         ServingEvent.REQUEST_ENDED,
                         "request",
-                        info.id(),
+                        call.info().id(),
                         "host",
-                        host,
+                        call.host(),
                         "uri",
                         request.uri(),
                         "config",
-                        current.version(),
+                        call.config().version(),
                         "outcome",
                         outdated ? "503 no route, configuration may be outdated" : "404 no route");
         if (outdated) {
-            response.sendText(503, "not run: the configuration may be outdated", NOT_READY_RETRY_DELAY);
+            call.response().sendText(503, "not run: the configuration may be outdated", NOT_READY_RETRY_DELAY);
         } else {
-            response.sendText(404, "no route");
+            call.response().sendText(404, "no route");
         }
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/WireFormat.java
@@ -29,6 +29,9 @@
     /** Returns an upper bound of the memory that a submitted job takes besides its body until it has been stored. */
     long submissionBytes(Buffer body);
 
+    /** Returns whether the begin of a body is that of a submitted job. */
+    boolean mayBeSubmission(Buffer body);
+
     /**
      * Parses a submitted job.
      *
--- a/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
+++ b/serving/src/main/java/dev/lavenderline/serving/routes/FleetConfig.java
@@ -113,6 +113,16 @@
         return Optional.ofNullable(routesByName.get(name));
     }
 
+    /** Returns the route with a name if it is configured, and is one for jobs. */
+    public Optional<Route> batchRouteNamed(String name) {
+        return routeNamed(name).filter(route -> route.kind() == RouteKind.BATCH);
+    }
+
+    /** Returns whether two values of the Host header name the same host. Ports are ignored. */
+    public static boolean sameHost(String first, String second) {
+        return hostName(first).equals(hostName(second));
+    }
+
     /** Returns whether the upstreams of a service are model engines. */
     public boolean modelEngines(String service) {
         ServiceInfo info = services.get(service);
--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -92,6 +92,11 @@
         return 2L * body.length();
     }
 
+    @Override
+    public boolean mayBeSubmission(Buffer body) {
+        return body.length() > 0;
+    }
+
     @Override
     public JobSubmission parseSubmission(String jobId, Buffer body) {
         if (body.length() == 0) {
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/JobStoreTest.java
@@ -201,10 +201,12 @@
         time.advance(TIMEOUT);
         assertEquals(Acceptance.OVER_LIMIT, second.result());
         assertEquals(600, ledger.waitingTokens("batch", ""));
-        assertEquals("beta", ledger.find("j", beta).orElseThrow().workspace());
-        assertTrue(ledger.find(own.id(), beta).isEmpty());
-        assertTrue(ledger.find(own.id(), Caller.unidentified()).isEmpty());
-        assertTrue(ledger.find("j", Caller.unidentified()).isEmpty());
+        JobLookup lookup = new JobLookup(ledger);
+        assertEquals("beta", lookup.find("j", beta).job().orElseThrow().workspace());
+        assertTrue(lookup.find(own.id(), beta).isUnknown());
+        assertTrue(lookup.find(own.id(), Caller.unidentified()).isUnknown());
+        assertTrue(lookup.find("j", Caller.unidentified()).job().isEmpty());
+        assertTrue(lookup.find("j", Caller.unidentified()).ownerUncertain());
     }
 
     @Test
@@ -308,7 +310,7 @@
     /** Guards against memory and records without bound when callers end jobs that they never submit. */
     @Test
     void endsOfUnknownJobsAreBounded() {
-        for (int i = 0; i < JobStore.MAX_ENDS_BEFORE_JOB; i++) {
+        for (int i = 0; i < EarlyEnds.MAX_ENDS; i++) {
             ledger.apply(JobRecords.cancelled("job" + i, 0));
         }
         Future<Boolean> cancelled = jobs.cancel("j", TIMEOUT);
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -65,10 +65,11 @@
     final List<Integer> ports = new ArrayList<>();
 
     /**
-     * Decodes text. A configuration is its version, followed by "no-routes" if it has none, or by "workspaces" and an
-     * entry "name=key+key" for each if there are any, with a priority after a slash if it has one, or by keys, each of
-     * a workspace of its own, with its rate and burst after colons if it has a quota; an upstream its service, its
-     * port, and optionally its version, "started" with a number, and "draining".
+     * Decodes text. A configuration is its version, followed by changes to its routes, each with a leading "+" (see
+     * {@link #routes}), then by "workspaces" and an entry "name=key+key" for each if there are any, with a priority
+     * after a slash if it has one, or by keys, each of a workspace of its own, with its rate and burst after colons if
+     * it has a quota; an upstream its service, its port, and optionally its version, "started" with a number, and
+     * "draining".
      */
     static final class TextRecordDecoder implements ControlRecordDecoder {
         @Override
@@ -80,23 +81,50 @@
         public Either<String, FleetConfig> config(byte[] value) {
             List<String> words = List.of(new String(value, StandardCharsets.UTF_8).split(" "));
             long version = Long.parseLong(words.get(0));
-            if (words.contains("no-routes")) {
-                return Either.right(new FleetConfig(version, List.of(), List.of(), CallerLimits.defaults()));
-            }
+            List<String> changes =
+                    words.stream().filter(word -> word.startsWith("+")).toList();
+            List<String> rest =
+                    words.stream().skip(1).filter(word -> !word.startsWith("+")).toList();
             return Either.right(new FleetConfig(
                     version,
-                    List.of(
-                            route("safe", RouteKind.SAFE, "plain", false),
-                            route("unsafe", RouteKind.UNSAFE, "plain", false),
-                            route("public", RouteKind.SAFE, "plain", false),
-                            route("stream", RouteKind.STREAMING, "engines", false),
-                            route("resumable", RouteKind.STREAMING, "engines", true),
-                            route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
-                            route("public", RouteKind.SAFE, "plain", false),
-                            route("batch", RouteKind.BATCH, "engines", true)),
+                    routes(changes),
                     List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
-                    CallerLimits.defaults(),
-                    workspaces(words.subList(1, words.size()))));
+                    limits(changes),
+                    workspaces(rest)));
+        }
+
+        /**
+         * Returns the usual routes after changes: "+no-routes" removes all, "+no-batch" that for jobs; "+online-batch"
+         * makes it one for streams; "+catch-all" adds one for all other paths.
+         */
+        private static List<Route> routes(List<String> changes) {
+            if (changes.contains("+no-routes")) {
+                return List.of();
+            }
+            List<Route> routes = new ArrayList<>(List.of(
+                    route("safe", RouteKind.SAFE, "plain", false),
+                    route("unsafe", RouteKind.UNSAFE, "plain", false),
+                    route("public", RouteKind.SAFE, "plain", false),
+                    route("stream", RouteKind.STREAMING, "engines", false),
+                    route("resumable", RouteKind.STREAMING, "engines", true),
+                    route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
+                    route("public", RouteKind.SAFE, "plain", false)));
+            if (!changes.contains("+no-batch")) {
+                boolean online = changes.contains("+online-batch");
+                routes.add(route("batch", online ? RouteKind.STREAMING : RouteKind.BATCH, "engines", true));
+            }
+            if (changes.contains("+catch-all")) {
+                routes.add(route("all", "/", RouteKind.SAFE, "plain", false, Duration.ofSeconds(4)));
+            }
+            return routes;
+        }
+
+        /** Returns the usual limits, or with "+small-bodies" bodies of at most 4 bytes. */
+        private static CallerLimits limits(List<String> changes) {
+            CallerLimits usual = CallerLimits.defaults();
+            return changes.contains("+small-bodies")
+                    ? new CallerLimits(usual.headerBytes(), 4, usual.headerTimeout(), usual.idleTimeout())
+                    : usual;
         }
 
         private static void addOwnWorkspace(Workspaces.Builder workspaces, String[] parts) {
@@ -129,10 +157,15 @@
         }
 
         private static Route route(String name, RouteKind kind, String service, boolean resumable, Duration timeout) {
+            return route(name, "/" + name + "/", kind, service, resumable, timeout);
+        }
+
+        private static Route route(
+                String name, String prefix, RouteKind kind, String service, boolean resumable, Duration timeout) {
             return new Route(
                     name,
                     LOOPBACK,
-                    "/" + name + "/",
+                    prefix,
                     kind,
                     timeout,
                     Duration.ofMillis(300),
--- a/serving/src/test/java/dev/lavenderline/serving/node/RemovedRouteTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/RemovedRouteTest.java
@@ -67,7 +67,7 @@
         String before = results("done");
         upstream.script = (request, body) -> {};
         submit("open", "b,c,d");
-        harness.write("config", "config", "2 no-routes");
+        harness.write("config", "config", "2 +no-routes");
         await().atMost(TIMEOUT).until(() -> status("/stream/x") == 404 && status("/jobs/unknown") == 404);
         assertEquals(before, results("done"));
         await().atMost(TIMEOUT).until(() -> results("open").lines().count() == 3);
