Record the end of a workspace's job before its submission arrives

Cause: ends of unknown jobs were recorded only without workspaces, since a workspace was to get the same answer for jobs of others and for unknown ones, 404.

--- a/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/BatchCallHandler.java
@@ -175,7 +175,7 @@
      */
     void handleUnknown(BatchCall call, Caller caller, CallerResponse response) {
         String id = JobIds.internal(call.job(), caller.workspace());
-        if (call instanceof BatchCall.Cancel && !caller.hasWorkspace() && !belongsToAnother(id, caller)) {
+        if (call instanceof BatchCall.Cancel && !belongsToAnother(id, caller)) {
             cancel(id, response);
         } else {
             notFound(call, response);
