Drop what has been received of a request before its charge ends

40 to 150 clients with bodies of 4 MiB ended the process with an error of memory (exit code 3), and no ordinary caller was answered.

Cause: a refusal lowered the charge of its connection at once, while the program kept the body until the connection closed, 2 s later. Each refusal made room in the account and none in the heap.

The guard now runs a task of the program before the charge ends, when the request is rejected and when the connection closes; CallerServer drops the body in it, and also as soon as the response has been written.

The second interface is left: its bodies are collected by the web library.

--- a/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/ConnectionGuard.java
@@ -25,8 +25,8 @@
  * are counted before they are parsed, the other one behind it, where requests begin and responses end.
  *
  * <p>Invariants: a charge precedes what it is for; a request is rejected with 503 only while the program has not got
- * all of it; once a request has been rejected, nothing of the connection reaches the program any more. Not thread-safe;
- * confined to the event loop of the channel.
+ * all of it; once a request has been rejected, nothing of the connection reaches the program any more, and the program
+ * has dropped what it had of it. Not thread-safe; confined to the event loop of the channel.
  */
 final class ConnectionGuard extends GuardedConnection {
     /** Largest number of bytes that are read at once; bounds what is parsed before the next decision. */
@@ -55,6 +55,9 @@
     private boolean rejected;
     private boolean closed;
 
+    /** Makes the program drop what it has of the newest request. */
+    private Runnable drop = () -> {};
+
     /** When the current wait for the peer began, or the peer last did what it is waited for. */
     private long progressNanos;
 
@@ -94,10 +97,19 @@
     private void release() {
         closed = true;
         gate.dropWaiting();
+        drop.run();
         listener.account().remove(this);
         listener.closed(this);
     }
 
+    /**
+     * Sets what makes the program drop what it has received of its newest request. It runs before the charge for the
+     * request ends without a response of the program: when the request is rejected, and when the connection closes.
+     */
+    void onGivenUp(Runnable newDrop) {
+        drop = newDrop;
+    }
+
     private long heldBytes() {
         return HeldMemory.CONNECTION_BYTES + unsentBytes + received.heldBytes();
     }
@@ -164,6 +176,7 @@
         rejected = true;
         rejectedNanos = nanos();
         gate.dropWaiting();
+        drop.run();
         received.clear();
         listener.account().set(this, HeldMemory.CONNECTION_BYTES);
         if (!respond) {
--- a/core/src/main/java/dev/lavenderline/core/overload/ListenerGuard.java
+++ b/core/src/main/java/dev/lavenderline/core/overload/ListenerGuard.java
@@ -93,11 +93,7 @@
      * false if there is no room.
      */
     public boolean charge(HttpConnection connection, long bytes) {
-        ConnectionGuard guard = ((HttpServerConnection) connection)
-                .channelHandlerContext()
-                .channel()
-                .attr(ConnectionGuard.KEY)
-                .get();
+        ConnectionGuard guard = guardOf(connection);
         if (guard.charge(bytes)) {
             return true;
         }
@@ -105,6 +101,22 @@
         return false;
     }
 
+    /**
+     * Sets what makes the program drop what it has received of the newest request of a connection; run when the request
+     * is rejected, and when the connection closes. Until then, what has been received is charged.
+     */
+    public void onGivenUp(HttpConnection connection, Runnable drop) {
+        guardOf(connection).onGivenUp(drop);
+    }
+
+    private static ConnectionGuard guardOf(HttpConnection connection) {
+        return ((HttpServerConnection) connection)
+                .channelHandlerContext()
+                .channel()
+                .attr(ConnectionGuard.KEY)
+                .get();
+    }
+
     private boolean closeOne() {
         List<GuardedConnection> all = new ArrayList<>(connections);
         long now = account.nanos();
--- a/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/CallerServer.java
@@ -203,8 +203,9 @@
         CallerResponse response = new CallerResponse(request, context.wire());
         int maxBodyBytes = limits().bodyBytes();
         RequestBody body = new RequestBody(maxBodyBytes);
+        guard.onGivenUp(request.connection(), body::drop);
         request.exceptionHandler(failure -> {});
-        trackResponse(request, response);
+        trackResponse(request, response, body);
         if (hasBody(request) && decideBeforeBody(request, response, maxBodyBytes)) {
             body.drop();
         }
@@ -317,10 +318,11 @@
         }
     }
 
-    private void trackResponse(HttpServerRequest request, CallerResponse response) {
+    private void trackResponse(HttpServerRequest request, CallerResponse response, RequestBody body) {
         activeResponses.add(response);
         request.response().closeHandler(closed -> activeResponses.remove(response));
         response.onWritten(() -> {
+            body.drop();
             activeResponses.remove(response);
             openRequests.computeIfPresent(request.connection(), (connection, count) -> count - 1);
             if (draining.isPresent()) {
