Replay keyed calls whose route has been removed

A call with an Idempotency-Key that was repeated after its route had been removed was answered with 404, or run a second time where a shorter, repeatable route took its path.

Cause: the routes of the present configuration were asked before the recorded calls. RouteHandler now looks for an earlier call with the key and the digest first, and answers with not_run while the log has not been read for a while and the path has no route.

NonRepeatableRouteTest.repeatedKeyReplaysTheResponseOfARemovedRoute fails before (run-2 in place of run-1), and passes now.

--- a/http/src/main/java/dev/lavenderline/http/CallerServer.java
+++ b/http/src/main/java/dev/lavenderline/http/CallerServer.java
@@ -173,13 +173,7 @@
         router.get("/v1/models").handler(this::listModels);
         new BatchHandler(context, settings.batch).mount(router, bodies);
         RouteHandler routes = new RouteHandler(context, settings.keyedCalls);
-        router.route().handler(ctx -> {
-            if (routes.matches(ctx.request().path())) {
-                routes.handle(ctx);
-            } else {
-                ctx.fail(404);
-            }
-        });
+        router.route().handler(routes::handle);
         router.route().failureHandler(this::handleFailure);
         return router;
     }
--- a/http/src/main/java/dev/lavenderline/http/KeyedCalls.java
+++ b/http/src/main/java/dev/lavenderline/http/KeyedCalls.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Claims idempotency keys, so that a non-repeatable call with an {@code Idempotency-Key} is sent at most once. All
@@ -20,6 +21,16 @@
     Uni<Either<ApiError, ClaimResult>> claim(
             String workspace, String key, String route, byte[] digest, Duration timeout);
 
+    /** Returns whether a call with a key has been recorded, whatever its route was. */
+    Knowledge knows(String workspace, String key);
+
+    /**
+     * Returns the result of an earlier call, whether its route still exists or not; empty if none with this key and
+     * digest has been recorded. The arguments and the result are those of {@link #claim}; never {@link Claimed}.
+     */
+    Optional<Uni<Either<ApiError, ClaimResult>>> earlierResult(
+            String workspace, String key, byte[] digest, Duration timeout);
+
     /** Records the response; completes when the record is on the log or buffered for it. */
     Uni<Void> recordResponse(Claimed claimed, Response response);
 
@@ -29,6 +40,14 @@
     /** Records that the outcome of the call is unknown. */
     Uni<Void> recordUnknown(Claimed claimed);
 
+    /** What a node knows of a key. */
+    enum Knowledge {
+        RECORDED,
+        NOT_RECORDED,
+        /** No call with the key has been read, and the log has not been read for a while. */
+        UNCERTAIN
+    }
+
     /** Result of a claim. */
     sealed interface ClaimResult {}
 
--- a/http/src/main/java/dev/lavenderline/http/RouteHandler.java
+++ b/http/src/main/java/dev/lavenderline/http/RouteHandler.java
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import dev.lavenderline.core.config.Route;
+import io.smallrye.mutiny.Uni;
 import io.vavr.control.Either;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.ext.web.RoutingContext;
@@ -15,6 +16,11 @@
  * is sent only after the key was claimed. Confined to the event loop.
  */
 final class RouteHandler {
+    /** Longest wait for a call in progress with the same key; its claim expires earlier. */
+    private static final Duration LONGEST_WAIT = Duration.ofMinutes(1);
+
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
     private final ServerContext server;
     private final KeyedCalls keyedCalls;
 
@@ -23,13 +29,52 @@
         this.keyedCalls = keyedCalls;
     }
 
-    /** Returns whether a route exists for the path. */
-    boolean matches(String path) {
-        return findRoute(path).isPresent();
+    /**
+     * Handles a request. One whose path has no route is denied, unless it may repeat a call that was accepted while it
+     * had one.
+     */
+    void handle(RoutingContext ctx) {
+        KeyedCalls.Knowledge earlier = IdempotencyKey.of(ctx.request())
+                .getOrElse(Optional.empty())
+                .map(key -> keyedCalls.knows(Caller.of(ctx).workspace(), key))
+                .orElse(KeyedCalls.Knowledge.NOT_RECORDED);
+        if (earlier == KeyedCalls.Knowledge.RECORDED
+                || findRoute(ctx.request().path()).isPresent()) {
+            RawBody.read(ctx, server.limits().maxBodyBytes(), body -> replayOrForward(ctx, body));
+        } else if (earlier == KeyedCalls.Knowledge.UNCERTAIN) {
+            sendError(ctx, ApiError.notRun("the platform's log cannot be reached", RETRY_AFTER));
+        } else {
+            ctx.fail(404);
+        }
     }
 
-    void handle(RoutingContext ctx) {
-        RawBody.read(ctx, server.limits().maxBodyBytes(), body -> forward(ctx, body));
+    /** Replays the result of an earlier call with the same key, whatever the routes are now. */
+    private void replayOrForward(RoutingContext ctx, Buffer body) {
+        Optional<Uni<Either<ApiError, KeyedCalls.ClaimResult>>> earlier = IdempotencyKey.of(ctx.request())
+                .getOrElse(Optional.empty())
+                .flatMap(key -> keyedCalls.earlierResult(
+                        Caller.of(ctx).workspace(),
+                        key,
+                        requestDigest(ctx, body),
+                        Caller.timeout(ctx, LONGEST_WAIT).getOrElse(LONGEST_WAIT)));
+        if (earlier.isEmpty()) {
+            forward(ctx, body);
+            return;
+        }
+        earlier.get().subscribe().with(result -> sendEarlier(ctx, result), failure -> sendClaimFailure(ctx, failure));
+    }
+
+    private void sendEarlier(RoutingContext ctx, Either<ApiError, KeyedCalls.ClaimResult> result) {
+        if (result.isLeft()) {
+            sendError(ctx, result.getLeft());
+        } else if (result.get() instanceof KeyedCalls.Replay replay) {
+            replay(ctx, replay.response());
+        }
+    }
+
+    private void sendClaimFailure(RoutingContext ctx, Throwable failure) {
+        HttpEvent.HANDLER_FAILED.error(failure, Caller.of(ctx).requestId());
+        sendError(ctx, new ApiError(500, "internal", "the key was not claimed", Optional.empty()));
     }
 
     private void forward(RoutingContext ctx, Buffer body) {
@@ -75,11 +120,7 @@
                 .with(
                         result -> handleClaim(ctx, route, timeout, claimStartNanos, body, result),
                         // After an unexpected failure of the claim the call is never sent.
-                        failure -> {
-                            HttpEvent.HANDLER_FAILED.error(
-                                    failure, Caller.of(ctx).requestId());
-                            sendError(ctx, new ApiError(500, "internal", "the key was not claimed", Optional.empty()));
-                        });
+                        failure -> sendClaimFailure(ctx, failure));
     }
 
     private void handleClaim(
--- a/http/src/test/java/dev/lavenderline/http/FakeKeyedCalls.java
+++ b/http/src/test/java/dev/lavenderline/http/FakeKeyedCalls.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -30,14 +31,35 @@
             return Uni.createFrom().item(Either.right(new Claimed(workspace, key, ++claims)));
         }
         if (!Arrays.equals(claimedDigest, digest)) {
-            return failed(new ApiError(422, "key_reused", "the key was used before", java.util.Optional.empty()));
+            return failed(new ApiError(422, "key_reused", "the key was used before", Optional.empty()));
         }
+        return recorded(id);
+    }
+
+    private Uni<Either<ApiError, ClaimResult>> recorded(String id) {
         if (unknown.containsKey(id)) {
             return failed(ApiError.outcomeUnknown("the outcome of the call with this key is not known"));
         }
         return Uni.createFrom().item(Either.right(new Replay(responses.get(id))));
     }
 
+    @Override
+    public Knowledge knows(String workspace, String key) {
+        if (digests.containsKey(workspace + "/" + key)) {
+            return Knowledge.RECORDED;
+        }
+        return logUnavailable ? Knowledge.UNCERTAIN : Knowledge.NOT_RECORDED;
+    }
+
+    @Override
+    public Optional<Uni<Either<ApiError, ClaimResult>>> earlierResult(
+            String workspace, String key, byte[] digest, Duration timeout) {
+        String id = workspace + "/" + key;
+        return Optional.ofNullable(digests.get(id))
+                .filter(claimed -> Arrays.equals(claimed, digest))
+                .map(claimed -> recorded(id));
+    }
+
     private static Uni<Either<ApiError, ClaimResult>> failed(ApiError error) {
         return Uni.createFrom().item(Either.left(error));
     }
--- a/http/src/test/java/dev/lavenderline/http/NonRepeatableRouteTest.java
+++ b/http/src/test/java/dev/lavenderline/http/NonRepeatableRouteTest.java
@@ -75,6 +75,28 @@
         }
     }
 
+    /** Guards against a call that is denied, or run once more, because its route has been removed since. */
+    @Test
+    void repeatedKeyReplaysTheResponseOfARemovedRoute() {
+        try (TestFleet fleet = twoServices()) {
+            HttpResponse<String> first = fleet.send(lockoutRequest(fleet, "k1", "gate 7"));
+            fleet.removeRoutes("/lookup/lockout");
+            HttpResponse<String> onOtherRoute = fleet.send(lockoutRequest(fleet, "k1", "gate 7"));
+            assertEquals(200, onOtherRoute.statusCode());
+            assertEquals(first.body(), onOtherRoute.body());
+            fleet.removeRoutes("/lookup");
+            HttpResponse<String> withoutRoute = fleet.send(lockoutRequest(fleet, "k1", "gate 7"));
+            assertEquals(200, withoutRoute.statusCode());
+            assertEquals(first.body(), withoutRoute.body());
+            assertEquals(1, executions(fleet));
+            assertEquals(404, fleet.send(lockoutRequest(fleet, "k1", "gate 8")).statusCode());
+            assertEquals(404, fleet.send(lockoutRequest(fleet, "k2", "gate 7")).statusCode());
+            assertEquals(404, fleet.send(lockoutRequest(fleet, null, "gate 7")).statusCode());
+            fleet.keyedCalls.logUnavailable = true;
+            assertEquals("not_run", TestFleet.errorCode(fleet.send(lockoutRequest(fleet, "k2", "gate 7"))));
+        }
+    }
+
     @Test
     void outcomeStaysUnknownAfterALostResponse() {
         try (TestFleet fleet = twoServices()) {
--- a/http/src/test/java/dev/lavenderline/http/TestFleet.java
+++ b/http/src/test/java/dev/lavenderline/http/TestFleet.java
@@ -58,6 +58,7 @@
     HoldingAccount account = HoldingAccount.unbounded(Ticker.system());
     private Duration timeout = Duration.ofSeconds(30);
     private Context eventLoop;
+    private volatile FleetConfig config;
     CallerServer server;
 
     TestFleet engine(String name, String... options) {
@@ -107,7 +108,7 @@
                 true,
                 0.5);
         List<String> methods = List.of("GET", "POST");
-        FleetConfig config = new FleetConfig(
+        config = new FleetConfig(
                 1,
                 Map.of(),
                 Map.of(DEPLOYMENT, deployment),
@@ -140,6 +141,19 @@
         return this;
     }
 
+    /** Removes routes by their paths. */
+    void removeRoutes(String... paths) {
+        Map<String, Route> routes = new HashMap<>(config.routes());
+        routes.keySet().removeAll(List.of(paths));
+        config = new FleetConfig(
+                config.revision() + 1,
+                config.models(),
+                config.deployments(),
+                config.upstreams(),
+                config.workspaces(),
+                Map.copyOf(routes));
+    }
+
     private static Workspace workspace(String name, String token) {
         String hash = Hashing.sha256().hashString(token, StandardCharsets.UTF_8).toString();
         return new Workspace(name, List.of(hash), 1, 0, 0, 0);
--- a/node/src/main/java/dev/lavenderline/node/calls/KeyedCallService.java
+++ b/node/src/main/java/dev/lavenderline/node/calls/KeyedCallService.java
@@ -98,6 +98,24 @@
         return writeClaim(claim);
     }
 
+    @Override
+    public Knowledge knows(String workspace, String key) {
+        if (calls.ledger().call(workspace, key).isPresent()) {
+            return Knowledge.RECORDED;
+        }
+        return calls.isFresh(MAX_TAIL_AGE) ? Knowledge.NOT_RECORDED : Knowledge.UNCERTAIN;
+    }
+
+    @Override
+    public Optional<Uni<Either<ApiError, ClaimResult>>> earlierResult(
+            String workspace, String key, byte[] digest, Duration timeout) {
+        Claim claim = new Claim(workspace, key, "", ByteString.copyFrom(digest), timeout);
+        return calls.ledger()
+                .call(workspace, key)
+                .filter(call -> !isReleased(call) && call.digest().equals(claim.digest))
+                .map(call -> resolveExisting(claim, call));
+    }
+
     @Override
     public Uni<Void> recordResponse(Claimed claimed, Response response) {
         return finish(
