Continue streams on the service and version on which they began

Cause: each attempt drew its service anew, and nodes told each other the version of a stream without its service, by the id of its attempt only, which callers need not name when they resume. The only version of the service that was drawn was then taken for that of the stream.

StreamVersions now keeps service and version together (ServiceVersion, as batch items have it), by the id of the attempt and by a hash of the request, which is the same for each attempt. The scheduler places the request on that service. If nobody knows the stream, there must be a single version over all services of the route. A service that the route no longer has refuses with 503. Two streams of the same content on different upstreams make that hash void.

--- a/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/OnlineCall.java
@@ -6,12 +6,14 @@
 import dev.lavenderline.serving.routes.Route;
 import dev.lavenderline.serving.routes.RouteKind;
 import dev.lavenderline.serving.routes.TrafficSplit;
+import dev.lavenderline.serving.routes.WeightedService;
 import dev.lavenderline.serving.slots.LocalPlacement;
 import dev.lavenderline.serving.slots.ReleaseReason;
 import dev.lavenderline.serving.slots.RequestTraits;
 import dev.lavenderline.serving.slots.SlotClient;
 import dev.lavenderline.serving.slots.SlotRequest;
 import dev.lavenderline.serving.slots.StreamOrigin;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.workspaces.Caller;
 import dev.lavenderline.serving.workspaces.QuotaClient;
@@ -25,10 +27,12 @@
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One request of a caller for a route, from its arrival to the end of its response.
@@ -151,14 +155,21 @@
         this.traits = new RequestTraits(info.sharedParts(), this::hash);
         this.keyCheck = new KeyCheck(context.keys(), route, info);
         this.events = new EventSequence(resumedByCaller() ? info.lastEventId() : OptionalLong.empty());
-        this.origin = resumedByCaller()
-                ? Optional.of(StreamOrigin.ofAttempt(info.resumedAttempt(), arrivalNanos))
-                : Optional.empty();
+        this.origin = resumedByCaller() ? Optional.of(resumedOrigin(arrivalNanos)) : Optional.empty();
         this.arrivalNanos = arrivalNanos;
         this.deadlineNanos = arrivalNanos + info.limit(route.timeout()).toNanos();
         this.deadlineTimer = context.timers().after(remaining(), this::deadlinePassed);
     }
 
+    private StreamOrigin resumedOrigin(long receivedNanos) {
+        return new StreamOrigin(
+                Optional.empty(),
+                info.resumedAttempt(),
+                Optional.of(contentName()),
+                route.services().stream().map(WeightedService::service).collect(Collectors.toSet()),
+                receivedNanos);
+    }
+
     private Duration remaining() {
         return Duration.ofNanos(Math.max(0, deadlineNanos - context.ticker().nanos()));
     }
@@ -221,7 +232,8 @@
                 context.slots().findVersion(service, origin.get(), this::originFound);
                 return;
             }
-            Optional<LocalPlacement.Placed> picked = context.placement().pick(service, excluded, requiredVersion());
+            Optional<LocalPlacement.Placed> picked = context.placement()
+                    .pick(service, excluded, requiredVersion().map(ServiceVersion::version));
             if (picked.isEmpty()) {
                 rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
             } else {
@@ -252,11 +264,12 @@
         });
     }
 
-    private void originFound(Optional<String> version) {
-        origin = origin.map(began -> began.withVersion(version));
-        if (version.isEmpty()) {
+    private void originFound(Optional<ServiceVersion> served) {
+        origin = origin.map(began -> began.with(served));
+        if (served.filter(found -> hasService(found.service())).isEmpty()) {
             rejectWithoutUpstream(NO_UPSTREAM_RETRY_DELAY);
         } else if (!done) {
+            service = served.get().service();
             endOnException(this::tryUpstream);
         }
     }
@@ -325,15 +338,28 @@
         if (requiredVersion().isPresent()) {
             return;
         }
-        origin = Optional.of(StreamOrigin.ofVersion(upstream.version()));
-        if (!resumedByCaller() && !info.id().isEmpty()) {
-            context.slots().streamBegan(info.id(), upstream.version());
+        ServiceVersion served = ServiceVersion.of(upstream);
+        origin = Optional.of(StreamOrigin.of(served));
+        service = served.service();
+        if (!resumedByCaller()) {
+            context.slots()
+                    .streamBegan(
+                            info.id().isEmpty() ? List.of(contentName()) : List.of(info.id(), contentName()), served);
         }
     }
 
-    /** Returns the software version on which the request has to continue, empty if any will do. */
-    private Optional<String> requiredVersion() {
-        return origin.flatMap(StreamOrigin::version);
+    /** Returns a name of the stream that is the same for each attempt of its caller to get it. */
+    private String contentName() {
+        return StreamOrigin.contentName(caller.workspace(), hash() ^ info.contentHash());
+    }
+
+    /** Returns where the request has to continue, empty if each upstream of the route will do. */
+    private Optional<ServiceVersion> requiredVersion() {
+        return origin.flatMap(StreamOrigin::served);
+    }
+
+    private boolean hasService(String name) {
+        return route.services().stream().anyMatch(each -> each.service().equals(name));
     }
 
     /** Ends the request if it, or a part of its prompt, crashes upstreams. */
@@ -393,7 +419,9 @@
         return context.directory()
                 .find(upstreamId)
                 .filter(found -> !context.directory().drainingOrRemoved(upstreamId))
-                .filter(found -> found.version().equals(requiredVersion().orElse(found.version())));
+                .filter(found -> hasService(found.service()))
+                .filter(found ->
+                        requiredVersion().isEmpty() || requiredVersion().get().equals(ServiceVersion.of(found)));
     }
 
     private ReleaseReason unusableReason(String upstreamId) {
@@ -456,7 +484,7 @@
         unusable.add(upstream.id());
         if (placesLocally()) {
             context.placement()
-                    .pick(service, unusable, requiredVersion())
+                    .pick(service, unusable, requiredVersion().map(ServiceVersion::version))
                     .ifPresent(placed -> replaceSilentUpstream(placed.upstream(), -1, placed));
             return;
         }
--- a/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
+++ b/serving/src/main/java/dev/lavenderline/serving/online/RequestInfo.java
@@ -18,6 +18,7 @@
  * @param promptTokens tokens of the prompt, 0 if the caller did not say
  * @param maxOutputTokens largest number of tokens of the output, 0 if the caller did not say
  * @param sharedTokens tokens of the parts of the prompt but the last, 0 if the caller did not say
+ * @param contentHash hash of the headers that are the same for each attempt of a request and say what it asks for
  * @param maxWait longest time for which a long poll may wait for new results
  */
 public record RequestInfo(
@@ -31,6 +32,7 @@
         int promptTokens,
         int maxOutputTokens,
         int sharedTokens,
+        long contentHash,
         Duration maxWait) {
     /** A caller is taken to be retrying if its timeout is below this fraction of the route's timeout. */
     private static final double RETRY_TIMEOUT_RATIO = 0.97;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/OriginLookup.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/OriginLookup.java
@@ -1,5 +1,6 @@
 package dev.lavenderline.serving.slots;
 
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -16,7 +17,7 @@
     private final ResumptionCounts resumptions;
     private final List<Waiting> waiting = new ArrayList<>();
 
-    private record Waiting(String service, StreamOrigin origin, Consumer<Optional<String>> listener) {}
+    private record Waiting(String service, StreamOrigin origin, Consumer<Optional<ServiceVersion>> listener) {}
 
     OriginLookup(StreamVersions streams, ResumptionCounts resumptions) {
         this.streams = streams;
@@ -24,8 +25,8 @@
     }
 
     /** Calls the listener with the version, or with none if it is not known and will not be soon. */
-    void find(String service, StreamOrigin origin, Consumer<Optional<String>> listener) {
-        Optional<String> version = streams.resolve(service, origin);
+    void find(String service, StreamOrigin origin, Consumer<Optional<ServiceVersion>> listener) {
+        Optional<ServiceVersion> version = streams.resolve(service, origin);
         if (version.isEmpty() && streams.seek(service, origin)) {
             waiting.add(new Waiting(service, origin, listener));
             return;
--- a/serving/src/main/java/dev/lavenderline/serving/slots/ResumptionCounts.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/ResumptionCounts.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.serving.logging.ServingEvent;
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
 import dev.lavenderline.serving.upstreams.ServedVersions.Conclusion;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -39,7 +40,7 @@
     /** Counts a stream that goes on; one that is not resumed by its caller is not counted. */
     void continued(SlotRequest request) {
         request.origin().filter(origin -> !withinResponse(origin)).ifPresent(origin -> {
-            Conclusion conclusion = versions.conclude(request.service(), origin.withVersion(Optional.empty()));
+            Conclusion conclusion = versions.conclude(request.service(), origin.with(Optional.empty()));
             count(conclusion.cause());
             logConcluded(request.node(), request.service(), origin, conclusion);
         });
@@ -58,7 +59,7 @@
                 "resumes",
                 origin.attempt().orElse(null),
                 "version",
-                conclusion.version().orElse(null),
+                conclusion.served().map(ServiceVersion::version).orElse(null),
                 "cause",
                 conclusion.cause(),
                 "listAgeMs",
@@ -67,7 +68,7 @@
 
     /** Counts a stream that is refused, unless it is not resumed by its caller, and returns the cause. */
     Cause refused(String service, StreamOrigin origin) {
-        Cause cause = origin.version().isPresent()
+        Cause cause = origin.served().isPresent()
                 ? Cause.NO_UPSTREAM
                 : versions.conclude(service, origin).cause();
         if (!withinResponse(origin)) {
@@ -78,16 +79,16 @@
 
     /** Counts the decision on a stream that this node continues itself if it knows the version, and else refuses. */
     void decided(String service, StreamOrigin origin) {
-        if (!origin.version().isPresent()) {
+        if (!origin.served().isPresent()) {
             Conclusion conclusion = versions.conclude(service, origin);
             count(conclusion.cause());
             logConcluded(null, service, origin, conclusion);
         }
     }
 
-    /** A stream that goes on within its response names no attempt, and its version is known. */
+    /** A stream that goes on within its response has no names, and its version is known. */
     private static boolean withinResponse(StreamOrigin origin) {
-        return origin.version().isPresent() && origin.attempt().isEmpty();
+        return origin.served().isPresent() && origin.names().isEmpty();
     }
 
     private void count(Cause cause) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SchedulerClient.java
@@ -9,6 +9,7 @@
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import dev.lavenderline.serving.workspaces.QuotaClient;
@@ -512,17 +513,22 @@
 
     private void placeLocally(Pending entry) {
         SlotRequest request = entry.request();
-        Optional<String> version =
+        Optional<ServiceVersion> served =
                 request.origin().flatMap(origin -> streamVersions.resolve(request.service(), origin));
-        if (request.origin().isPresent() && version.isEmpty()) {
+        if (request.origin().isPresent() && served.isEmpty()) {
             // Stays pending until the next scheduler is found, which may know where the stream began.
             streamVersions.seek(request.service(), request.origin().get());
             return;
         }
         long lease = request.lease();
         pending.remove(lease);
-        Optional<LocalPlacement.Placed> placed = quotas.mayRun(request)
-                ? placement.pick(request.service(), request.excluded(), version)
+        boolean continuable = request.origin().isEmpty()
+                || served.filter(request.origin().get()::continuableOn).isPresent();
+        Optional<LocalPlacement.Placed> placed = continuable && quotas.mayRun(request)
+                ? placement.pick(
+                        served.map(ServiceVersion::service).orElse(request.service()),
+                        request.excluded(),
+                        served.map(ServiceVersion::version))
                 : Optional.empty();
         if (placed.isEmpty()) {
             entry.listener().rejected(Duration.ofSeconds(1));
@@ -565,12 +571,12 @@
     }
 
     @Override
-    public void streamBegan(String attempt, String version) {
-        streamVersions.record(attempt, version);
+    public void streamBegan(List<String> names, ServiceVersion served) {
+        StreamVersions.Group began = new StreamVersions.Group(served, names);
+        streamVersions.record(began);
         if (current == null) {
             return;
         }
-        StreamVersions.Group began = new StreamVersions.Group(version, List.of(attempt));
         if (current.local()) {
             server.replicate(began);
         } else {
@@ -613,7 +619,7 @@
     }
 
     @Override
-    public void findVersion(String service, StreamOrigin origin, Consumer<Optional<String>> listener) {
+    public void findVersion(String service, StreamOrigin origin, Consumer<Optional<ServiceVersion>> listener) {
         origins.find(service, origin, listener);
     }
 
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotClient.java
@@ -1,8 +1,10 @@
 package dev.lavenderline.serving.slots;
 
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import dev.lavenderline.serving.workspaces.QuotaClient;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -41,8 +43,8 @@
      */
     void release(long lease, ReleaseReason reason, int keptEvents);
 
-    /** Reports that the first event of an attempt was generated on a software version. */
-    void streamBegan(String attempt, String version);
+    /** Reports that the first event of a stream with some names was generated on a version of a service. */
+    void streamBegan(List<String> names, ServiceVersion served);
 
     /** Reports that a request has completed. */
     void requestCompleted(RequestTraits traits);
@@ -54,10 +56,10 @@
     Optional<Duration> rejectedFor(RequestTraits traits);
 
     /**
-     * Finds the software version on which a stream has to continue, which may take a read of the list of upstreams. The
-     * listener receives nothing if this node does not know the version; it may be called before the method returns.
+     * Finds the service and version on which a stream has to continue, which may take a read of the list of upstreams.
+     * The listener receives nothing if this node does not know them; it may be called before the method returns.
      */
-    void findVersion(String service, StreamOrigin origin, Consumer<Optional<String>> listener);
+    void findVersion(String service, StreamOrigin origin, Consumer<Optional<ServiceVersion>> listener);
 
     /** Reports what an upstream has said of itself in a response. */
     void upstreamNotice(UpstreamNotice notice);
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotFrames.java
@@ -23,6 +23,7 @@
 import dev.lavenderline.proto.slots.StreamsBegan;
 import dev.lavenderline.proto.slots.Suspect;
 import dev.lavenderline.serving.upstreams.ServedVersions;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
@@ -76,8 +77,9 @@
 
     private static StreamsBegan encode(StreamVersions.Group streams) {
         return StreamsBegan.newBuilder()
-                .setVersion(streams.version())
-                .addAllAttempts(streams.attempts())
+                .setService(streams.served().service())
+                .setVersion(streams.served().version())
+                .addAllAttempts(streams.names())
                 .build();
     }
 
@@ -86,7 +88,8 @@
     }
 
     static StreamVersions.Group streams(StreamsBegan frame) {
-        return new StreamVersions.Group(frame.getVersion(), frame.getAttemptsList());
+        return new StreamVersions.Group(
+                new ServiceVersion(frame.getService(), frame.getVersion()), frame.getAttemptsList());
     }
 
     static List<Holding> holdings(Hello hello) {
@@ -117,8 +120,11 @@
                 .setSharedTokens(request.sharedTokens());
         request.origin()
                 .ifPresent(origin -> acquire.setOrigin(Origin.newBuilder()
-                        .setVersion(origin.version().orElse(""))
-                        .setAttempt(origin.attempt().orElse(""))));
+                        .setService(origin.served().map(ServiceVersion::service).orElse(""))
+                        .setVersion(origin.served().map(ServiceVersion::version).orElse(""))
+                        .setAttempt(origin.attempt().orElse(""))
+                        .setContent(origin.content().orElse(""))
+                        .addAllServices(origin.services())));
         return frame(SlotFrame.newBuilder().setAcquire(acquire));
     }
 
@@ -127,8 +133,12 @@
             return Optional.empty();
         }
         Origin origin = acquire.getOrigin();
-        return Optional.of(
-                new StreamOrigin(nonEmpty(origin.getVersion()), nonEmpty(origin.getAttempt()), receivedNanos));
+        return Optional.of(new StreamOrigin(
+                nonEmpty(origin.getVersion()).map(version -> new ServiceVersion(origin.getService(), version)),
+                nonEmpty(origin.getAttempt()),
+                nonEmpty(origin.getContent()),
+                Set.copyOf(origin.getServicesList()),
+                receivedNanos));
     }
 
     private static Optional<String> nonEmpty(String text) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotRequest.java
@@ -1,6 +1,7 @@
 package dev.lavenderline.serving.slots;
 
 import com.google.common.collect.Sets;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -10,7 +11,7 @@
  *
  * @param node name of the requesting node
  * @param lease lease number, unique per node
- * @param service service that the request is for
+ * @param service service that the request is for; another one of the route if it continues a stream that began there
  * @param timeToTarget time left until the latency target, negative if it has passed
  * @param timeToDeadline time left until the request is abandoned
  * @param excluded upstreams that must not get the request, for example because they failed it
@@ -81,21 +82,21 @@
 
     /** Returns whether the request continues a stream of which it is not known where it began. */
     boolean originUnknown() {
-        return origin.isPresent() && origin.get().version().isEmpty();
+        return origin.isPresent() && origin.get().served().isEmpty();
     }
 
-    /** Returns this request for a stream that began on a version. */
-    SlotRequest withOriginVersion(String version) {
+    /** Returns this request for a stream that began on a version of a service, which is the one that it is for. */
+    SlotRequest withOrigin(ServiceVersion served) {
         return new SlotRequest(
                 node,
                 lease,
-                service,
+                served.service(),
                 timeToTarget,
                 timeToDeadline,
                 excluded,
                 prefix,
                 retry,
-                origin.map(known -> known.withVersion(Optional.of(version))),
+                origin.map(known -> known.with(Optional.of(served))),
                 workspace,
                 priority,
                 charged,
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotScheduler.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.serving.slots.LeaseTable.NodeState;
 import dev.lavenderline.serving.slots.LeaseTable.Occupancy;
 import dev.lavenderline.serving.upstreams.RequestRates;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.TrialHolder;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
@@ -312,7 +313,7 @@
         }
         return streamVersions
                 .resolve(request.service(), request.origin().orElseThrow())
-                .map(request::withOriginVersion)
+                .map(request::withOrigin)
                 .orElse(request);
     }
 
@@ -321,7 +322,9 @@
         if (request.originUnknown()) {
             return streamVersions.seek(request.service(), request.origin().get()) || mayLearnOrigins.getAsBoolean();
         }
-        return directory.open(request.service()).stream().anyMatch(upstream -> eligible(upstream, request));
+        StreamOrigin origin = request.origin().orElseThrow();
+        return origin.served().filter(origin::continuableOn).isPresent()
+                && directory.open(request.service()).stream().anyMatch(upstream -> eligible(upstream, request));
     }
 
     private void rejectStartedStream(SlotRequest request) {
@@ -335,7 +338,7 @@
                 "resumes",
                 origin.attempt().orElse(null),
                 "version",
-                origin.version().orElse(null),
+                origin.served().map(ServiceVersion::version).orElse(null),
                 "cause",
                 resumptions.refused(request.service(), origin));
         reject(request, options.minRetryAfter());
@@ -422,7 +425,7 @@
             return false;
         }
         return request.origin().isEmpty()
-                || request.origin().flatMap(StreamOrigin::version).equals(Optional.of(upstream.version()));
+                || request.origin().flatMap(StreamOrigin::served).equals(Optional.of(ServiceVersion.of(upstream)));
     }
 
     private boolean hasCapacity(Upstream upstream, SlotRequest request) {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/SlotServer.java
@@ -11,6 +11,7 @@
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.FailureGuard;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
@@ -59,7 +60,7 @@
     private final CrashingPrompts prompts;
     private final UpstreamDirectory directory;
     private final Map<String, Peer> peers = new HashMap<>();
-    private final Map<String, List<String>> unreplicatedStreams = new HashMap<>();
+    private final Map<ServiceVersion, List<String>> unreplicatedStreams = new HashMap<>();
     private Supplier<List<String>> preferredNodes = List::of;
     private SlotScheduler scheduler;
     private QuotaServer quotas;
@@ -299,8 +300,8 @@
             timers.after(REPLICATION_DELAY, this::sendReplicas);
         }
         unreplicatedStreams
-                .computeIfAbsent(began.version(), version -> new ArrayList<>())
-                .addAll(began.attempts());
+                .computeIfAbsent(began.served(), served -> new ArrayList<>())
+                .addAll(began.names());
     }
 
     private void sendReplicas() {
--- a/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/slots/StreamVersions.java
@@ -3,6 +3,7 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
 import dev.lavenderline.serving.upstreams.ServedVersions.Conclusion;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,40 +12,50 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
- * The software versions of the upstreams on which recent streams began, by the id of the caller's attempt. Holds what
- * this node knows: its own streams and those that other nodes have reported to it.
+ * The services and software versions of the upstreams on which recent streams began, by the id of the caller's attempt
+ * and by the hash of the request. Holds what this node knows: its own streams and those that other nodes have reported
+ * to it.
  *
- * <p>Invariant: entries are in the order of their times. Not thread-safe; confined to the event loop.
+ * <p>Invariants: entries are in the order of their times; a name under which streams began on different upstreams names
+ * none of them. Not thread-safe; confined to the event loop.
  */
 public final class StreamVersions {
-    /** Largest number of entries, about 150 bytes each; twice the streams that one scheduler places in that time. */
+    /** Largest number of entries, about 150 bytes each; two for each of the streams that a scheduler places. */
     static final int MAX_ENTRIES = 15_000;
 
     private final Ticker ticker;
     private final UpstreamDirectory directory;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
 
-    private record Entry(String version, long beganNanos) {}
+    /** Where a stream began, empty if streams of that name began on different upstreams. */
+    private record Entry(Optional<ServiceVersion> served, long beganNanos) {}
 
-    /** Streams that began on the same version. Immutable. */
-    public record Group(String version, List<String> attempts) {}
+    /** Names of streams that began on the same version of a service. Immutable. */
+    public record Group(ServiceVersion served, List<String> names) {}
 
     public StreamVersions(Ticker ticker, UpstreamDirectory directory) {
         this.ticker = ticker;
         this.directory = directory;
     }
 
-    /** Records that the first event of an attempt was generated on a version; the first report of an attempt counts. */
-    public void record(String attempt, String version) {
+    /**
+     * Records that the first event of a stream was generated on a version. The first report of an attempt counts. Of a
+     * request's content, differing reports make each other void, as they are of different streams.
+     */
+    public void record(String name, ServiceVersion served) {
         expire();
-        entries.putIfAbsent(attempt, new Entry(version, ticker.nanos()));
+        Entry known = entries.putIfAbsent(name, new Entry(Optional.of(served), ticker.nanos()));
+        if (known != null && StreamOrigin.isContentName(name) && !known.served().equals(Optional.of(served))) {
+            entries.put(name, new Entry(Optional.empty(), known.beganNanos()));
+        }
     }
 
     /** Records the streams of a group. */
     public void record(Group group) {
-        group.attempts().forEach(attempt -> record(attempt, group.version()));
+        group.names().forEach(name -> record(name, group.served()));
     }
 
     private void expire() {
@@ -60,25 +71,32 @@
         }
     }
 
-    /** Returns the version on which the stream of an attempt began, empty if it is not known. */
-    Optional<String> find(String attempt) {
-        return Optional.ofNullable(entries.get(attempt)).map(Entry::version);
+    /** Returns where the stream of a name began, empty if it is not known. */
+    Optional<ServiceVersion> find(String name) {
+        return Optional.ofNullable(entries.get(name)).flatMap(Entry::served);
     }
 
     /**
-     * Returns the version on which a stream has to continue. If nobody has reported where the stream began, it is the
-     * only version of the service, if that is known to have been the only one.
+     * Returns where a stream has to continue. If nobody has reported where the stream began, it is the only version of
+     * the route's services, if that is known to have been the only one.
      */
     Conclusion conclude(String service, StreamOrigin origin) {
-        return origin.version()
-                .or(() -> origin.attempt().flatMap(this::find))
-                .map(version -> new Conclusion(Optional.of(version), Cause.REPORTED))
-                .orElseGet(() -> directory.servedVersions().only(service, origin.beganBeforeNanos()));
+        return origin.served()
+                .or(() -> origin.names().stream()
+                        .map(this::find)
+                        .flatMap(Optional::stream)
+                        .findFirst())
+                .map(served -> new Conclusion(Optional.of(served), Cause.REPORTED))
+                .orElseGet(() -> directory.servedVersions().only(services(service, origin), origin.beganBeforeNanos()));
+    }
+
+    private static Set<String> services(String service, StreamOrigin origin) {
+        return origin.services().isEmpty() ? Set.of(service) : origin.services();
     }
 
-    /** Returns the version on which a stream has to continue, empty if it is not known. */
-    public Optional<String> resolve(String service, StreamOrigin origin) {
-        return conclude(service, origin).version();
+    /** Returns the service and version on which a stream has to continue, empty if they are not known. */
+    public Optional<ServiceVersion> resolve(String service, StreamOrigin origin) {
+        return conclude(service, origin).served();
     }
 
     /**
@@ -86,7 +104,7 @@
      * for the read of the list that it takes, after which the caller has to resolve the origin again.
      */
     boolean seek(String service, StreamOrigin origin) {
-        return directory.servedVersions().seek(service, origin.beganBeforeNanos());
+        return directory.servedVersions().seek(services(service, origin), origin.beganBeforeNanos());
     }
 
     /** Returns the time since the list of upstreams was last known to be complete, a day if it never was. */
@@ -94,13 +112,14 @@
         return directory.servedVersions().listAge();
     }
 
-    /** Returns all entries, grouped by version. */
+    /** Returns all entries that name a stream, grouped by version. */
     public List<Group> groups() {
         expire();
-        Map<String, List<String>> attempts = new LinkedHashMap<>();
-        entries.forEach((attempt, entry) -> attempts.computeIfAbsent(entry.version(), version -> new ArrayList<>())
-                .add(attempt));
-        return attempts.entrySet().stream()
+        Map<ServiceVersion, List<String>> names = new LinkedHashMap<>();
+        entries.forEach((name, entry) -> entry.served()
+                .ifPresent(served ->
+                        names.computeIfAbsent(served, key -> new ArrayList<>()).add(name)));
+        return names.entrySet().stream()
                 .map(group -> new Group(group.getKey(), List.copyOf(group.getValue())))
                 .toList();
     }
--- a/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
+++ b/serving/src/main/java/dev/lavenderline/serving/upstreams/ServedVersions.java
@@ -89,9 +89,9 @@
     /**
      * The version on which a stream has to continue.
      *
-     * @param version the version, empty if it is not known
+     * @param served the version and its service, empty if they are not known
      */
-    public record Conclusion(Optional<String> version, Cause cause) {}
+    public record Conclusion(Optional<ServiceVersion> served, Cause cause) {}
 
     /** When a partition was loaded, and when the latest read up to its end after that was sent. */
     private record Followed(long loadedNanos, Optional<ClockReading> asked) {
@@ -241,16 +241,16 @@
     }
 
     /**
-     * Returns the version of all upstreams of a service on which a stream can have begun.
+     * Returns the version of all upstreams of some services on which a stream can have begun.
      *
      * @param beganBeforeNanos monotonic time at which the request to resume the stream had arrived
      */
-    public Conclusion only(String service, long beganBeforeNanos) {
+    public Conclusion only(Set<String> services, long beganBeforeNanos) {
         long periodStart = beganBeforeNanos - period().toNanos();
         Set<ServiceVersion> versions = listedSince(periodStart);
         versions.addAll(listed.get());
         versions.addAll(recorded.keySet());
-        versions.removeIf(version -> !version.service().equals(service));
+        versions.removeIf(version -> !services.contains(version.service()));
         if (versions.size() != 1) {
             return new Conclusion(Optional.empty(), versions.isEmpty() ? Cause.NO_VERSION : Cause.SEVERAL_VERSIONS);
         }
@@ -264,7 +264,7 @@
         if (!followed || !list.get().askedAfter(beganBeforeNanos)) {
             return new Conclusion(Optional.empty(), Cause.LIST_OUTDATED);
         }
-        return new Conclusion(Optional.of(only.version()), observed ? Cause.OBSERVED : Cause.RECORDED);
+        return new Conclusion(Optional.of(only), observed ? Cause.OBSERVED : Cause.RECORDED);
     }
 
     private boolean settled(ServiceVersion version) {
@@ -288,8 +288,8 @@
      * Returns whether the only version on which a stream can have begun, which {@link #only} did not return, may be
      * known soon. Requests the read that this takes.
      */
-    public boolean seek(String service, long beganBeforeNanos) {
-        return switch (only(service, beganBeforeNanos).cause()) {
+    public boolean seek(Set<String> services, long beganBeforeNanos) {
+        return switch (only(services, beganBeforeNanos).cause()) {
             case LIST_OUTDATED -> {
                 boolean inTime = starting() || ticker.nanos() - beganBeforeNanos < MAX_READ_WAIT.toNanos();
                 if (inTime) {
@@ -297,7 +297,7 @@
                 }
                 yield inTime;
             }
-            case NOT_OBSERVED -> starting() && (records.isEmpty() || settledRecord(service));
+            case NOT_OBSERVED -> starting() && (records.isEmpty() || settledRecord(services));
             default -> false;
         };
     }
@@ -308,8 +308,8 @@
                 .orElse(false);
     }
 
-    private boolean settledRecord(String service) {
+    private boolean settledRecord(Set<String> services) {
         return recorded.entrySet().stream()
-                .anyMatch(entry -> entry.getKey().service().equals(service) && entry.getValue());
+                .anyMatch(entry -> services.contains(entry.getKey().service()) && entry.getValue());
     }
 }
--- a/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/jobs/DeclinedItemsTest.java
@@ -19,6 +19,7 @@
 import dev.lavenderline.serving.slots.SlotRequest;
 import dev.lavenderline.serving.slots.StreamOrigin;
 import dev.lavenderline.serving.store.FakeStore;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamNotice;
@@ -83,12 +84,12 @@
         }
 
         @Override
-        public void streamBegan(String attempt, String version) {
+        public void streamBegan(List<String> names, ServiceVersion served) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public void findVersion(String service, StreamOrigin origin, Consumer<Optional<String>> listener) {
+        public void findVersion(String service, StreamOrigin origin, Consumer<Optional<ServiceVersion>> listener) {
             throw new UnsupportedOperationException();
         }
 
--- a/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/NodeHarness.java
@@ -88,14 +88,18 @@
             return Either.right(new FleetConfig(
                     version,
                     routes(changes),
-                    List.of(new ServiceInfo("engines", true), new ServiceInfo("plain", false)),
+                    List.of(
+                            new ServiceInfo("engines", true),
+                            new ServiceInfo("engines-next", true),
+                            new ServiceInfo("plain", false)),
                     limits(changes),
                     workspaces(rest)));
         }
 
         /**
          * Returns the usual routes after changes: "+no-routes" removes all, "+no-batch" that for jobs; "+online-batch"
-         * makes it one for streams; "+catch-all" adds one for all other paths.
+         * makes it one for streams; "+catch-all" adds one for all other paths; "+split" and "+moved" send the streams
+         * that may be resumed to the service engines-next as well, and only there.
          */
         private static List<Route> routes(List<String> changes) {
             if (changes.contains("+no-routes")) {
@@ -109,6 +113,13 @@
                     route("resumable", RouteKind.STREAMING, "engines", true),
                     route("long", RouteKind.STREAMING, "engines", false, Duration.ofSeconds(15)),
                     route("public", RouteKind.SAFE, "plain", false)));
+            if (changes.contains("+split") || changes.contains("+moved")) {
+                List<WeightedService> services = new ArrayList<>(List.of(new WeightedService("engines-next", 1)));
+                if (changes.contains("+split")) {
+                    services.add(new WeightedService("engines", 1));
+                }
+                routes.replaceAll(route -> route.name().equals("resumable") ? withServices(route, services) : route);
+            }
             if (!changes.contains("+no-batch")) {
                 boolean online = changes.contains("+online-batch");
                 routes.add(route("batch", online ? RouteKind.STREAMING : RouteKind.BATCH, "engines", true));
@@ -119,6 +130,25 @@
             return routes;
         }
 
+        private static Route withServices(Route route, List<WeightedService> services) {
+            return new Route(
+                    route.name(),
+                    route.host(),
+                    route.pathPrefix(),
+                    route.kind(),
+                    route.timeout(),
+                    route.latencyTarget(),
+                    route.priority(),
+                    services,
+                    route.attempts(),
+                    route.resumable(),
+                    route.maxEventGap(),
+                    route.completionTarget(),
+                    route.retention(),
+                    route.maxWaitingTokens(),
+                    route.publicAccess());
+        }
+
         /** Returns the usual limits, or with "+small-bodies" bodies of at most 4 bytes. */
         private static CallerLimits limits(List<String> changes) {
             CallerLimits usual = CallerLimits.defaults();
@@ -255,7 +285,10 @@
 
     /** Writes a record of a version of the engines, as the nodes do once they have followed the list for a while. */
     void writeSettledVersion(String version) {
-        ServiceVersion served = new ServiceVersion("engines", version);
+        writeSettledVersion(new ServiceVersion("engines", version));
+    }
+
+    void writeSettledVersion(ServiceVersion served) {
         byte[] value = VersionRecord.newBuilder()
                 .setService(served.service())
                 .setVersion(served.version())
--- a/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/UpstreamFollowerTest.java
@@ -19,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Guards against missed changes of an upstream, since entries that repeat the previous content are not decoded. */
@@ -108,7 +109,7 @@
 
     /** Returns the cause for a resumption that arrived at a monotonic time. */
     private ServedVersions.Cause cause(long arrived) {
-        return directory.servedVersions().only("s", arrived).cause();
+        return directory.servedVersions().only(Set.of("s"), arrived).cause();
     }
 
     /** Guards against a conclusion from a list that a node which was cut off has read only in part. */
--- a/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/node/VersionRecordsTest.java
@@ -13,6 +13,7 @@
 import dev.lavenderline.serving.workspaces.ClockReading;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -45,7 +46,7 @@
             long arrived = time.nanos();
             time.advance(Duration.ofNanos(1));
             confirmList();
-            return directory.servedVersions().only("s", arrived).cause();
+            return directory.servedVersions().only(Set.of("s"), arrived).cause();
         }
     }
 
--- a/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/HeardVersionsTest.java
@@ -7,6 +7,7 @@
 import dev.lavenderline.core.VertxTimers;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.upstreams.ServedVersions;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -154,7 +155,9 @@
             CompletableFuture<Optional<String>> version = new CompletableFuture<>();
             run(() -> slots.client()
                     .findVersion(
-                            "s", StreamOrigin.ofAttempt(Optional.of("unknown"), ticker.nanos()), version::complete));
+                            "s",
+                            StreamOrigin.ofAttempt(Optional.of("unknown"), ticker.nanos()),
+                            found -> version.complete(found.map(ServiceVersion::version))));
             return version.join();
         }
     }
@@ -248,7 +251,8 @@
         scheduler.run(() -> scheduler.start(upstream("e1", "v1")));
         other.run(() -> other.start(upstream("e1", "v2")));
         join(scheduler);
-        scheduler.run(() -> scheduler.slots.client().streamBegan("began on v1", "v1"));
+        scheduler.run(
+                () -> scheduler.slots.client().streamBegan(List.of("began on v1"), new ServiceVersion("s", "v1")));
         assertEquals("rejected", other.resume("began on v1"));
         scheduler.run(() -> scheduler.directory.put(upstream("e2", "v1")));
         other.run(() -> other.directory.put(upstream("e2", "v1")));
--- a/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/LostNodesTest.java
@@ -6,6 +6,7 @@
 import dev.lavenderline.core.Ticker;
 import dev.lavenderline.core.VertxTimers;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -132,8 +133,8 @@
 
     private void beginStreams(Node node) {
         node.run(() -> {
-            node.slots.client().streamBegan("began on v1", "v1");
-            node.slots.client().streamBegan("began on v2", "v2");
+            node.slots.client().streamBegan(List.of("began on v1"), new ServiceVersion("s", "v1"));
+            node.slots.client().streamBegan(List.of("began on v2"), new ServiceVersion("s", "v2"));
         });
         await().pollDelay(Duration.ofMillis(300)).atMost(TIMEOUT).until(() -> true);
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/QuotaServerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/QuotaServerTest.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.logging.EventLog;
 import dev.lavenderline.serving.logging.ServingEvent;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -117,7 +118,7 @@
         acquire(1, true, Optional.empty());
         scheduler.released("n", 1, ReleaseReason.UPSTREAM_FULL, 0);
         acquire(2, false, Optional.empty());
-        acquire(3, true, Optional.of(StreamOrigin.ofVersion("v1")));
+        acquire(3, true, Optional.of(StreamOrigin.of(new ServiceVersion("s", "v1"))));
         assertEquals(List.of("granted 1", "granted 2", "granted 3"), decisions);
         assertEquals(BURST - 1, admissionsLeft());
     }
--- a/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/ResumptionCountsTest.java
@@ -5,6 +5,7 @@
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.upstreams.ServedVersions;
 import dev.lavenderline.serving.upstreams.ServedVersions.Cause;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.workspaces.ClockReading;
@@ -37,12 +38,12 @@
     @Test
     void decisionsAreCountedByCauseAndLoggedAtIntervals() {
         directory.put(new Upstream("e1", "s", "10.0.0.1", 80, "a", 8, false, "v1"));
-        streams.record("r", "v1");
+        streams.record("r", new ServiceVersion("s", "v1"));
         counts.continued(request(attempt("r")));
-        counts.continued(request(attempt("r").withVersion(Optional.of("v1"))));
-        counts.continued(request(StreamOrigin.ofVersion("v1")));
+        counts.continued(request(attempt("r").with(Optional.of(new ServiceVersion("s", "v1")))));
+        counts.continued(request(StreamOrigin.of(new ServiceVersion("s", "v1"))));
         assertEquals(Cause.NOT_OBSERVED, counts.refused("s", attempt("unknown")));
-        assertEquals(Cause.NO_UPSTREAM, counts.refused("s", StreamOrigin.ofVersion("v1")));
+        assertEquals(Cause.NO_UPSTREAM, counts.refused("s", StreamOrigin.of(new ServiceVersion("s", "v1"))));
         counts.logIfDue();
         assertEquals(
                 List.of(
@@ -70,7 +71,7 @@
         time.advance(Duration.ofMillis(700));
         counts.continued(request(first));
         counts.decided("s", second);
-        streams.record("known", "v1");
+        streams.record("known", new ServiceVersion("s", "v1"));
         counts.continued(request(attempt("known")));
         assertEquals(
                 List.of(
--- a/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/slots/SlotSchedulerTest.java
@@ -7,6 +7,7 @@
 
 import dev.lavenderline.serving.ManualTime;
 import dev.lavenderline.serving.logging.EventLog;
+import dev.lavenderline.serving.upstreams.ServiceVersion;
 import dev.lavenderline.serving.upstreams.Upstream;
 import dev.lavenderline.serving.upstreams.UpstreamDirectory;
 import dev.lavenderline.serving.upstreams.UpstreamHealth;
@@ -709,7 +710,7 @@
         resume("unknown");
         scheduler.schedule();
         assertTrue(decisions.granted.isEmpty());
-        scheduler.streamVersions().record("r", "v2");
+        scheduler.streamVersions().record("r", new ServiceVersion("s", "v2"));
         scheduler.schedule();
         assertEquals(List.of("e3"), decisions.granted);
         joining.set(false);
@@ -722,10 +723,10 @@
     void resumedStreamIsRejectedOnceNoUpstreamOfItsVersionIsLeft() {
         otherVersion("e3");
         for (int i = 0; i < SLOTS + 1; i++) {
-            scheduler.streamVersions().record("r" + i, "v2");
+            scheduler.streamVersions().record("r" + i, new ServiceVersion("s", "v2"));
             resume("r" + i);
         }
-        scheduler.streamVersions().record("last", "v2");
+        scheduler.streamVersions().record("last", new ServiceVersion("s", "v2"));
         resume("last");
         assertEquals(SLOTS + 1, decisions.granted.size());
         assertTrue(decisions.rejected.isEmpty());
--- a/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
+++ b/serving/src/test/java/dev/lavenderline/serving/upstreams/ServedVersionsTest.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -74,7 +75,7 @@
 
     /** Returns the cause for a resumption that arrives now, without a read of the list after that. */
     private Cause causeBeforeRead() {
-        return versions.only("s", clocks.nanos()).cause();
+        return versions.only(Set.of("s"), clocks.nanos()).cause();
     }
 
     /** Returns the cause for a resumption that arrives now, once the list has been read. */
@@ -82,7 +83,7 @@
         long arrived = clocks.nanos();
         clocks.advance(Duration.ofNanos(1));
         confirmList();
-        return versions.only("s", arrived).cause();
+        return versions.only(Set.of("s"), arrived).cause();
     }
 
     @Test
@@ -92,7 +93,8 @@
         assertEquals(Cause.NOT_OBSERVED, cause());
         follow(SECOND);
         assertEquals(Cause.OBSERVED, cause());
-        assertEquals(Cause.NO_VERSION, versions.only("other", clocks.nanos()).cause());
+        assertEquals(
+                Cause.NO_VERSION, versions.only(Set.of("other"), clocks.nanos()).cause());
     }
 
     /** Guards against a conclusion from an old list by a node that is cut off, and right after it is back. */
@@ -116,9 +118,9 @@
         assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
         long arrived = clocks.nanos();
         clocks.advance(Duration.ofMillis(1));
-        assertEquals(Cause.LIST_OUTDATED, versions.only("s", arrived).cause());
+        assertEquals(Cause.LIST_OUTDATED, versions.only(Set.of("s"), arrived).cause());
         confirmList();
-        assertEquals(Cause.OBSERVED, versions.only("s", arrived).cause());
+        assertEquals(Cause.OBSERVED, versions.only(Set.of("s"), arrived).cause());
         assertEquals(Cause.LIST_OUTDATED, causeBeforeRead());
     }
 
@@ -131,7 +133,7 @@
         long arrived = clocks.nanos();
         clocks.advance(Duration.ofMillis(1));
         versions.listConfirmed(asked);
-        assertEquals(Cause.LIST_OUTDATED, versions.only("s", arrived).cause());
+        assertEquals(Cause.LIST_OUTDATED, versions.only(Set.of("s"), arrived).cause());
         assertEquals(Duration.ZERO, versions.complete());
     }
 
@@ -143,7 +145,7 @@
         follow(ServedVersions.LEAST_PERIOD);
         long arrived = clocks.nanos();
         follow(Duration.ofSeconds(5));
-        assertEquals(Cause.SEVERAL_VERSIONS, versions.only("s", arrived).cause());
+        assertEquals(Cause.SEVERAL_VERSIONS, versions.only(Set.of("s"), arrived).cause());
         assertEquals(Cause.OBSERVED, cause());
     }
 
@@ -153,15 +155,15 @@
         int[] requests = new int[1];
         versions.requestReadsWith(() -> requests[0]++);
         follow(ServedVersions.PROOF_TIME);
-        assertFalse(versions.seek("s", clocks.nanos()), "not observed");
+        assertFalse(versions.seek(Set.of("s"), clocks.nanos()), "not observed");
         follow(ServedVersions.LEAST_PERIOD);
         long arrived = clocks.nanos();
-        assertTrue(versions.seek("s", arrived));
+        assertTrue(versions.seek(Set.of("s"), arrived));
         assertEquals(1, requests[0]);
         clocks.advance(ServedVersions.MAX_READ_WAIT);
-        assertFalse(versions.seek("s", arrived), "the store does not respond");
+        assertFalse(versions.seek(Set.of("s"), arrived), "the store does not respond");
         directory.put(upstream("e2", "v2"));
-        assertFalse(versions.seek("s", clocks.nanos()), "several versions");
+        assertFalse(versions.seek(Set.of("s"), clocks.nanos()), "several versions");
         assertEquals(1, requests[0]);
     }
 
@@ -198,7 +200,12 @@
         assertEquals(Cause.SEVERAL_VERSIONS, cause());
         follow(SECOND);
         assertEquals(Cause.OBSERVED, cause());
-        assertEquals("v1", versions.only("s", clocks.nanos() - 1).version().orElseThrow());
+        assertEquals(
+                "v1",
+                versions.only(Set.of("s"), clocks.nanos() - 1)
+                        .served()
+                        .orElseThrow()
+                        .version());
     }
 
     /** Guards against forgetting the version that an upstream had before it came back under its id. */
@@ -235,7 +242,8 @@
         clocks.advance(SECOND);
         starting.servedVersions().listConfirmed(ClockReading.now(clocks));
         assertEquals(
-                Cause.NOT_OBSERVED, starting.servedVersions().only("s", arrived).cause());
+                Cause.NOT_OBSERVED,
+                starting.servedVersions().only(Set.of("s"), arrived).cause());
     }
 
     @Test
@@ -243,12 +251,12 @@
         versions.recordsLoaded();
         versions.replaceRecorded(Map.of(V1, true));
         assertEquals(Cause.NOT_OBSERVED, cause());
-        assertTrue(versions.seek("s", clocks.nanos()));
+        assertTrue(versions.seek(Set.of("s"), clocks.nanos()));
         follow(ServedVersions.LIST_LAG.minus(SECOND));
         assertEquals(Cause.NOT_OBSERVED, cause());
         follow(SECOND);
         assertEquals(Cause.LIST_OUTDATED, cause());
-        assertTrue(versions.seek("s", clocks.nanos()));
+        assertTrue(versions.seek(Set.of("s"), clocks.nanos()));
         versions.recordsConfirmed(ClockReading.now(clocks));
         assertEquals(Cause.RECORDED, cause());
     }
@@ -260,7 +268,7 @@
         follow(ServedVersions.LIST_LAG);
         versions.recordsConfirmed(ClockReading.now(clocks));
         assertEquals(Cause.NOT_OBSERVED, cause());
-        assertFalse(versions.seek("s", clocks.nanos()));
+        assertFalse(versions.seek(Set.of("s"), clocks.nanos()));
     }
 
     /** Guards against a conclusion that ignores a version of which only the records tell. */
