--- a/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
+++ b/serving/src/test/java/dev/lavenderline/serving/TestWireFormat.java
@@ -26,8 +26,9 @@
 /**
  * A minimal wire format for tests. Headers: id, left (remaining milliseconds), after (last event id), resumes, parts
  * (comma-separated hashes of shared prompt parts), instance, not-run, leaving, limit (requests a second), key, tenant
- * (name of the workspace), prompt (what a request asks for), tokens (of prompt and output), retry (milliseconds). A job's body is a comma-separated list
- * of item ids; those that begin with "crash" have the parts 1 and 666, the others 1. Stateless and thread-safe.
+ * (name of the workspace), prompt (what a request asks for), tokens (of prompt and output), retry (milliseconds). A
+ * job's body is a comma-separated list of item ids; those that begin with "crash" have the parts 1 and 666, the others
+ * 1. Stateless and thread-safe.
  *
  * @param stampRequired whether the head of a success without stamp is incomplete
  */
